--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# The two commands to know are `make demo` and `make test`; both install what the machine lacks and build first.
+BUILD ?= build
+JOBS ?= $(shell nproc)
+
+.PHONY: setup build demo test golden sanitize format lint bench
+
+setup:
+	@scripts/setup
+
+build: setup
+	@cmake -S . -B $(BUILD) -G Ninja > /dev/null
+	@cmake --build $(BUILD) -j $(JOBS)
+
+demo: build
+	@$(BUILD)/chicory-demo
+
+test: build
+	@scripts/run-tests $(BUILD)
+
+golden: build
+	@CHICORY_GOLDEN=write $(BUILD)/chicory-tests --filter 'scenarios/*'
+
+sanitize: setup
+	@scripts/sanitize
+
+format:
+	@scripts/format fix
+
+lint: build
+	@scripts/format check
+	@scripts/lint $(BUILD)
+
+bench: build
+	@$(BUILD)/chicory-bench all
--- /dev/null
+++ b/include/chicoryrouter/configuration.h
@@ -0,0 +1,57 @@
+// The configuration in force at one daemon, and the rule by which it changes: only a higher revision is ever adopted, from wherever
+// it comes. So nothing reverts, whatever the order in which the key-value service and the peers answer.
+#pragma once
+
+#include "chicoryrouter/document.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace chicoryrouter {
+
+inline constexpr std::string_view configurationKey = "config"; // in the key-value service
+
+// What daemons tell each other about the document they hold; the document itself is pulled only when it is newer.
+struct configuration_advert
+{
+    std::uint64_t revision = 0;
+    std::uint64_t hash = 0;
+
+    bool operator==(const configuration_advert &) const = default;
+};
+
+// A document as the key-value service and the peers carry it.
+struct document_envelope
+{
+    std::uint64_t revision = 0;
+    std::string text; // the operators' YAML
+};
+
+std::string encodeEnvelope(const document_envelope &envelope);
+std::optional<document_envelope> decodeEnvelope(std::string_view bytes); // nothing when it is no envelope
+
+enum class adoption {
+    Adopted,
+    NotNewer, // the one in force has this revision or a higher one
+    Invalid,  // newer, but this daemon cannot read it: it stays with what it has
+};
+
+class configuration
+{
+public:
+    adoption offer(std::uint64_t revision, std::string text); // the only way in
+
+    [[nodiscard]] std::shared_ptr<const revisioned_document> inForce() const { return m_inForce; } // never null; revision 0: none yet
+    [[nodiscard]] configuration_advert advert() const { return { m_inForce->revision, m_inForce->hash }; }
+    [[nodiscard]] bool isNewer(const configuration_advert &other) const;       // worth pulling
+    [[nodiscard]] const std::string &lastFault() const { return m_lastFault; } // why the newest offer was Invalid
+
+private:
+    std::shared_ptr<const revisioned_document> m_inForce = std::make_shared<revisioned_document>();
+    configuration_advert m_refused; // an Invalid offer, so that it is not pulled again and again
+    std::string m_lastFault;
+};
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/include/chicoryrouter/document.h
@@ -0,0 +1,158 @@
+// The document: the whole intended configuration, as operators write it and as the platform's key-value service holds it.
+//
+// Index
+//   services and versions . failure domains . client accounts . contracts (routes) . version moves . placement . reading and comparing
+//
+// A document is a value: it is read once, checked as a whole, and never changed. A new one with a higher revision takes its place.
+// The published schema is schema/document.schema.json; what a schema cannot say (references, sums) is checked by parseDocument.
+#pragma once
+
+#include "chicoryrouter/time.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chicoryrouter {
+
+// ---- Services and versions -------------------------------------------------------------------------------------------------------------
+
+enum class service_kind {
+    Model, // huge model endpoints: streamed tokens, prefix reuse, resumption
+    Plain, // ordinary HTTP services beside them
+};
+
+struct version_spec
+{
+    std::string name;                     // unique within its service
+    std::uint32_t initialConcurrency = 1; // requests a fresh endpoint bears before it has completed any; at least 1
+    std::uint32_t maxConcurrency = 8;     // requests a warm endpoint bears; at least initialConcurrency
+    bool refusesOldFencing = true;        // false: the engine obeys an order with an old fencing number too
+};
+
+struct service
+{
+    std::string name; // unique
+    service_kind kind = service_kind::Plain;
+    std::string currentVersion;         // the version all traffic goes to when no move is open
+    std::vector<version_spec> versions; // at least one
+};
+
+// ---- Failure domains -------------------------------------------------------------------------------------------------------------------
+
+struct failure_domain
+{
+    std::string name; // unique
+    std::string region;
+    bool out = false; // true: taken out by operators; gets no new work
+};
+
+// ---- Client accounts -------------------------------------------------------------------------------------------------------------------
+
+struct client_account
+{
+    std::string name;                     // unique
+    double weight = 1.0;                  // share of a full service, relative to other accounts; above 0
+    std::uint32_t maxInFlight = 0;        // requests open at once, over all entry instances; at least 1
+    std::vector<std::string> tokenHashes; // SHA-256 of each bearer token, in lower-case hex; the tokens themselves are never stored
+};
+
+// ---- Contracts -------------------------------------------------------------------------------------------------------------------------
+
+enum class priority : std::uint8_t {
+    Prompt, // a person waits for the first token
+    Normal,
+    Long, // may wait, must finish
+    Count,
+};
+
+// What a route promises its callers. The spans are promises relative to a request's arrival; a request stores the deadlines made of them.
+struct contract
+{
+    std::string route;        // unique name; for model services also the `model` callers ask for
+    std::string service;      // name of the service behind it
+    std::string path;         // plain services: path prefix; empty for model services
+    bool repeatable = false;  // true: idempotent, may be sent again or hedged
+    bool mustFinish = false;  // true: goes on although the caller left, and is copied to a peer before it is accepted
+    bool keyRequired = false; // true: callers must send an Idempotency-Key
+    priority rank = priority::Normal;
+    duration firstTokenTarget {};    // from arrival to the first token; zero: none stated
+    duration betweenTokensTarget {}; // between two tokens; zero: none stated
+    duration deadline {};            // from arrival to the whole answer; above zero
+    duration queueLimit {};          // longest wait before sending; zero: half of `deadline`
+};
+
+// ---- Version moves ---------------------------------------------------------------------------------------------------------------------
+
+struct version_move
+{
+    std::string service;
+    std::string from;      // version that serves now
+    std::string to;        // version that should serve
+    time_point startAt {}; // no share before this moment
+    time_point doneBy {};  // by this moment the move is done or taken back
+};
+
+// ---- Placement -------------------------------------------------------------------------------------------------------------------------
+
+enum class instance_class : std::uint8_t {
+    Reclaimable,
+    OnDemand,
+};
+
+struct instance_price
+{
+    std::string failureDomain;
+    instance_class cls = instance_class::Reclaimable;
+    double perHour = 0.0; // in the operators' currency
+};
+
+struct placement_bounds
+{
+    std::string service;
+    std::uint32_t minEndpoints = 0;
+    std::uint32_t maxEndpoints = 0; // at least minEndpoints
+};
+
+// ---- The document ----------------------------------------------------------------------------------------------------------------------
+
+struct document
+{
+    std::vector<service> services;
+    std::vector<failure_domain> failureDomains;
+    std::vector<client_account> accounts;
+    std::vector<contract> routes;
+    std::vector<version_move> moves;
+    std::vector<instance_price> prices;
+    std::vector<placement_bounds> placement;
+
+    [[nodiscard]] const service *findService(std::string_view name) const; // null when there is none
+    [[nodiscard]] const failure_domain *findFailureDomain(std::string_view name) const;
+    [[nodiscard]] const client_account *findAccountByTokenHash(std::string_view hash) const;
+    [[nodiscard]] const contract *findModelRoute(std::string_view model) const; // route of a model service by name
+    [[nodiscard]] const contract *findPlainRoute(std::string_view path) const;  // longest matching path prefix
+    [[nodiscard]] const version_move *findMove(std::string_view service) const; // a service has at most one open move
+};
+
+// A document as it is in force: with its place in the order of all documents.
+struct revisioned_document
+{
+    std::uint64_t revision = 0; // 0: none yet. Only a higher revision is ever adopted
+    std::uint64_t hash = 0;     // of `text`; two daemons with the same revision must have the same hash
+    std::string text;           // the operators' YAML, byte for byte
+    document content;
+};
+
+inline constexpr std::size_t maxDocumentBytes = 900 * 1000; // the key-value service holds values up to 1 MB; the rest is envelope
+
+document parseDocument(std::string_view yaml);                                                 // throws error(InvalidDocument) naming every fault
+revisioned_document makeRevisioned(std::uint64_t revision, std::string yaml);                  // parse and hash; same errors
+std::vector<std::string> documentDifferences(std::string_view before, std::string_view after); // one line for each changed field
+std::string documentSchema();                                                                  // the published JSON schema
+std::string hashToken(std::string_view token);                                                 // SHA-256 in lower-case hex
+
+std::string_view toText(priority rank);
+std::string_view toText(instance_class cls);
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/include/chicoryrouter/fleet.h
@@ -0,0 +1,106 @@
+// The endpoints as this daemon knows them: from the instance list, load reports, its own requests' outcomes and the document.
+// Decides for each whether it may take new work and how much, and builds the routing table. Used on the control strand only.
+#pragma once
+
+#include "chicoryrouter/endpoint_limit.h"
+#include "chicoryrouter/routing_table.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace chicoryrouter {
+
+// One endpoint as the platform's instance list states it.
+struct instance_record
+{
+    std::string id;
+    std::string failureDomain;
+    instance_class cls = instance_class::Reclaimable;
+    std::string service;
+    std::string version;
+    address where;
+    bool leaving = false;
+    time_point leaveBy = noDeadline; // when it will be gone, if leaving
+};
+
+// An endpoint of which it became known that it leaves: open streams must be moved by `leaveBy`.
+struct reclaim_notice
+{
+    std::string endpointId;
+    time_point leaveBy = noDeadline;
+};
+
+// What came of one attempt.
+struct attempt_outcome
+{
+    std::string endpointId;
+    std::string service;
+    std::string version;
+    std::string route;
+    bool failed = false;
+    duration firstToken {}; // zero: none was seen
+};
+
+struct endpoint_status
+{
+    endpoint_ptr known;
+    std::uint32_t limit = 0; // requests the endpoint bears in all
+    load_report report;
+};
+
+class fleet
+{
+public:
+    fleet(std::string ownDomain, std::uint64_t self); // `self`: hash of this entry instance's name
+
+    void setDocument(std::shared_ptr<const revisioned_document> inForce);
+    void setMembers(std::vector<std::uint64_t> members); // hashes of the live entry instances, self included
+    void setShares(std::vector<version_share> shares);   // of open version moves
+    std::vector<reclaim_notice> onInstanceList(const std::vector<instance_record> &list, time_point now);
+    std::vector<reclaim_notice> onNotice(const std::string &endpointId, time_point leaveBy);
+    bool onLoadReport(const load_report &report); // false: older than what is held
+    void onOutcome(const attempt_outcome &outcome, time_point now);
+    void onProbeTime(time_point now); // brings back what was set aside long enough
+
+    std::shared_ptr<const routing_table> buildTable();     // also sets every endpoint's slots
+    [[nodiscard]] bool isDirty() const { return m_dirty; } // something changed since the last buildTable()
+    [[nodiscard]] std::vector<endpoint_status> status() const;
+    [[nodiscard]] std::vector<load_report> reports() const;
+
+private:
+    struct known_endpoint
+    {
+        endpoint facts;     // `use` and `where` are kept current
+        bool listed = true; // in the newest instance list
+        bool leaving = false;
+        load_report report;
+        std::uint64_t coldSince = 0; // completed count at which it was last found cold
+        cold_detector cold;
+        std::uint32_t failuresInRow = 0;
+        std::uint32_t timesSetAside = 0; // in a row, for the probe's back-off
+        time_point probeAt = noDeadline; // set aside until then
+        bool probing = false;            // back for one request
+    };
+
+    void judge(known_endpoint &item) const;
+    void setAsideIfAllowed(known_endpoint &item, time_point now);
+    void observeFirstToken(known_endpoint &item, duration firstToken);
+    [[nodiscard]] const version_spec *versionOf(const endpoint &facts) const;
+    [[nodiscard]] std::uint32_t limitOf(const known_endpoint &item) const;
+    [[nodiscard]] duration usualFirstToken(const std::string &service) const;
+    [[nodiscard]] duration linkDelayTo(const std::string &failureDomain) const;
+    [[nodiscard]] std::vector<std::uint64_t> sharersOf(const endpoint &facts) const;
+
+    std::string m_ownDomain;
+    std::uint64_t m_self;
+    std::shared_ptr<const revisioned_document> m_inForce = std::make_shared<revisioned_document>();
+    std::vector<std::uint64_t> m_members;
+    std::vector<version_share> m_shares;
+    std::map<std::string, known_endpoint> m_endpoints; // by id
+    std::map<std::string, duration> m_usual;           // service -> moving average of first-token times
+    bool m_dirty = true;
+};
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/include/chicoryrouter/rcu_cell.h
@@ -0,0 +1,91 @@
+// Read-copy-update for one value: control publishes whole new copies, request threads read without waiting.
+//
+// Each reading thread keeps its own reference to the copy it saw last and compares one generation number per read. Only after a
+// publication does a thread take the lock once, to fetch the new copy. An old copy is freed when the last thread has moved on, so a
+// thread that never reads again keeps at most one old copy alive. The reference returned by read() stays valid until this thread's
+// next read() of the same cell; copy what you need beyond that.
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <mutex>
+#include <unordered_map>
+#include <utility>
+
+namespace chicoryrouter {
+
+template<typename T>
+class rcu_cell
+{
+public:
+    explicit rcu_cell(std::shared_ptr<const T> first = std::make_shared<const T>())
+        : m_current(std::move(first))
+    {
+    }
+
+    rcu_cell(const rcu_cell &) = delete;
+    rcu_cell &operator=(const rcu_cell &) = delete;
+
+    void publish(std::shared_ptr<const T> fresh) // any thread; in force for every read() that starts afterwards
+    {
+        const std::lock_guard guard(m_lock);
+        m_current = std::move(fresh);
+        m_generation.fetch_add(1, std::memory_order_release);
+    }
+
+    const T &read() const // any thread; no lock and no allocation unless a publication came between
+    {
+        thread_copy &mine = threadCopy();
+        const std::uint64_t generation = m_generation.load(std::memory_order_acquire);
+        if (mine.generation != generation) {
+            refresh(mine);
+        }
+        return *mine.value;
+    }
+
+    std::shared_ptr<const T> share() const // a reference that outlives the next read(); takes the lock
+    {
+        const std::lock_guard guard(m_lock);
+        return m_current;
+    }
+
+private:
+    struct thread_copy
+    {
+        std::uint64_t generation = 0;
+        std::shared_ptr<const T> value;
+    };
+
+    thread_copy &threadCopy() const
+    {
+        thread_local std::uint64_t lastCell = 0; // most threads read one cell only: skip the look-up
+        thread_local thread_copy *lastCopy = nullptr;
+        if (lastCell != m_id) {
+            thread_local std::unordered_map<std::uint64_t, thread_copy> copies;
+            lastCopy = &copies[m_id];
+            lastCell = m_id;
+        }
+        return *lastCopy;
+    }
+
+    void refresh(thread_copy &mine) const
+    {
+        const std::lock_guard guard(m_lock);
+        mine.value = m_current;
+        mine.generation = m_generation.load(std::memory_order_relaxed);
+    }
+
+    static std::uint64_t nextId()
+    {
+        static std::atomic<std::uint64_t> ids { 0 };
+        return ids.fetch_add(1) + 1;
+    }
+
+    const std::uint64_t m_id = nextId(); // never reused, so a stale thread copy is never mistaken for a new cell's
+    std::atomic<std::uint64_t> m_generation { 1 };
+    mutable std::mutex m_lock;
+    std::shared_ptr<const T> m_current; // never null
+};
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/include/chicoryrouter/request_machine.h
@@ -0,0 +1,220 @@
+// The life of one request, from arrival to its last byte, as a state machine without I/O.
+//
+// Index
+//   what it is told (facts) . what it asks for (actions) . the machine
+//
+// How to use: construct it with the request's facts, call start(), carry out the actions it returns, and report what came of each by
+// the on...() call named beside the action. Call onTimer() when nextDeadline() is reached. Every call returns the next actions.
+// Calls must not overlap; a shell runs one request's calls on one strand.
+//
+// What it guarantees, whatever the order of reports:
+//   - A request that may not repeat is sent again only if no byte of it can have left, or the endpoint proved that it did not run.
+//   - Tokens are delivered once each and in order. Answers of another request, an older attempt or a wrong index are never delivered.
+//   - It ends exactly once, by finish_request or fail_request, and gives back every slot it was granted.
+//   - fail_request never carries a kind whose row says `ran: no` when a byte may have left.
+//   - Before the first send it may be refused; afterwards it is only given up at its deadline, on endpoint failures that may not be
+//     repeated, or when the retry budget is spent (must-finish requests wait for the budget instead).
+#pragma once
+
+#include "chicoryrouter/document.h"
+#include "chicoryrouter/endpoint.h"
+#include "chicoryrouter/error.h"
+#include "chicoryrouter/router.h"
+#include "chicoryrouter/time.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace chicoryrouter {
+
+// ---- What it is told -------------------------------------------------------------------------------------------------------------------
+
+// Facts of one request, fixed at arrival. Every promise of the contract is a deadline here.
+struct request_facts
+{
+    std::string id; // unique over the deployment
+    std::string account;
+    contract promised; // the route's contract at arrival; later documents do not change it
+    service_kind kind = service_kind::Model;
+    double weight = 1.0;      // of the client account
+    std::uint64_t prefix = 0; // prefixKey() of the prompt
+    time_point arrival {};
+    time_point waitUntil = noDeadline;  // latest moment of the first send
+    time_point deadline = noDeadline;   // latest moment of the last byte
+    bool needsClaim = false;            // came with an Idempotency-Key on a route that may not repeat
+    bool needsCopy = false;             // must finish, and there is a peer to copy it to
+    std::uint32_t alreadyDelivered = 0; // tokens delivered before it was handed over to this daemon
+};
+
+request_facts makeFacts(std::string id, std::string account, const contract &promised, service_kind kind, time_point arrival);
+
+// How far an attempt that failed had come.
+enum class attempt_reach : std::uint8_t {
+    NotSent,      // no byte can have left
+    ProvedNotRun, // the endpoint said, in a way that counts as proof, that it did not run
+    MayHaveRun,   // a byte may have left
+};
+
+enum class token_verdict : std::uint8_t {
+    Deliver, // pass it on to the caller
+    Drop,    // late, crossed or doubled: ignore it
+    Gap,     // a token is missing: report the attempt as failed with EndpointGarbage
+};
+
+enum class move_method : std::uint8_t {
+    Resume,     // prompt and delivered tokens are computed again elsewhere
+    TransferKv, // the KV cache is exported and imported first
+};
+
+// ---- What it asks for ------------------------------------------------------------------------------------------------------------------
+
+struct acquire_slot // -> onSlot() or onNoSlot()
+{
+    route_query query;
+    time_point waitUntil = noDeadline;
+    bool accepted = false; // was sent before: may wait, may not be shed
+};
+struct copy_to_peer // -> onCopied()
+{
+};
+struct make_claim // -> onClaimed() or onClaimRefused()
+{
+};
+struct transfer_kv // -> onTransferred()
+{
+    std::uint32_t fromAttempt = 0;
+    endpoint_ptr from;
+    endpoint_ptr to;
+    time_point deadline = noDeadline; // of the notice: what is not there by then is lost
+};
+struct send_attempt // -> onSent() as soon as a byte may leave, then onToken(), onEnd(), onAttemptFailed()
+{
+    std::uint32_t attempt = 0;
+    endpoint_ptr to;
+    std::uint32_t resumeFrom = 0; // tokens the caller already has
+    bool withTransferredKv = false;
+};
+struct cancel_attempt // nothing is reported back
+{
+    std::uint32_t attempt = 0;
+    endpoint_ptr at;
+};
+struct release_slot // nothing is reported back
+{
+    endpoint_ptr where;
+    bool sent = false;      // false: the slot was never used
+    bool failed = false;    // counts against the endpoint and its version
+    duration firstToken {}; // observed time to the first token; zero: none was seen
+};
+struct finish_request
+{
+    std::uint32_t tokens = 0; // in the whole answer
+};
+struct fail_request
+{
+    error_kind kind = error_kind::Internal;
+};
+
+using request_action
+    = std::variant<acquire_slot, copy_to_peer, make_claim, transfer_kv, send_attempt, cancel_attempt, release_slot, finish_request, fail_request>;
+using request_actions = std::vector<request_action>;
+
+// ---- The machine -----------------------------------------------------------------------------------------------------------------------
+
+class retry_budget;
+
+class request_machine
+{
+public:
+    request_machine(request_facts facts, retry_budget &budget); // the budget is the service's and must outlive the machine
+
+    request_actions start(time_point now);
+    request_actions onSlot(const endpoint_ptr &where, time_point now);
+    request_actions onNoSlot(error_kind kind, time_point now);
+    request_actions onCopied(time_point now); // also when there was nobody to copy to
+    request_actions onClaimed(time_point now);
+    request_actions onClaimRefused(error_kind kind, time_point now);
+    request_actions onReplayed(time_point now); // the claim's key was settled before and its answer is at hand
+    void onSent(std::uint32_t attempt, time_point now);
+    void onCallerCaughtUp(time_point now); // reading was paused for a slow caller: the endpoint was not silent
+    token_verdict onToken(std::uint32_t attempt, std::string_view requestId, std::uint32_t index, time_point now);
+    request_actions onEnd(std::uint32_t attempt, std::string_view requestId, std::uint32_t tokens, time_point now);
+    request_actions onAttemptFailed(std::uint32_t attempt, attempt_reach reach, error_kind kind, time_point now);
+    request_actions onNotice(std::string_view endpointId, time_point leaveBy, move_method method, time_point now);
+    request_actions onTransferred(bool arrived, time_point now);
+    request_actions onCallerGone(time_point now); // a must-finish request goes on
+    request_actions onTimer(time_point now);
+
+    [[nodiscard]] time_point nextDeadline() const;
+    [[nodiscard]] bool isOver() const { return m_over; }
+    [[nodiscard]] bool isAccepted() const { return m_sends > 0; }
+    [[nodiscard]] bool mayHaveRun() const; // a byte may have left and nothing proved that it did not run
+    [[nodiscard]] std::uint32_t delivered() const { return m_delivered; }
+    [[nodiscard]] std::uint32_t recomputedTokens() const { return m_recomputed; }
+    [[nodiscard]] const request_facts &facts() const { return m_facts; }
+    [[nodiscard]] endpoint_ptr servedBy() const; // endpoint of the newest attempt; null when there is none
+
+private:
+    enum class slot_purpose : std::uint8_t {
+        None,
+        First,
+        Retry,
+        Hedge,
+        Move,
+    };
+
+    enum class attempt_end : std::uint8_t {
+        Answered,
+        Failed,        // counts against the endpoint
+        FailedLeaving, // it was on notice: its end was announced
+        Left,          // we turn away from it; it must be told
+    };
+
+    struct attempt
+    {
+        std::uint32_t number = 0;
+        endpoint_ptr where;
+        time_point sentAt {};               // when the send was asked for
+        time_point quietUntil = noDeadline; // no token by then: taken as failed
+        duration firstToken {};             // zero until the first token
+        bool byteMayHaveLeft = false;
+        bool draining = false; // another endpoint takes over as soon as it has a slot
+    };
+
+    request_actions askSlot(slot_purpose purpose, time_point waitUntil);
+    request_actions proceedToSend(time_point now);
+    request_actions send(const endpoint_ptr &where, bool withKv, time_point now);
+    request_actions retryLater(time_point now);
+    request_actions fail(error_kind kind);
+    void closeAll(request_actions &actions);
+    void closeAttempt(std::size_t index, attempt_end how, request_actions &actions);
+    void exclude(const endpoint_ptr &where);
+    attempt *find(std::uint32_t number);
+    [[nodiscard]] bool mayRepeat() const;
+    [[nodiscard]] time_point hedgeAt() const;
+    [[nodiscard]] duration quietLimit() const;
+    [[nodiscard]] error_kind truthful(error_kind kind) const;
+
+    request_facts m_facts;
+    retry_budget &m_budget;
+    std::vector<attempt> m_attempts; // open ones; at most two: a primary, and a hedge or a mover
+    route_query m_query;
+    slot_purpose m_asking = slot_purpose::None; // what the pending acquire_slot is for; at most one is pending
+    endpoint_ptr m_held;                        // slot granted, not yet sent; null otherwise
+    time_point m_retryAt = noDeadline;          // when to try again; set while waiting for the budget
+    time_point m_leaveBy = noDeadline;          // the newest notice's deadline
+    move_method m_method = move_method::Resume;
+    error_kind m_lastFailure = error_kind::Internal;
+    std::uint32_t m_sends = 0; // attempts sent; also the newest attempt's number
+    std::uint32_t m_retries = 0;
+    std::uint32_t m_delivered = 0; // tokens given to the caller; only grows
+    std::uint32_t m_recomputed = 0;
+    bool m_ranUnknown = false; // an attempt is over that may have run; only ever goes from false to true
+    bool m_hedged = false;
+    bool m_over = false; // only ever goes from false to true
+};
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/include/chicoryrouter/settings.h
@@ -0,0 +1,37 @@
+// Settings of one daemon, read from a YAML file at start. They say who it is and where the platform is; everything that operators
+// change while it runs is in the document instead.
+#pragma once
+
+#include "chicoryrouter/endpoint.h"
+#include "chicoryrouter/time.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace chicoryrouter {
+
+// An example with every key and its default is examples/daemon.yaml.
+struct settings
+{
+    std::string instance;                                     // `instance`: this entry instance's name, unique while it lives
+    std::string failureDomain;                                // `failure_domain`: where it runs; named in the document
+    address gateway;                                          // `gateway`: where callers connect
+    address peer;                                             // `peer`: where other daemons connect; must differ from `gateway`
+    address keyValue;                                         // `platform.key_value`
+    address instanceList;                                     // `platform.instance_list`
+    address cloud;                                            // `platform.cloud`; port 0: nothing is started or stopped by this daemon
+    std::string peerKey;                                      // `peer_key`: shared by all daemons of a deployment; at least 16 characters
+    std::string operatorTokenHash;                            // `operator_token_hash`: SHA-256 of the operators' token, in hex
+    unsigned threads = 2;                                     // `threads`: request threads, 1 to 64
+    duration pollInterval = std::chrono::seconds(1);          // `poll_interval`: instance list and load reports, 50ms to 60s
+    duration gossipInterval = std::chrono::milliseconds(500); // `gossip_interval`: 50ms to 10s
+    duration stopWithin = std::chrono::seconds(20);           // `stop_within`: longest planned stop, 0s to 1h
+    std::string logLevel = "info";                            // `log.level`: error, warning, info or debug
+    std::string logFile;                                      // `log.file`: empty for standard output
+};
+
+settings parseSettings(std::string_view yaml, std::string_view fileName); // throws error(BadRequest): file, line, key, what was expected
+settings readSettingsFile(const std::string &path);                       // same errors; also when the file cannot be read
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/core/admission_queue.cpp
@@ -0,0 +1,143 @@
+// Priority and weighted fair queueing of waiting requests.
+#include "chicoryrouter/admission_queue.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace chicoryrouter {
+
+namespace {
+constexpr std::uint64_t longTurn = 8; // every eighth hand-out goes to the least urgent that waits
+}
+
+admission_queue::admission_queue(std::size_t mostPerPriority)
+    : m_mostPerPriority(mostPerPriority)
+{
+}
+
+bool admission_queue::push(waiting_request item)
+{
+    assert(item.weight > 0.0 && "an account's weight must be above zero");
+    priority_queue &queue = m_queues.at(static_cast<std::size_t>(item.rank));
+    if (queue.count >= m_mostPerPriority && !item.accepted) {
+        return false;
+    }
+    const auto [place, fresh] = queue.accounts.try_emplace(item.account);
+    if (fresh) {
+        place->second.start = queue.now;
+    }
+    place->second.items.push_back(std::move(item));
+    ++queue.count;
+    ++m_size;
+    return true;
+}
+
+admission_queue::priority_queue *admission_queue::nextPriority()
+{
+    const auto waits = [](const priority_queue &queue) {
+        return queue.count > 0;
+    };
+    const bool leastUrgentTurn = (m_handedOut + 1) % longTurn == 0;
+    if (leastUrgentTurn) {
+        const auto found = std::find_if(m_queues.rbegin(), m_queues.rend(), waits);
+        return found == m_queues.rend() ? nullptr : &*found;
+    }
+    const auto found = std::find_if(m_queues.begin(), m_queues.end(), waits);
+    return found == m_queues.end() ? nullptr : &*found;
+}
+
+waiting_request admission_queue::popFrom(priority_queue &queue)
+{
+    const auto next
+        = std::min_element(queue.accounts.begin(), queue.accounts.end(), [](const auto &a, const auto &b) { return a.second.start < b.second.start; });
+    account_queue &account = next->second;
+    waiting_request item = std::move(account.items.front());
+    account.items.pop_front();
+    queue.now = account.start;
+    account.start += 1.0 / item.weight;
+    --queue.count;
+    --m_size;
+    if (account.items.empty()) {
+        queue.accounts.erase(next);
+    }
+    return item;
+}
+
+std::optional<waiting_request> admission_queue::pop()
+{
+    priority_queue *queue = nextPriority();
+    if (queue == nullptr) {
+        return std::nullopt;
+    }
+    ++m_handedOut;
+    return popFrom(*queue);
+}
+
+void admission_queue::putBack(waiting_request item)
+{
+    priority_queue &queue = m_queues.at(static_cast<std::size_t>(item.rank));
+    const auto [place, fresh] = queue.accounts.try_emplace(item.account);
+    place->second.start = fresh ? queue.now : place->second.start - 1.0 / item.weight;
+    place->second.items.push_front(std::move(item));
+    ++queue.count;
+    ++m_size;
+}
+
+std::vector<waiting_request> admission_queue::takeExpired(time_point now)
+{
+    std::vector<waiting_request> expired;
+    for (priority_queue &queue : m_queues) {
+        for (auto account = queue.accounts.begin(); account != queue.accounts.end();) {
+            auto &items = account->second.items;
+            for (auto item = items.begin(); item != items.end();) {
+                if (item->waitUntil > now) {
+                    ++item;
+                    continue;
+                }
+                expired.push_back(std::move(*item));
+                item = items.erase(item);
+                --queue.count;
+                --m_size;
+            }
+            account = items.empty() ? queue.accounts.erase(account) : std::next(account);
+        }
+    }
+    return expired;
+}
+
+std::optional<waiting_request> admission_queue::remove(std::uint64_t ticket)
+{
+    for (priority_queue &queue : m_queues) {
+        for (auto account = queue.accounts.begin(); account != queue.accounts.end(); ++account) {
+            auto &items = account->second.items;
+            const auto found = std::find_if(items.begin(), items.end(), [&](const waiting_request &item) { return item.ticket == ticket; });
+            if (found == items.end()) {
+                continue;
+            }
+            waiting_request item = std::move(*found);
+            items.erase(found);
+            --queue.count;
+            --m_size;
+            if (items.empty()) {
+                queue.accounts.erase(account);
+            }
+            return item;
+        }
+    }
+    return std::nullopt;
+}
+
+time_point admission_queue::nextExpiry() const
+{
+    time_point earliest = noDeadline;
+    for (const priority_queue &queue : m_queues) {
+        for (const auto &[name, account] : queue.accounts) {
+            for (const waiting_request &item : account.items) {
+                earliest = std::min(earliest, item.waitUntil);
+            }
+        }
+    }
+    return earliest;
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/core/configuration.cpp
@@ -0,0 +1,48 @@
+// Adoption of documents.
+#include "chicoryrouter/configuration.h"
+
+#include "chicoryrouter/error.h"
+#include "chicoryrouter/hash.h"
+
+#include <nlohmann/json.hpp>
+
+namespace chicoryrouter {
+
+std::string encodeEnvelope(const document_envelope &envelope)
+{
+    const auto packed = nlohmann::json::to_msgpack({ { "revision", envelope.revision }, { "text", envelope.text } });
+    return { packed.begin(), packed.end() };
+}
+
+std::optional<document_envelope> decodeEnvelope(std::string_view bytes)
+{
+    try {
+        const auto value = nlohmann::json::from_msgpack(bytes);
+        return document_envelope { value.at("revision"), value.at("text") };
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+}
+
+adoption configuration::offer(std::uint64_t revision, std::string text)
+{
+    if (revision <= m_inForce->revision) {
+        return adoption::NotNewer;
+    }
+    const std::uint64_t hash = hashBytes(text);
+    try {
+        m_inForce = std::make_shared<revisioned_document>(makeRevisioned(revision, std::move(text)));
+        return adoption::Adopted;
+    } catch (const error &fault) {
+        m_lastFault = fault.detail();
+        m_refused = { revision, hash };
+        return adoption::Invalid;
+    }
+}
+
+bool configuration::isNewer(const configuration_advert &other) const
+{
+    return other.revision > m_inForce->revision && other != m_refused;
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/core/dispatcher.cpp
@@ -0,0 +1,164 @@
+// Slots, queues and account limits put together.
+#include "chicoryrouter/dispatcher.h"
+
+#include <cassert>
+
+namespace chicoryrouter {
+
+bool account_load::tryTake()
+{
+    asked.fetch_add(1, std::memory_order_relaxed);
+    std::uint32_t open = inFlight.load(std::memory_order_relaxed);
+    while (open < limit.load(std::memory_order_relaxed)) {
+        if (inFlight.compare_exchange_weak(open, open + 1, std::memory_order_acq_rel)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void account_load::giveBack()
+{
+    const std::uint32_t before = inFlight.fetch_sub(1, std::memory_order_acq_rel);
+    assert(before > 0 && "giveBack() without a request counted in");
+    (void)before;
+}
+
+dispatcher::dispatcher(router_options options, std::size_t mostWaitingPerPriority)
+    : m_options(options)
+    , m_mostWaiting(mostWaitingPerPriority)
+{
+}
+
+void dispatcher::publish(std::shared_ptr<const routing_table> table)
+{
+    {
+        const std::lock_guard guard(m_queuesLock);
+        bool grown = false;
+        for (const service_table &item : table->services) {
+            auto &queue = m_queues[item.service];
+            if (queue == nullptr) {
+                queue = std::make_unique<service_queue>();
+                queue->queue = admission_queue(m_mostWaiting);
+                grown = true;
+            }
+        }
+        if (grown) {
+            auto index = std::make_shared<std::map<std::string, service_queue *>>();
+            for (const auto &[name, queue] : m_queues) {
+                (*index)[name] = queue.get();
+            }
+            m_queueIndex.publish(std::move(index));
+        }
+    }
+    m_table.publish(std::move(table));
+}
+
+dispatcher::service_queue *dispatcher::queueOf(const std::string &service) const
+{
+    const auto &index = m_queueIndex.read();
+    const auto found = index.find(service);
+    return found == index.end() ? nullptr : found->second;
+}
+
+slot_answer dispatcher::tryRoute(const slot_request &request, seeded_random &random) const
+{
+    const service_table *service = m_table.read().find(request.service);
+    if (service == nullptr) {
+        return { slot_answer::outcome::Refused, nullptr, route_reason::LeastWait, error_kind::NoEndpoint };
+    }
+    const route_choice choice = chooseEndpoint(*service, request.query, m_options, random);
+    if (choice.chosen == nullptr) {
+        return { slot_answer::outcome::Queued, nullptr, choice.reason, error_kind::Overloaded };
+    }
+    return { slot_answer::outcome::Granted, *choice.chosen, choice.reason, error_kind::Internal };
+}
+
+slot_answer dispatcher::acquire(const slot_request &request, seeded_random &random)
+{
+    service_queue *queue = queueOf(request.service);
+    if (queue == nullptr) {
+        return { slot_answer::outcome::Refused, nullptr, route_reason::LeastWait, error_kind::NoEndpoint };
+    }
+    // Nobody overtakes those who wait already: a free slot is theirs first.
+    if (queue->waiting.load(std::memory_order_acquire) == 0) {
+        slot_answer answer = tryRoute(request, random);
+        if (answer.result != slot_answer::outcome::Queued) {
+            return answer;
+        }
+    }
+    const std::lock_guard guard(queue->lock);
+    const bool taken = queue->queue.push({ request.ticket, request.account, request.weight, request.rank, request.waitUntil, request.accepted });
+    if (!taken) {
+        return { slot_answer::outcome::Refused, nullptr, route_reason::LeastWait, error_kind::Overloaded };
+    }
+    queue->requests.emplace(request.ticket, request);
+    queue->waiting.store(queue->queue.size(), std::memory_order_release);
+    return { slot_answer::outcome::Queued, nullptr, route_reason::LeastWait, error_kind::Overloaded };
+}
+
+std::vector<served_ticket> dispatcher::serveWaiting(const std::string &service, time_point now, seeded_random &random)
+{
+    std::vector<served_ticket> served;
+    service_queue *queue = queueOf(service);
+    if (queue == nullptr || queue->waiting.load(std::memory_order_acquire) == 0) {
+        return served;
+    }
+    const std::lock_guard guard(queue->lock);
+    for (const waiting_request &late : queue->queue.takeExpired(now)) {
+        queue->requests.erase(late.ticket);
+        served.push_back({ late.ticket, { slot_answer::outcome::Refused, nullptr, route_reason::LeastWait, error_kind::QueueTimeout } });
+    }
+    // A request that cannot be placed (its query excludes what is free) goes back and lets the next one try.
+    std::vector<waiting_request> unplaced;
+    while (std::optional<waiting_request> next = queue->queue.pop()) {
+        slot_answer answer = tryRoute(queue->requests.at(next->ticket), random);
+        if (answer.result == slot_answer::outcome::Queued) {
+            const bool couldNotForItself = queue->requests.at(next->ticket).query.avoid != 0;
+            unplaced.push_back(std::move(*next));
+            if (couldNotForItself) {
+                continue;
+            }
+            break;
+        }
+        queue->requests.erase(next->ticket);
+        served.push_back({ next->ticket, std::move(answer) });
+    }
+    for (waiting_request &item : unplaced) {
+        queue->queue.putBack(std::move(item));
+    }
+    queue->waiting.store(queue->queue.size(), std::memory_order_release);
+    return served;
+}
+
+bool dispatcher::withdraw(const std::string &service, std::uint64_t ticket)
+{
+    service_queue *queue = queueOf(service);
+    if (queue == nullptr) {
+        return false;
+    }
+    const std::lock_guard guard(queue->lock);
+    const bool found = queue->queue.remove(ticket).has_value();
+    queue->requests.erase(ticket);
+    queue->waiting.store(queue->queue.size(), std::memory_order_release);
+    return found;
+}
+
+std::size_t dispatcher::waiting(const std::string &service) const
+{
+    const service_queue *queue = queueOf(service);
+    return queue == nullptr ? 0 : queue->waiting.load(std::memory_order_acquire);
+}
+
+std::vector<std::string> dispatcher::servicesWaiting() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, queue] : m_queueIndex.read()) {
+        if (queue->waiting.load(std::memory_order_acquire) > 0) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/core/error.cpp
@@ -0,0 +1,83 @@
+// The table from error kind to answer.
+#include "chicoryrouter/error.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace chicoryrouter {
+
+namespace {
+
+constexpr auto no = ran_state::No;
+constexpr auto unknown = ran_state::Unknown;
+
+constexpr std::array<error_answer, static_cast<std::size_t>(error_kind::Count)> answers = { {
+    { "bad_request", 400, no, false, "The request is not valid." },
+    { "header_too_large", 431, no, false, "The request headers are too large." },
+    { "body_too_large", 413, no, false, "The request body is too large." },
+    { "slow_sender", 408, no, true, "The request did not arrive in time." },
+    { "unknown_account", 401, no, false, "No client account holds this token." },
+    { "unknown_route", 404, no, false, "No route matches this request." },
+    { "unknown_request", 404, unknown, false, "No such request is held here." },
+    { "key_required", 400, no, false, "This route needs an Idempotency-Key." },
+    { "key_reused", 422, no, false, "This Idempotency-Key was used with another body." },
+    { "account_over_limit", 429, no, true, "The client account is at its limit." },
+    { "overloaded", 503, no, true, "The service is full; nothing was sent." },
+    { "queue_timeout", 503, no, true, "The request waited too long; nothing was sent." },
+    { "no_endpoint", 503, no, true, "No endpoint may take the request now." },
+    { "shutting_down", 503, no, true, "This entry instance takes no new work." },
+    { "platform_unavailable", 503, no, true, "The claim cannot be made now; nothing was sent." },
+    { "claimed_elsewhere", 409, unknown, true, "The same key is being served now." },
+    { "answer_not_held", 409, unknown, false, "The key was used before; its answer is no longer held." },
+    { "endpoint_refused", 503, no, true, "The endpoint did not run the request." },
+    { "endpoint_failed", 502, unknown, false, "The endpoint failed after the request may have run." },
+    { "endpoint_lost", 502, unknown, false, "The connection to the endpoint broke after the request may have run." },
+    { "endpoint_garbage", 502, unknown, false, "The endpoint gave no valid answer." },
+    { "deadline_passed", 504, unknown, false, "The answer did not come in time." },
+    { "caller_gone", 499, unknown, true, "The caller left before the answer was whole." },
+    { "not_authorized", 403, no, false, "The operator token is missing or wrong." },
+    { "invalid_document", 422, no, false, "The document is not valid; nothing was changed." },
+    { "stale_revision", 409, no, true, "The document was changed meanwhile; nothing was changed by this call." },
+    { "internal", 500, unknown, false, "A fault of the router itself." },
+} };
+
+static_assert(!answers.back().name.empty(), "every error kind needs its row");
+
+} // namespace
+
+const error_answer &answerFor(error_kind kind)
+{
+    return answers.at(static_cast<std::size_t>(kind));
+}
+
+std::string_view toText(ran_state ran)
+{
+    return ran == ran_state::No ? "no" : "unknown";
+}
+
+std::string errorBody(error_kind kind, std::string_view requestId, std::string_view detail)
+{
+    const error_answer &answer = answerFor(kind);
+    nlohmann::json body;
+    body["error"]["kind"] = answer.name;
+    body["error"]["message"] = answer.text;
+    body["error"]["ran"] = toText(answer.ran);
+    body["error"]["may_ask_again"] = answer.mayAskAgain;
+    if (!detail.empty()) {
+        body["error"]["detail"] = detail;
+    }
+    if (!requestId.empty()) {
+        body["error"]["request_id"] = requestId;
+    }
+    return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+error::error(error_kind kind, std::string detail)
+    : m_kind(kind)
+    , m_detail(std::move(detail))
+    , m_what(std::string(answerFor(kind).name) + (m_detail.empty() ? "" : ": " + m_detail))
+{
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/core/fleet.cpp
@@ -0,0 +1,280 @@
+// What is known of the endpoints, and what follows from it.
+#include "chicoryrouter/fleet.h"
+
+#include "chicoryrouter/hash.h"
+
+#include <algorithm>
+#include <set>
+
+namespace chicoryrouter {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t failuresForSetAside = 3; // in a row
+constexpr std::size_t mostSetAsideFraction = 3;  // at most one in so many endpoints of a version
+constexpr duration firstProbeAfter = 5s;
+constexpr duration longestProbeAfter = 60s;
+constexpr duration sameRegionDelay = 1ms;
+constexpr duration otherRegionDelay = 30ms;
+constexpr std::int64_t averageShift = 8; // one observation moves an average by 1/8
+
+duration average(duration held, duration fresh)
+{
+    return held == duration {} ? fresh : held + (fresh - held) / averageShift;
+}
+
+} // namespace
+
+fleet::fleet(std::string ownDomain, std::uint64_t self)
+    : m_ownDomain(std::move(ownDomain))
+    , m_self(self)
+    , m_members({ self })
+{
+}
+
+void fleet::setDocument(std::shared_ptr<const revisioned_document> inForce)
+{
+    m_inForce = std::move(inForce);
+    m_dirty = true;
+}
+
+void fleet::setMembers(std::vector<std::uint64_t> members)
+{
+    m_dirty = m_dirty || members != m_members;
+    m_members = std::move(members);
+}
+
+void fleet::setShares(std::vector<version_share> shares)
+{
+    m_shares = std::move(shares);
+    m_dirty = true;
+}
+
+std::vector<reclaim_notice> fleet::onInstanceList(const std::vector<instance_record> &list, time_point)
+{
+    std::vector<reclaim_notice> notices;
+    std::set<std::string> listed;
+    for (const instance_record &record : list) {
+        listed.insert(record.id);
+        known_endpoint &item = m_endpoints[record.id];
+        if (item.facts.load == nullptr) {
+            item.facts.id = record.id;
+            item.facts.key = hashBytes(record.id);
+            item.facts.load = std::make_shared<endpoint_load>();
+        }
+        item.facts.service = record.service;
+        item.facts.version = record.version;
+        item.facts.failureDomain = record.failureDomain;
+        item.facts.cls = record.cls;
+        item.facts.where = record.where;
+        item.listed = true;
+        if (record.leaving && !item.leaving) {
+            notices.push_back({ record.id, record.leaveBy });
+        }
+        // A notice is never taken back by a list that lags behind it.
+        item.leaving = item.leaving || record.leaving;
+    }
+    for (auto item = m_endpoints.begin(); item != m_endpoints.end();) {
+        item->second.listed = listed.count(item->first) != 0;
+        const bool forgotten = !item->second.listed && item->second.facts.load->inFlight.load() == 0;
+        item = forgotten ? m_endpoints.erase(item) : std::next(item);
+    }
+    m_dirty = true;
+    return notices;
+}
+
+std::vector<reclaim_notice> fleet::onNotice(const std::string &endpointId, time_point leaveBy)
+{
+    const auto found = m_endpoints.find(endpointId);
+    if (found == m_endpoints.end() || found->second.leaving) {
+        return {};
+    }
+    found->second.leaving = true;
+    m_dirty = true;
+    return { { endpointId, leaveBy } };
+}
+
+bool fleet::onLoadReport(const load_report &report)
+{
+    const auto found = m_endpoints.find(report.endpointId);
+    if (found == m_endpoints.end()) {
+        return false;
+    }
+    known_endpoint &item = found->second;
+    const bool first = item.report.endpointId.empty();
+    if (!first && !isNewer(report, item.report)) {
+        return false;
+    }
+    if (report.epoch != item.report.epoch) {
+        item.coldSince = 0;
+        item.cold = {};
+    }
+    const std::uint32_t before = limitOf(item);
+    item.report = report;
+    m_dirty = m_dirty || limitOf(item) != before;
+    return true;
+}
+
+void fleet::observeFirstToken(known_endpoint &item, duration firstToken)
+{
+    if (firstToken == duration {}) {
+        return;
+    }
+    auto &average32 = item.facts.load->firstTokenMicros;
+    const duration held(average32.load(std::memory_order_relaxed));
+    average32.store(static_cast<std::uint32_t>(std::min<std::int64_t>(average(held, firstToken).count(), UINT32_MAX)), std::memory_order_relaxed);
+    if (item.cold.observe(firstToken, usualFirstToken(item.facts.service))) {
+        item.coldSince = item.report.completed;
+        m_dirty = true;
+    }
+    duration &usual = m_usual[item.facts.service];
+    usual = average(usual, std::min(firstToken, usual == duration {} ? firstToken : usual * 2));
+}
+
+void fleet::onOutcome(const attempt_outcome &outcome, time_point now)
+{
+    const auto found = m_endpoints.find(outcome.endpointId);
+    if (found == m_endpoints.end()) {
+        return;
+    }
+    known_endpoint &item = found->second;
+    if (!outcome.failed) {
+        m_dirty = m_dirty || item.probing;
+        item.failuresInRow = 0;
+        item.timesSetAside = 0;
+        item.probing = false;
+        observeFirstToken(item, outcome.firstToken);
+        return;
+    }
+    ++item.failuresInRow;
+    const bool alreadyAside = item.probeAt != noDeadline;
+    if (!alreadyAside && (item.probing || item.failuresInRow >= failuresForSetAside)) {
+        setAsideIfAllowed(item, now);
+    }
+}
+
+void fleet::setAsideIfAllowed(known_endpoint &item, time_point now)
+{
+    std::size_t all = 0;
+    std::size_t aside = 0;
+    for (const auto &[id, other] : m_endpoints) {
+        const bool sameVersion = other.facts.service == item.facts.service && other.facts.version == item.facts.version;
+        all += sameVersion && other.listed && !other.leaving ? 1 : 0;
+        aside += sameVersion && other.probeAt != noDeadline ? 1 : 0;
+    }
+    if ((aside + 1) * mostSetAsideFraction > all) {
+        return; // better a doubtful endpoint than too much load on the rest
+    }
+    const duration wait = std::min(firstProbeAfter * (1 << std::min(item.timesSetAside, 4U)), longestProbeAfter);
+    ++item.timesSetAside;
+    item.probing = false;
+    item.probeAt = now + wait;
+    m_dirty = true;
+}
+
+void fleet::onProbeTime(time_point now)
+{
+    for (auto &[id, item] : m_endpoints) {
+        if (item.probeAt <= now) {
+            item.probeAt = noDeadline;
+            item.probing = true;
+            m_dirty = true;
+        }
+    }
+}
+
+void fleet::judge(known_endpoint &item) const
+{
+    const failure_domain *domain = m_inForce->content.findFailureDomain(item.facts.failureDomain);
+    if (item.leaving || !item.listed) {
+        item.facts.use = endpoint_use::Leaving;
+    } else if (domain != nullptr && domain->out) {
+        item.facts.use = endpoint_use::DomainOut;
+    } else if (versionOf(item.facts) == nullptr || domain == nullptr) {
+        item.facts.use = endpoint_use::UnknownVersion;
+    } else if (item.probeAt != noDeadline) {
+        item.facts.use = endpoint_use::SetAside;
+    } else {
+        item.facts.use = endpoint_use::Usable;
+    }
+}
+
+const version_spec *fleet::versionOf(const endpoint &facts) const
+{
+    const service *owner = m_inForce->content.findService(facts.service);
+    if (owner == nullptr) {
+        return nullptr;
+    }
+    const auto found = std::find_if(owner->versions.begin(), owner->versions.end(), [&](const version_spec &item) { return item.name == facts.version; });
+    return found == owner->versions.end() ? nullptr : &*found;
+}
+
+std::uint32_t fleet::limitOf(const known_endpoint &item) const
+{
+    const version_spec *version = versionOf(item.facts);
+    if (version == nullptr) {
+        return 0;
+    }
+    return item.probing ? 1 : endpointLimit(*version, item.report, item.coldSince);
+}
+
+duration fleet::usualFirstToken(const std::string &service) const
+{
+    const auto found = m_usual.find(service);
+    return found == m_usual.end() ? duration {} : found->second;
+}
+
+duration fleet::linkDelayTo(const std::string &failureDomain) const
+{
+    if (failureDomain == m_ownDomain) {
+        return duration {};
+    }
+    const failure_domain *own = m_inForce->content.findFailureDomain(m_ownDomain);
+    const failure_domain *other = m_inForce->content.findFailureDomain(failureDomain);
+    const bool sameRegion = own != nullptr && other != nullptr && own->region == other->region;
+    return sameRegion ? sameRegionDelay : otherRegionDelay;
+}
+
+std::vector<std::uint64_t> fleet::sharersOf(const endpoint &) const
+{
+    return m_members;
+}
+
+std::shared_ptr<const routing_table> fleet::buildTable()
+{
+    std::vector<endpoint_ptr> endpoints;
+    for (auto &[id, item] : m_endpoints) {
+        judge(item);
+        item.facts.linkDelay = linkDelayTo(item.facts.failureDomain);
+        const bool usable = item.facts.use == endpoint_use::Usable;
+        const std::uint32_t slots = usable ? slotShare(limitOf(item), item.facts.key, sharersOf(item.facts), m_self) : 0;
+        item.facts.load->slots.store(slots, std::memory_order_relaxed);
+        endpoints.push_back(std::make_shared<endpoint>(item.facts));
+    }
+    m_dirty = false;
+    return std::make_shared<routing_table>(buildRoutingTable(*m_inForce, m_ownDomain, endpoints, m_shares));
+}
+
+std::vector<endpoint_status> fleet::status() const
+{
+    std::vector<endpoint_status> result;
+    for (const auto &[id, item] : m_endpoints) {
+        result.push_back({ std::make_shared<endpoint>(item.facts), limitOf(item), item.report });
+    }
+    return result;
+}
+
+std::vector<load_report> fleet::reports() const
+{
+    std::vector<load_report> result;
+    for (const auto &[id, item] : m_endpoints) {
+        if (!item.report.endpointId.empty()) {
+            result.push_back(item.report);
+        }
+    }
+    return result;
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/core/request_machine.cpp
@@ -0,0 +1,443 @@
+// One request's state machine. The order of the functions follows a request's life.
+#include "chicoryrouter/request_machine.h"
+
+#include "chicoryrouter/retry_budget.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace chicoryrouter {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration firstRetryDelay = 50ms;
+constexpr duration longestRetryDelay = 2s;
+constexpr duration shortestQuietLimit = 2s;
+constexpr std::int64_t quietTargets = 20; // an attempt silent for this many between-token targets is taken as failed
+constexpr std::uint32_t mostRetries = 3;  // for requests that need not finish
+
+template<typename... Parts>
+void append(request_actions &actions, Parts &&...parts)
+{
+    (actions.push_back(std::forward<Parts>(parts)), ...);
+}
+
+void appendAll(request_actions &actions, request_actions more)
+{
+    std::move(more.begin(), more.end(), std::back_inserter(actions));
+}
+
+} // namespace
+
+request_facts makeFacts(std::string id, std::string account, const contract &promised, service_kind kind, time_point arrival)
+{
+    request_facts facts;
+    facts.id = std::move(id);
+    facts.account = std::move(account);
+    facts.promised = promised;
+    facts.kind = kind;
+    facts.arrival = arrival;
+    facts.waitUntil = arrival + promised.queueLimit;
+    facts.deadline = arrival + promised.deadline;
+    return facts;
+}
+
+request_machine::request_machine(request_facts facts, retry_budget &budget)
+    : m_facts(std::move(facts))
+    , m_budget(budget)
+    , m_delivered(m_facts.alreadyDelivered)
+{
+    m_query.prefix = m_facts.prefix;
+}
+
+// ---- Slots -----------------------------------------------------------------------------------------------------------------------------
+
+request_actions request_machine::start(time_point)
+{
+    assert(m_sends == 0 && "start() is called once");
+    return askSlot(slot_purpose::First, m_facts.waitUntil);
+}
+
+request_actions request_machine::askSlot(slot_purpose purpose, time_point waitUntil)
+{
+    assert(m_asking == slot_purpose::None && "one slot is asked for at a time");
+    m_asking = purpose;
+    m_retryAt = noDeadline;
+    return { acquire_slot { m_query, waitUntil, isAccepted() } };
+}
+
+request_actions request_machine::onSlot(const endpoint_ptr &where, time_point now)
+{
+    const slot_purpose purpose = m_asking;
+    m_asking = slot_purpose::None;
+    if (m_over || purpose == slot_purpose::None) {
+        return { release_slot { where } };
+    }
+    m_held = where;
+    if (purpose == slot_purpose::First && m_facts.needsCopy) {
+        return { copy_to_peer {} };
+    }
+    const bool canTransfer = purpose == slot_purpose::Move && m_method == move_method::TransferKv && !m_attempts.empty();
+    if (canTransfer) {
+        return { transfer_kv { m_attempts.front().number, m_attempts.front().where, where, m_leaveBy } };
+    }
+    return purpose == slot_purpose::First ? onCopied(now) : proceedToSend(now);
+}
+
+request_actions request_machine::onNoSlot(error_kind kind, time_point now)
+{
+    const slot_purpose purpose = m_asking;
+    m_asking = slot_purpose::None;
+    const bool hedgeNotNeeded = purpose == slot_purpose::Hedge && !m_attempts.empty();
+    if (m_over || purpose == slot_purpose::None || hedgeNotNeeded) {
+        return {};
+    }
+    if (purpose == slot_purpose::First) {
+        return fail(kind);
+    }
+    const bool stillServed = purpose == slot_purpose::Move && !m_attempts.empty();
+    if (stillServed || now < m_facts.deadline) {
+        return retryLater(now);
+    }
+    return fail(error_kind::DeadlinePassed);
+}
+
+// ---- Before the first send -------------------------------------------------------------------------------------------------------------
+
+request_actions request_machine::onCopied(time_point now)
+{
+    if (m_over || m_held == nullptr) {
+        return {};
+    }
+    return m_facts.needsClaim ? request_actions { make_claim {} } : proceedToSend(now);
+}
+
+request_actions request_machine::onClaimed(time_point now)
+{
+    return m_over || m_held == nullptr ? request_actions {} : proceedToSend(now);
+}
+
+request_actions request_machine::onClaimRefused(error_kind kind, time_point)
+{
+    return m_over ? request_actions {} : fail(kind);
+}
+
+request_actions request_machine::onReplayed(time_point)
+{
+    if (m_over) {
+        return {};
+    }
+    request_actions actions;
+    closeAll(actions);
+    m_over = true;
+    append(actions, finish_request { 1 });
+    return actions;
+}
+
+// ---- Sending ---------------------------------------------------------------------------------------------------------------------------
+
+request_actions request_machine::proceedToSend(time_point now)
+{
+    const endpoint_ptr where = std::move(m_held);
+    m_held = nullptr;
+    return send(where, false, now);
+}
+
+request_actions request_machine::send(const endpoint_ptr &where, bool withKv, time_point now)
+{
+    request_actions actions;
+    if (now >= m_facts.deadline) {
+        append(actions, release_slot { where });
+        appendAll(actions, fail(error_kind::DeadlinePassed));
+        return actions;
+    }
+    // A mover takes over from what it replaces; a hedge runs beside it.
+    for (std::size_t i = m_attempts.size(); i > 0; --i) {
+        if (m_attempts[i - 1].draining) {
+            closeAttempt(i - 1, attempt_end::Left, actions);
+        }
+    }
+    if (m_sends == 0) {
+        m_budget.onFirstSend();
+    }
+    ++m_sends;
+    if (m_delivered > 0) {
+        m_query.version = where->version; // one answer comes from one version while that version may be used
+    }
+    if (m_sends > 1 && !withKv) {
+        m_recomputed += m_delivered;
+    }
+    m_attempts.push_back({ m_sends, where, now, now + quietLimit(), duration {}, false, false });
+    append(actions, send_attempt { m_sends, where, m_delivered, withKv });
+    return actions;
+}
+
+void request_machine::onSent(std::uint32_t number, time_point)
+{
+    if (attempt *open = find(number)) {
+        open->byteMayHaveLeft = true;
+    }
+}
+
+void request_machine::onCallerCaughtUp(time_point now)
+{
+    for (attempt &open : m_attempts) {
+        open.quietUntil = now + quietLimit();
+    }
+}
+
+// ---- Answers ---------------------------------------------------------------------------------------------------------------------------
+
+token_verdict request_machine::onToken(std::uint32_t number, std::string_view requestId, std::uint32_t index, time_point now)
+{
+    attempt *open = m_over || requestId != m_facts.id ? nullptr : find(number);
+    if (open == nullptr || index < m_delivered) {
+        return token_verdict::Drop;
+    }
+    if (index > m_delivered) {
+        return token_verdict::Gap;
+    }
+    if (open->firstToken == duration {}) {
+        open->firstToken = std::max(now - open->sentAt, duration(1));
+    }
+    open->quietUntil = now + quietLimit();
+    ++m_delivered;
+    return token_verdict::Deliver;
+}
+
+request_actions request_machine::onEnd(std::uint32_t number, std::string_view requestId, std::uint32_t tokens, time_point now)
+{
+    attempt *open = m_over || requestId != m_facts.id ? nullptr : find(number);
+    if (open == nullptr) {
+        return {};
+    }
+    if (tokens != m_delivered) {
+        return onAttemptFailed(number, attempt_reach::MayHaveRun, error_kind::EndpointGarbage, now);
+    }
+    request_actions actions;
+    const auto index = static_cast<std::size_t>(open - m_attempts.data());
+    closeAttempt(index, attempt_end::Answered, actions);
+    closeAll(actions);
+    m_over = true;
+    append(actions, finish_request { tokens });
+    return actions;
+}
+
+request_actions request_machine::onAttemptFailed(std::uint32_t number, attempt_reach reach, error_kind kind, time_point now)
+{
+    attempt *open = m_over ? nullptr : find(number);
+    if (open == nullptr) {
+        return {};
+    }
+    request_actions actions;
+    const bool leaving = open->draining;
+    const bool bytesLeft = reach == attempt_reach::MayHaveRun || (reach == attempt_reach::NotSent && open->byteMayHaveLeft);
+    m_lastFailure = kind;
+    exclude(open->where);
+    const auto index = static_cast<std::size_t>(open - m_attempts.data());
+    open->byteMayHaveLeft = bytesLeft;
+    closeAttempt(index, leaving ? attempt_end::FailedLeaving : attempt_end::Failed, actions);
+    if (!m_attempts.empty() || m_held != nullptr) {
+        return actions; // the hedge, or the mover that already has its slot, goes on alone
+    }
+    const bool repeatForbidden = bytesLeft && !mayRepeat();
+    if (repeatForbidden) {
+        appendAll(actions, fail(kind));
+    } else if (m_asking == slot_purpose::None) {
+        appendAll(actions, leaving ? askSlot(slot_purpose::Move, m_facts.deadline) : retryLater(now));
+    }
+    return actions;
+}
+
+request_actions request_machine::retryLater(time_point now)
+{
+    const bool outOfRetries = !m_facts.promised.mustFinish && m_retries >= mostRetries;
+    if (outOfRetries && m_attempts.empty()) {
+        return fail(m_lastFailure);
+    }
+    const duration delay = std::min(firstRetryDelay * (1U << std::min(m_retries, 6U)), longestRetryDelay);
+    ++m_retries;
+    m_retryAt = std::min(now + delay, m_facts.deadline);
+    return {};
+}
+
+// ---- Reclaims --------------------------------------------------------------------------------------------------------------------------
+
+request_actions request_machine::onNotice(std::string_view endpointId, time_point leaveBy, move_method method, time_point)
+{
+    const auto affected = std::find_if(m_attempts.begin(), m_attempts.end(), [&](const attempt &open) { return open.where->id == endpointId; });
+    if (m_over || affected == m_attempts.end() || affected->draining || !mayRepeat()) {
+        return {}; // a call that may not repeat ends where it began
+    }
+    affected->draining = true;
+    m_query.avoid = affected->where->key;
+    m_leaveBy = leaveBy;
+    m_method = method;
+    const bool othersOpen = m_attempts.size() > 1;
+    if (othersOpen || m_asking != slot_purpose::None || m_held != nullptr) {
+        return {}; // what is pending takes over
+    }
+    return askSlot(slot_purpose::Move, m_facts.deadline);
+}
+
+request_actions request_machine::onTransferred(bool arrived, time_point now)
+{
+    if (m_over || m_held == nullptr) {
+        return {};
+    }
+    const endpoint_ptr where = std::move(m_held);
+    m_held = nullptr;
+    return send(where, arrived, now);
+}
+
+// ---- The caller, and time --------------------------------------------------------------------------------------------------------------
+
+request_actions request_machine::onCallerGone(time_point)
+{
+    const bool goesOn = m_facts.promised.mustFinish || (!mayRepeat() && mayHaveRun());
+    if (m_over || goesOn) {
+        return {};
+    }
+    return fail(error_kind::CallerGone);
+}
+
+request_actions request_machine::onTimer(time_point now)
+{
+    if (m_over) {
+        return {};
+    }
+    if (now >= m_facts.deadline) {
+        return fail(error_kind::DeadlinePassed);
+    }
+    const auto quiet = std::find_if(m_attempts.begin(), m_attempts.end(), [&](const attempt &open) { return now >= open.quietUntil; });
+    if (quiet != m_attempts.end()) {
+        const attempt silent = *quiet;
+        const bool left = silent.byteMayHaveLeft;
+        request_actions actions { cancel_attempt { silent.number, silent.where } };
+        appendAll(actions, onAttemptFailed(silent.number, left ? attempt_reach::MayHaveRun : attempt_reach::NotSent, error_kind::EndpointFailed, now));
+        return actions;
+    }
+    if (now >= m_retryAt && m_asking == slot_purpose::None) {
+        const bool moving = !m_attempts.empty();
+        if (moving || m_budget.trySpend(now)) {
+            return askSlot(moving ? slot_purpose::Move : slot_purpose::Retry, m_facts.deadline);
+        }
+        return retryLater(now);
+    }
+    if (now >= hedgeAt()) {
+        m_hedged = true;
+        if (m_budget.trySpend(now)) {
+            m_query.avoid = m_attempts.front().where->key;
+            return askSlot(slot_purpose::Hedge, m_facts.deadline);
+        }
+    }
+    return {};
+}
+
+time_point request_machine::nextDeadline() const
+{
+    if (m_over) {
+        return noDeadline;
+    }
+    time_point next = std::min(m_facts.deadline, std::min(m_retryAt, hedgeAt()));
+    for (const attempt &open : m_attempts) {
+        next = std::min(next, open.quietUntil);
+    }
+    return next;
+}
+
+time_point request_machine::hedgeAt() const
+{
+    const bool mayHedge = m_facts.kind == service_kind::Plain && m_facts.promised.repeatable && m_facts.promised.firstTokenTarget > duration {};
+    const bool oneOpen = m_attempts.size() == 1 && m_asking == slot_purpose::None && m_held == nullptr;
+    if (!mayHedge || m_hedged || !oneOpen) {
+        return noDeadline;
+    }
+    return m_attempts.front().sentAt + m_facts.promised.firstTokenTarget;
+}
+
+duration request_machine::quietLimit() const
+{
+    if (m_facts.kind == service_kind::Plain) {
+        return m_facts.promised.deadline;
+    }
+    const duration target = std::max(m_facts.promised.betweenTokensTarget, m_delivered == 0 ? m_facts.promised.firstTokenTarget : duration {});
+    return std::max(target * quietTargets, shortestQuietLimit);
+}
+
+// ---- Ends ------------------------------------------------------------------------------------------------------------------------------
+
+request_actions request_machine::fail(error_kind kind)
+{
+    request_actions actions;
+    closeAll(actions);
+    m_over = true;
+    append(actions, fail_request { truthful(kind) });
+    return actions;
+}
+
+error_kind request_machine::truthful(error_kind kind) const
+{
+    const bool claimsNotRun = answerFor(kind).ran == ran_state::No;
+    if (claimsNotRun && m_ranUnknown) {
+        return error_kind::EndpointFailed;
+    }
+    return kind == error_kind::DeadlinePassed && m_sends == 0 ? error_kind::QueueTimeout : kind;
+}
+
+void request_machine::closeAll(request_actions &actions)
+{
+    while (!m_attempts.empty()) {
+        closeAttempt(m_attempts.size() - 1, attempt_end::Left, actions);
+    }
+    if (m_held != nullptr) {
+        append(actions, release_slot { std::move(m_held) });
+        m_held = nullptr;
+    }
+}
+
+void request_machine::closeAttempt(std::size_t index, attempt_end how, request_actions &actions)
+{
+    const attempt closed = m_attempts[index];
+    m_attempts.erase(m_attempts.begin() + static_cast<std::ptrdiff_t>(index));
+    m_ranUnknown = m_ranUnknown || closed.byteMayHaveLeft;
+    if (how == attempt_end::Left) {
+        append(actions, cancel_attempt { closed.number, closed.where });
+    }
+    append(actions, release_slot { closed.where, true, how == attempt_end::Failed, closed.firstToken });
+}
+
+bool request_machine::mayHaveRun() const
+{
+    return m_ranUnknown || std::any_of(m_attempts.begin(), m_attempts.end(), [](const attempt &open) { return open.byteMayHaveLeft; });
+}
+
+void request_machine::exclude(const endpoint_ptr &where)
+{
+    auto &excluded = m_query.excluded;
+    if (std::find(excluded.begin(), excluded.end(), where->key) != excluded.end()) {
+        return;
+    }
+    std::rotate(excluded.rbegin(), excluded.rbegin() + 1, excluded.rend());
+    excluded.front() = where->key;
+}
+
+request_machine::attempt *request_machine::find(std::uint32_t number)
+{
+    const auto found = std::find_if(m_attempts.begin(), m_attempts.end(), [&](const attempt &open) { return open.number == number; });
+    return found == m_attempts.end() ? nullptr : &*found;
+}
+
+bool request_machine::mayRepeat() const
+{
+    return m_facts.promised.repeatable;
+}
+
+endpoint_ptr request_machine::servedBy() const
+{
+    return m_attempts.empty() ? nullptr : m_attempts.back().where;
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/core/retry_budget.cpp
@@ -0,0 +1,37 @@
+// The retry budget's counter.
+#include "chicoryrouter/retry_budget.h"
+
+#include <algorithm>
+
+namespace chicoryrouter {
+
+void retry_budget::earn(std::int64_t hundredths)
+{
+    std::int64_t held = m_hundredths.load(std::memory_order_relaxed);
+    while (!m_hundredths.compare_exchange_weak(held, std::min(held + hundredths, mostHeld), std::memory_order_relaxed)) {
+    }
+}
+
+void retry_budget::onFirstSend()
+{
+    earn(earnedPerSend);
+}
+
+bool retry_budget::trySpend(time_point now)
+{
+    const std::int64_t moment = now.time_since_epoch().count();
+    std::int64_t last = m_earnedAt.load(std::memory_order_relaxed);
+    const bool waited = last != 0 && moment - last >= slowEarning.count();
+    if ((waited || last == 0) && m_earnedAt.compare_exchange_strong(last, moment) && waited) {
+        earn(costOfRetry);
+    }
+    std::int64_t held = m_hundredths.load(std::memory_order_relaxed);
+    while (held >= costOfRetry) {
+        if (m_hundredths.compare_exchange_weak(held, held - costOfRetry, std::memory_order_relaxed)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/core/router.cpp
@@ -0,0 +1,226 @@
+// The routing rule.
+#include "chicoryrouter/router.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace chicoryrouter {
+
+namespace {
+
+constexpr std::uint32_t unmeasuredFirstTokenMicros = 200'000; // assumed until an endpoint has answered once
+constexpr int mostLooks = 3;                                  // another thread may take the last slot between look and take
+constexpr std::uint32_t crossingLoadPercent = 50;             // below this load the own domain is never worth leaving
+
+using endpoint_list = std::vector<endpoint_ptr>;
+
+struct mean_load
+{
+    std::uint64_t open = 0;
+    std::uint64_t slots = 0;
+};
+
+std::uint32_t openAt(const endpoint &candidate)
+{
+    return candidate.load->inFlight.load(std::memory_order_relaxed);
+}
+
+std::uint32_t slotsAt(const endpoint &candidate)
+{
+    return candidate.load->slots.load(std::memory_order_relaxed);
+}
+
+bool isExcluded(const endpoint &candidate, const route_query &query)
+{
+    return candidate.key == query.avoid || std::find(query.excluded.begin(), query.excluded.end(), candidate.key) != query.excluded.end();
+}
+
+bool hasFreeSlot(const endpoint &candidate, const route_query &query)
+{
+    return openAt(candidate) < slotsAt(candidate) && !isExcluded(candidate, query);
+}
+
+mean_load loadOf(const endpoint_list &list)
+{
+    mean_load total;
+    for (const endpoint_ptr &candidate : list) {
+        total.open += openAt(*candidate);
+        total.slots += slotsAt(*candidate);
+    }
+    return total;
+}
+
+// Load is compared as a fraction of each endpoint's own slots, so that small endpoints are not mistaken for idle ones.
+// One request more than the bound is always allowed; otherwise nothing could start at a group of idle endpoints.
+bool withinBound(const endpoint &candidate, const mean_load &mean, double bound)
+{
+    const double allowed = bound * static_cast<double>(mean.open + 1) * slotsAt(candidate) / static_cast<double>(mean.slots);
+    return openAt(candidate) < static_cast<std::uint32_t>(allowed) + 1;
+}
+
+const endpoint_ptr *byPrefix(const endpoint_list &list, const route_query &query, const router_options &options)
+{
+    const mean_load mean = loadOf(list);
+    if (mean.slots == 0) {
+        return nullptr;
+    }
+    const endpoint_ptr *best = nullptr;
+    std::uint64_t bestWeight = 0;
+    for (const endpoint_ptr &candidate : list) {
+        const std::uint64_t weight = rendezvousWeight(query.prefix, candidate->key);
+        if (weight > bestWeight && hasFreeSlot(*candidate, query) && withinBound(*candidate, mean, options.loadBound)) {
+            best = &candidate;
+            bestWeight = weight;
+        }
+    }
+    return best;
+}
+
+const endpoint_ptr *bySample(const endpoint_list &list, const route_query &query, const router_options &options, seeded_random &random)
+{
+    const endpoint_ptr *best = nullptr;
+    std::uint32_t bestWait = 0;
+    for (std::uint32_t i = 0; i < options.sampleSize && !list.empty(); ++i) {
+        const endpoint_ptr &candidate = list[uniformBelow(random, list.size())];
+        if (!hasFreeSlot(*candidate, query)) {
+            continue;
+        }
+        const std::uint32_t wait = estimatedWaitMicros(*candidate);
+        if (best == nullptr || wait < bestWait) {
+            best = &candidate;
+            bestWait = wait;
+        }
+    }
+    return best;
+}
+
+// A random starting point, so that daemons that scan at the same moment do not all meet the same endpoint.
+const endpoint_ptr *firstFree(const endpoint_list &list, const route_query &query, seeded_random &random)
+{
+    if (list.empty()) {
+        return nullptr;
+    }
+    const std::size_t start = uniformBelow(random, list.size());
+    for (std::size_t i = 0; i < list.size(); ++i) {
+        const endpoint_ptr &candidate = list[(start + i) % list.size()];
+        if (hasFreeSlot(*candidate, query)) {
+            return &candidate;
+        }
+    }
+    return nullptr;
+}
+
+route_choice chooseIn(const endpoint_list &list, const route_query &query, const router_options &options, seeded_random &random)
+{
+    if (query.prefix != 0) {
+        if (const endpoint_ptr *best = byPrefix(list, query, options)) {
+            return { best, route_reason::Prefix };
+        }
+    }
+    if (const endpoint_ptr *best = bySample(list, query, options, random)) {
+        return { best, route_reason::LeastWait };
+    }
+    return { firstFree(list, query, random), route_reason::OnlyFree };
+}
+
+// Whether leaving the own domain pays: the wait saved must beat the way there and back.
+bool crossingPays(const endpoint &own, const endpoint &other)
+{
+    const std::uint64_t ownWait = estimatedWaitMicros(own);
+    const std::uint64_t otherWait = estimatedWaitMicros(other) + 2 * static_cast<std::uint64_t>(other.linkDelay.count());
+    const bool ownIsBusy = std::uint64_t { openAt(own) } * 100 >= std::uint64_t { slotsAt(own) } * crossingLoadPercent;
+    return ownIsBusy && otherWait < ownWait;
+}
+
+route_choice chooseInGroup(const version_group &group, const route_query &query, const router_options &options, seeded_random &random)
+{
+    const route_choice own = chooseIn(group.local, query, options, random);
+    if (own.chosen != nullptr) {
+        const endpoint_ptr *other = bySample(group.remote, query, options, random);
+        const bool cross = other != nullptr && crossingPays(**own.chosen, **other);
+        return cross ? route_choice { other, route_reason::OtherDomain } : own;
+    }
+    const route_choice other = chooseIn(group.remote, query, options, random);
+    return { other.chosen, route_reason::OtherDomain };
+}
+
+const version_group *drawGroup(const service_table &table, const route_query &query, seeded_random &random)
+{
+    std::uint64_t draw = uniformBelow(random, wholeShare);
+    for (const version_group &group : table.groups) {
+        const bool pinned = !query.version.empty();
+        if (pinned ? group.version == query.version && group.share > 0 : draw < group.share) {
+            return &group;
+        }
+        draw -= group.share;
+    }
+    return nullptr;
+}
+
+// Where a request goes whose drawn version cannot take it. Normally only to the version with the largest share: overflow into a
+// small share would expose more requests to a version on trial than its step allows. When no trusted copy is left at all, the
+// version on trial is better than a refusal.
+const version_group *fallbackGroup(const service_table &table, const version_group *drawn)
+{
+    const version_group *largest = nullptr;
+    for (const version_group &group : table.groups) {
+        const bool stocked = !group.local.empty() || !group.remote.empty();
+        if (group.share > 0 && stocked && (largest == nullptr || group.share > largest->share)) {
+            largest = &group;
+        }
+    }
+    return largest == drawn ? nullptr : largest;
+}
+
+route_choice lookInGroups(const service_table &table, const route_query &query, const router_options &options, seeded_random &random)
+{
+    const version_group *drawn = drawGroup(table, query, random);
+    route_choice choice;
+    if (drawn != nullptr) {
+        choice = chooseInGroup(*drawn, query, options, random);
+    }
+    const version_group *other = choice.chosen == nullptr ? fallbackGroup(table, drawn) : nullptr;
+    return other != nullptr ? chooseInGroup(*other, query, options, random) : choice;
+}
+
+// Endpoints that failed this request once are better than none: they may be all there is.
+route_choice lookOnce(const service_table &table, const route_query &query, const router_options &options, seeded_random &random)
+{
+    const route_choice choice = lookInGroups(table, query, options, random);
+    if (choice.chosen != nullptr || query.excluded.front() == 0) {
+        return choice;
+    }
+    route_query relaxed = query;
+    relaxed.excluded = {};
+    return lookInGroups(table, relaxed, options, random);
+}
+
+} // namespace
+
+std::uint32_t estimatedWaitMicros(const endpoint &candidate)
+{
+    const std::uint32_t measured = candidate.load->firstTokenMicros.load(std::memory_order_relaxed);
+    const std::uint64_t base = measured != 0 ? measured : unmeasuredFirstTokenMicros;
+    const std::uint64_t slots = std::max(slotsAt(candidate), 1U);
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(base * (slots + openAt(candidate)) / slots, UINT32_MAX));
+}
+
+route_choice chooseEndpoint(const service_table &table, const route_query &query, const router_options &options, seeded_random &random)
+{
+    assert(options.sampleSize > 0 && "sampleSize must be at least 1");
+    for (int look = 0; look < mostLooks; ++look) {
+        const route_choice choice = lookOnce(table, query, options, random);
+        if (choice.chosen == nullptr || (*choice.chosen)->load->tryTake()) {
+            return choice;
+        }
+    }
+    return {};
+}
+
+std::string_view toText(route_reason reason)
+{
+    constexpr std::array<std::string_view, 4> names = { "prefix", "least wait", "only free", "other domain" };
+    return names.at(static_cast<std::size_t>(reason));
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/core/routing_table.cpp
@@ -0,0 +1,85 @@
+// Builds routing tables.
+#include "chicoryrouter/routing_table.h"
+
+#include "chicoryrouter/hash.h"
+
+#include <algorithm>
+
+namespace chicoryrouter {
+
+namespace {
+
+const version_share *findShare(const std::vector<version_share> &shares, std::string_view service, std::string_view version)
+{
+    const auto found
+        = std::find_if(shares.begin(), shares.end(), [&](const version_share &item) { return item.service == service && item.version == version; });
+    return found == shares.end() ? nullptr : &*found;
+}
+
+bool hasShares(const std::vector<version_share> &shares, std::string_view service)
+{
+    return std::any_of(shares.begin(), shares.end(), [&](const version_share &item) { return item.service == service; });
+}
+
+// Every daemon must keep the same endpoints when only some of a version's may be used, so the order is by key alone.
+void keepFirstByKey(std::vector<endpoint_ptr> &endpoints, std::uint32_t cap)
+{
+    if (cap == 0 || endpoints.size() <= cap) {
+        return;
+    }
+    std::sort(endpoints.begin(), endpoints.end(), [](const endpoint_ptr &a, const endpoint_ptr &b) { return a->key < b->key; });
+    endpoints.resize(cap);
+}
+
+version_group buildGroup(const service &owner,
+    const version_spec &version,
+    std::string_view ownDomain,
+    const std::vector<endpoint_ptr> &endpoints,
+    const std::vector<version_share> &shares)
+{
+    version_group group;
+    group.version = version.name;
+    const version_share *stated = findShare(shares, owner.name, version.name);
+    const bool moving = hasShares(shares, owner.name);
+    group.share = stated != nullptr ? stated->share : (!moving && version.name == owner.currentVersion ? wholeShare : 0);
+
+    std::vector<endpoint_ptr> mine;
+    for (const endpoint_ptr &item : endpoints) {
+        if (item->service == owner.name && item->version == version.name && item->use == endpoint_use::Usable) {
+            mine.push_back(item);
+        }
+    }
+    keepFirstByKey(mine, stated != nullptr ? stated->endpointCap : 0);
+    for (endpoint_ptr &item : mine) {
+        (item->failureDomain == ownDomain ? group.local : group.remote).push_back(std::move(item));
+    }
+    return group;
+}
+
+} // namespace
+
+const service_table *routing_table::find(std::string_view service) const
+{
+    const auto found = std::find_if(services.begin(), services.end(), [&](const service_table &item) { return item.service == service; });
+    return found == services.end() ? nullptr : &*found;
+}
+
+routing_table buildRoutingTable(
+    const revisioned_document &inForce, std::string_view ownDomain, const std::vector<endpoint_ptr> &endpoints, const std::vector<version_share> &shares)
+{
+    routing_table table;
+    table.revision = inForce.revision;
+    table.ownDomain = ownDomain;
+    for (const service &owner : inForce.content.services) {
+        service_table built;
+        built.service = owner.name;
+        built.kind = owner.kind;
+        for (const version_spec &version : owner.versions) {
+            built.groups.push_back(buildGroup(owner, version, ownDomain, endpoints, shares));
+        }
+        table.services.push_back(std::move(built));
+    }
+    return table;
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/core/settings.cpp
@@ -0,0 +1,205 @@
+// Reads and checks a daemon's settings.
+#include "chicoryrouter/settings.h"
+
+#include "chicoryrouter/error.h"
+#include "chicoryrouter/units.h"
+#include "core/yaml_json.h"
+
+#include <arpa/inet.h>
+
+#include <array>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace chicoryrouter {
+
+namespace {
+
+using nlohmann::json;
+
+// Reads one key after the other and remembers which were asked for, so that what is left over is unknown.
+class settings_reader
+{
+public:
+    settings_reader(const detail::yaml_value &root, std::string_view fileName)
+        : m_root(root)
+        , m_file(fileName)
+    {
+        if (!root.json.is_object()) {
+            fail("", "expected a map of settings");
+        }
+    }
+
+    [[noreturn]] void fail(const std::string &pointer, const std::string &expected) const
+    {
+        const auto line = m_root.lines.find(pointer);
+        const std::string place = m_file + ":" + std::to_string(line == m_root.lines.end() ? 1 : line->second);
+        throw error(error_kind::BadRequest, place + ": " + keyName(pointer) + ": " + expected);
+    }
+
+    std::string text(const std::string &pointer, const std::string &expected)
+    {
+        const json *value = find(pointer);
+        if (value == nullptr) {
+            fail(pointer, "missing; expected " + expected);
+        }
+        if (!value->is_string() || value->get<std::string>().empty()) {
+            fail(pointer, "expected " + expected);
+        }
+        return *value;
+    }
+
+    std::string textOr(const std::string &pointer, const std::string &fallback, const std::string &expected)
+    {
+        return find(pointer) == nullptr ? fallback : text(pointer, expected);
+    }
+
+    address where(const std::string &pointer)
+    {
+        const std::string expected = "an IP number and port such as 10.0.0.1:8080 or [fd00::1]:8080";
+        const std::string value = text(pointer, expected);
+        const auto colon = value.rfind(':');
+        if (colon == std::string::npos) {
+            fail(pointer, "expected " + expected);
+        }
+        address result;
+        result.ip = value.substr(0, colon);
+        if (result.ip.size() > 2 && result.ip.front() == '[' && result.ip.back() == ']') {
+            result.ip = result.ip.substr(1, result.ip.size() - 2);
+        }
+        std::array<unsigned char, sizeof(in6_addr)> parsed {};
+        const bool known = inet_pton(AF_INET, result.ip.c_str(), parsed.data()) == 1 || inet_pton(AF_INET6, result.ip.c_str(), parsed.data()) == 1;
+        const std::string port = value.substr(colon + 1);
+        const bool digits = !port.empty() && port.size() <= 5 && port.find_first_not_of("0123456789") == std::string::npos;
+        const long number = digits ? std::stol(port) : -1;
+        if (!known || number < 1 || number > UINT16_MAX) {
+            fail(pointer, "expected " + expected);
+        }
+        result.port = static_cast<std::uint16_t>(number);
+        return result;
+    }
+
+    address whereOr(const std::string &pointer) { return find(pointer) == nullptr ? address {} : where(pointer); }
+
+    duration span(const std::string &pointer, duration fallback, duration least, duration most)
+    {
+        const json *value = find(pointer);
+        if (value == nullptr) {
+            return fallback;
+        }
+        const std::string expected = "expected a time with a unit from " + toText(least) + " to " + toText(most) + ", such as 250ms";
+        const std::optional<duration> parsed = value->is_string() ? parseDuration(value->get<std::string>()) : std::nullopt;
+        if (!parsed || *parsed < least || *parsed > most) {
+            fail(pointer, expected);
+        }
+        return *parsed;
+    }
+
+    unsigned count(const std::string &pointer, unsigned fallback, unsigned least, unsigned most)
+    {
+        const json *value = find(pointer);
+        if (value == nullptr) {
+            return fallback;
+        }
+        if (!value->is_number_integer() || value->get<std::int64_t>() < least || value->get<std::int64_t>() > most) {
+            fail(pointer, "expected a whole number from " + std::to_string(least) + " to " + std::to_string(most));
+        }
+        return value->get<unsigned>();
+    }
+
+    void failOnUnknown() const { failOnUnknownIn(m_root.json, ""); }
+
+private:
+    static std::string keyName(const std::string &pointer)
+    {
+        std::string name = pointer.empty() ? "settings" : pointer.substr(1);
+        for (char &letter : name) {
+            letter = letter == '/' ? '.' : letter;
+        }
+        return name;
+    }
+
+    const json *find(const std::string &pointer)
+    {
+        m_asked.insert(pointer);
+        const json::json_pointer place(pointer);
+        return m_root.json.contains(place) ? &m_root.json.at(place) : nullptr;
+    }
+
+    void failOnUnknownIn(const json &object, const std::string &prefix) const
+    {
+        for (const auto &[key, value] : object.items()) {
+            const std::string pointer = prefix + "/" + key;
+            const bool group = pointer == "/platform" || pointer == "/log";
+            if (group && value.is_object()) {
+                failOnUnknownIn(value, pointer);
+            } else if (m_asked.count(pointer) == 0) {
+                fail(pointer, "unknown key");
+            }
+        }
+    }
+
+    const detail::yaml_value &m_root;
+    std::string m_file;
+    std::set<std::string> m_asked;
+};
+
+} // namespace
+
+settings parseSettings(std::string_view yaml, std::string_view fileName)
+{
+    using namespace std::chrono_literals;
+    detail::yaml_value root;
+    try {
+        root = detail::readYaml(yaml);
+    } catch (const error &fault) {
+        throw error(error_kind::BadRequest, std::string(fileName) + ": " + fault.detail());
+    }
+    settings_reader reader(root, fileName);
+    settings result;
+    result.instance = reader.text("/instance", "this entry instance's name");
+    result.failureDomain = reader.text("/failure_domain", "the name of a failure domain");
+    result.gateway = reader.where("/gateway");
+    result.peer = reader.where("/peer");
+    result.keyValue = reader.where("/platform/key_value");
+    result.instanceList = reader.where("/platform/instance_list");
+    result.cloud = reader.whereOr("/platform/cloud");
+    result.peerKey = reader.text("/peer_key", "a secret of at least 16 characters");
+    result.operatorTokenHash = reader.text("/operator_token_hash", "the SHA-256 of the operators' token in hex");
+    result.threads = reader.count("/threads", result.threads, 1, 64);
+    result.pollInterval = reader.span("/poll_interval", result.pollInterval, 50ms, 60s);
+    result.gossipInterval = reader.span("/gossip_interval", result.gossipInterval, 50ms, 10s);
+    result.stopWithin = reader.span("/stop_within", result.stopWithin, 0s, 1h);
+    result.logLevel = reader.textOr("/log/level", result.logLevel, "error, warning, info or debug");
+    result.logFile = reader.textOr("/log/file", result.logFile, "a file name");
+    reader.failOnUnknown();
+
+    const std::set<std::string> levels = { "error", "warning", "info", "debug" };
+    if (levels.count(result.logLevel) == 0) {
+        reader.fail("/log/level", "expected error, warning, info or debug");
+    }
+    if (result.peerKey.size() < 16) {
+        reader.fail("/peer_key", "expected a secret of at least 16 characters");
+    }
+    if (result.operatorTokenHash.size() != 64 || result.operatorTokenHash.find_first_not_of("0123456789abcdef") != std::string::npos) {
+        reader.fail("/operator_token_hash", "expected 64 lower-case hex digits");
+    }
+    if (result.gateway == result.peer) {
+        reader.fail("/peer", "clashes with 'gateway'; expected another port");
+    }
+    return result;
+}
+
+settings readSettingsFile(const std::string &path)
+{
+    const std::ifstream file(path);
+    if (!file) {
+        throw error(error_kind::BadRequest, path + ": cannot be read");
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseSettings(text.str(), path);
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/core/units.cpp
@@ -0,0 +1,78 @@
+// Times with units.
+#include "chicoryrouter/units.h"
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <ctime>
+
+namespace chicoryrouter {
+
+namespace {
+
+struct time_unit
+{
+    std::string_view suffix;
+    std::int64_t microseconds;
+};
+
+constexpr std::array<time_unit, 5> units = { { { "h", 3'600'000'000 }, { "min", 60'000'000 }, { "s", 1'000'000 }, { "ms", 1'000 }, { "us", 1 } } };
+constexpr std::int64_t maxUnits = 1'000'000'000'000'000; // keeps every product inside 64 bits after the check below
+
+} // namespace
+
+std::optional<duration> parseDuration(std::string_view text)
+{
+    std::int64_t count = 0;
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), count);
+    if (fault != std::errc() || count < 0) {
+        return std::nullopt;
+    }
+    const std::string_view suffix = text.substr(static_cast<std::size_t>(end - text.data()));
+    for (const time_unit &unit : units) {
+        if (suffix == unit.suffix && count <= maxUnits / unit.microseconds) {
+            return duration(count * unit.microseconds);
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<time_point> parseMoment(std::string_view text)
+{
+    std::tm parts {};
+    int used = 0;
+    const std::string copy(text);
+    const int fields = std::sscanf(copy.c_str(), "%4d-%2d-%2dT%2d:%2d:%2dZ%n", // NOLINT(cert-err34-c)
+        &parts.tm_year, &parts.tm_mon, &parts.tm_mday, &parts.tm_hour, &parts.tm_min, &parts.tm_sec, &used);
+    if (fields != 6 || static_cast<std::size_t>(used) != text.size()) {
+        return std::nullopt;
+    }
+    const auto day
+        = std::chrono::year(parts.tm_year) / std::chrono::month(static_cast<unsigned>(parts.tm_mon)) / std::chrono::day(static_cast<unsigned>(parts.tm_mday));
+    if (!day.ok() || parts.tm_hour > 23 || parts.tm_min > 59 || parts.tm_sec > 59) {
+        return std::nullopt;
+    }
+    return time_point(std::chrono::sys_days(day)) + std::chrono::hours(parts.tm_hour) + std::chrono::minutes(parts.tm_min) + std::chrono::seconds(parts.tm_sec);
+}
+
+std::string toText(duration span)
+{
+    for (const time_unit &unit : units) {
+        if (span.count() != 0 && span.count() % unit.microseconds == 0) {
+            return std::to_string(span.count() / unit.microseconds) + std::string(unit.suffix);
+        }
+    }
+    return "0s";
+}
+
+std::string momentText(time_point moment)
+{
+    const std::time_t seconds = std::chrono::floor<std::chrono::seconds>(moment).time_since_epoch().count();
+    std::tm parts {};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 32> text {};
+    const std::size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
+    return { text.data(), length };
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/core/yaml_json.cpp
@@ -0,0 +1,82 @@
+// YAML to JSON, by yaml-cpp.
+#include "core/yaml_json.h"
+
+#include "chicoryrouter/error.h"
+
+#include <yaml-cpp/yaml.h>
+
+namespace chicoryrouter::detail {
+
+namespace {
+
+constexpr int maxDepth = 32;
+
+nlohmann::json scalarToJson(const YAML::Node &node)
+{
+    const bool quoted = node.Tag() == "!";
+    if (quoted) {
+        return node.Scalar();
+    }
+    std::int64_t integer = 0;
+    if (YAML::convert<std::int64_t>::decode(node, integer)) {
+        return integer;
+    }
+    double real = 0.0;
+    if (YAML::convert<double>::decode(node, real)) {
+        return real;
+    }
+    bool flag = false;
+    if (YAML::convert<bool>::decode(node, flag)) {
+        return flag;
+    }
+    return node.Scalar();
+}
+
+[[noreturn]] void failAt(const YAML::Node &node, const std::string &text)
+{
+    throw error(error_kind::BadRequest, "line " + std::to_string(node.Mark().line + 1) + ": " + text);
+}
+
+nlohmann::json nodeToJson(const YAML::Node &node, const std::string &pointer, int depth, std::map<std::string, int> &lines)
+{
+    if (depth > maxDepth) {
+        failAt(node, "nested too deeply");
+    }
+    lines[pointer] = node.Mark().line + 1;
+    if (node.IsSequence()) {
+        auto array = nlohmann::json::array();
+        for (std::size_t i = 0; i < node.size(); ++i) {
+            array.push_back(nodeToJson(node[i], pointer + "/" + std::to_string(i), depth + 1, lines));
+        }
+        return array;
+    }
+    if (node.IsMap()) {
+        auto object = nlohmann::json::object();
+        for (const auto &entry : node) {
+            const auto key = entry.first.as<std::string>();
+            if (object.contains(key)) {
+                failAt(entry.first, "key '" + key + "' stands twice");
+            }
+            object[key] = nodeToJson(entry.second, pointer + "/" + key, depth + 1, lines);
+            lines[pointer + "/" + key] = entry.first.Mark().line + 1;
+        }
+        return object;
+    }
+    return node.IsScalar() ? scalarToJson(node) : nlohmann::json();
+}
+
+} // namespace
+
+yaml_value readYaml(std::string_view text)
+{
+    try {
+        const YAML::Node root = YAML::Load(std::string(text));
+        yaml_value value;
+        value.json = nodeToJson(root, "", 0, value.lines);
+        return value;
+    } catch (const YAML::Exception &fault) {
+        throw error(error_kind::BadRequest, "line " + std::to_string(fault.mark.line + 1) + ": " + fault.msg);
+    }
+}
+
+} // namespace chicoryrouter::detail
--- /dev/null
+++ b/src/shell/gateway.cpp
@@ -0,0 +1,458 @@
+// Callers' requests: from HTTP to a request session and back.
+#include "shell/gateway.h"
+
+#include "chicoryrouter/hash.h"
+#include "shell/clock.h"
+#include "shell/request_session.h"
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <cassert>
+#include <charconv>
+#include <cstdio>
+
+namespace chicoryrouter {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::uint32_t mostTokens = 32'768;
+constexpr std::uint32_t usualTokens = 256;
+constexpr std::size_t maxKeyBytes = 200;
+constexpr duration peerFetchWithin = std::chrono::seconds(5);
+constexpr std::string_view attachPath = "/v1/requests/";
+
+thread_local request_thread *boundThread = nullptr;
+
+// Gives the account's place back whichever way the answer ends.
+class account_place
+{
+public:
+    explicit account_place(std::shared_ptr<account_load> load)
+        : m_load(std::move(load))
+    {
+        if (!m_load->tryTake()) {
+            m_load = nullptr;
+            throw error(error_kind::AccountOverLimit);
+        }
+    }
+
+    account_place(const account_place &) = delete;
+    account_place &operator=(const account_place &) = delete;
+
+    ~account_place()
+    {
+        if (m_load != nullptr) {
+            m_load->giveBack();
+        }
+    }
+
+private:
+    std::shared_ptr<account_load> m_load;
+};
+
+http_headers idHeader(const std::string &id)
+{
+    return { { "X-Request-Id", id } };
+}
+
+std::string dumpJson(const json &value)
+{
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+json parseBody(const std::string &body)
+{
+    json value = json::parse(body, nullptr, false);
+    if (!value.is_object()) {
+        throw error(error_kind::BadRequest, "the body is not a JSON object");
+    }
+    return value;
+}
+
+template<typename T>
+T field(const json &object, const char *key, T fallback)
+{
+    const auto found = object.find(key);
+    if (found == object.end() || found->is_null()) {
+        return fallback;
+    }
+    try {
+        return found->get<T>();
+    } catch (const json::exception &) {
+        throw error(error_kind::BadRequest, std::string("field '") + key + "' has the wrong type");
+    }
+}
+
+std::string chatPrompt(const json &body)
+{
+    const auto messages = body.find("messages");
+    if (messages == body.end() || !messages->is_array() || messages->empty()) {
+        throw error(error_kind::BadRequest, "field 'messages' is missing or empty");
+    }
+    std::string prompt;
+    for (const json &message : *messages) {
+        if (!message.is_object()) {
+            throw error(error_kind::BadRequest, "a message is not an object");
+        }
+        prompt += field<std::string>(message, "role", "user") + ": " + field<std::string>(message, "content", "") + "\n";
+    }
+    return prompt;
+}
+
+request_payload modelPayload(const json &body, bool chat)
+{
+    request_payload payload;
+    payload.chat = chat;
+    payload.stream = field(body, "stream", false);
+    const auto wanted = field<std::int64_t>(body, "max_tokens", usualTokens);
+    if (wanted < 1 || wanted > mostTokens) {
+        throw error(error_kind::BadRequest, "field 'max_tokens' must be from 1 to " + std::to_string(mostTokens));
+    }
+    payload.maxTokens = static_cast<std::uint32_t>(wanted);
+    payload.prompt = chat ? chatPrompt(body) : field<std::string>(body, "prompt", "");
+    if (payload.prompt.empty()) {
+        throw error(error_kind::BadRequest, "field 'prompt' is missing or empty");
+    }
+    return payload;
+}
+
+std::string eventText(const request_session &session, std::uint32_t index, const std::string &tail)
+{
+    const std::string token = dumpJson(session.token(index));
+    const std::string piece = session.payload().chat ? "\"delta\":{\"content\":" + token + "}" : "\"text\":" + token;
+    return "id: " + std::to_string(index) + "\ndata: " + tail + piece + ",\"finish_reason\":null}]}\n\n";
+}
+
+std::string eventHead(const request_session &session)
+{
+    const char *object = session.payload().chat ? "chat.completion.chunk" : "text_completion";
+    return R"({"id":")" + session.facts().id + R"(","object":")" + object + R"(","model":")" + session.facts().promised.route + R"(","choices":[{"index":0,)";
+}
+
+std::string errorEvent(const std::string &id, error_kind kind)
+{
+    return "event: error\ndata: " + errorBody(kind, id, "") + "\n\n";
+}
+
+std::string wholeAnswer(const request_session &session)
+{
+    json choice = { { "index", 0 }, { "finish_reason", "stop" } };
+    if (session.payload().chat) {
+        choice["message"] = { { "role", "assistant" }, { "content", session.text() } };
+    } else {
+        choice["text"] = session.text();
+    }
+    const json body = { { "id", session.facts().id }, { "object", session.payload().chat ? "chat.completion" : "text_completion" },
+        { "model", session.facts().promised.route }, { "choices", json::array({ choice }) }, { "usage", { { "completion_tokens", session.readable() } } } };
+    return dumpJson(body);
+}
+
+std::uint32_t resumeIndex(const http_request &request)
+{
+    const std::string_view text = request.header("Last-Event-ID");
+    if (text.empty()) {
+        return 0;
+    }
+    std::uint32_t last = 0;
+    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), last);
+    if (fault != std::errc() || end != text.data() + text.size()) {
+        throw error(error_kind::BadRequest, "Last-Event-ID is not the number of a token");
+    }
+    return last + 1;
+}
+
+} // namespace
+
+gateway::gateway(request_host &host, std::string instanceName)
+    : m_host(host)
+    , m_instance(std::move(instanceName))
+    , m_start(static_cast<std::uint64_t>(systemNow().time_since_epoch().count()))
+{
+}
+
+void gateway::bindThread(request_thread *own)
+{
+    boundThread = own;
+}
+
+request_thread &gateway::ownThread()
+{
+    assert(boundThread != nullptr && "bindThread() was not called on this thread");
+    return *boundThread;
+}
+
+bool gateway::isReady() const
+{
+    return !stopping && front.read().inForce->revision > 0;
+}
+
+std::string gateway::newRequestId()
+{
+    const std::uint64_t number = m_requests.fetch_add(1) + 1;
+    std::array<char, 17> salt {};
+    std::snprintf(salt.data(), salt.size(), "%08x", static_cast<unsigned>(mixBits(m_start ^ (number << 1U))));
+    return m_instance + "." + std::to_string(number) + "." + salt.data();
+}
+
+gateway::caller gateway::authenticate(const http_request &request) const
+{
+    constexpr std::string_view scheme = "Bearer ";
+    const std::string_view header = request.header("Authorization");
+    if (header.substr(0, scheme.size()) != scheme) {
+        throw error(error_kind::UnknownAccount, "no bearer token");
+    }
+    const auto &accounts = front.read().accounts;
+    const auto found = accounts.find(hashToken(header.substr(scheme.size())));
+    if (found == accounts.end()) {
+        throw error(error_kind::UnknownAccount);
+    }
+    return { found->second.account, found->second.load };
+}
+
+request_facts gateway::facts(const caller &who, const contract &promised, service_kind kind)
+{
+    request_facts result = makeFacts(newRequestId(), who.account.name, promised, kind, systemNow());
+    result.weight = who.account.weight;
+    result.needsCopy = promised.mustFinish && m_host.copier != nullptr && m_host.copier->available();
+    return result;
+}
+
+asio::awaitable<void> gateway::handle(http_exchange &exchange)
+{
+    const http_request &request = exchange.request;
+    if (request.path == "/healthz") {
+        co_await exchange.respond(200, "text/plain", "ok\n");
+    } else if (request.path == "/readyz") {
+        const bool ready = isReady();
+        co_await exchange.respond(ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
+    } else if (request.path == "/metrics") {
+        m_host.counts.setGauge("open_requests", static_cast<double>(m_host.openCount()));
+        co_await exchange.respond(200, "text/plain; version=0.0.4", m_host.counts.text());
+    } else if (request.path.rfind("/operator/", 0) == 0 && operatorCalls) {
+        co_await operatorCalls(exchange);
+    } else if (request.path.rfind(attachPath, 0) == 0) {
+        co_await handleAttach(exchange);
+    } else if (request.path == "/v1/completions" || request.path == "/v1/chat/completions") {
+        co_await handleModel(exchange, request.path == "/v1/chat/completions");
+    } else {
+        co_await handlePlain(exchange);
+    }
+}
+
+asio::awaitable<void> gateway::handleModel(http_exchange &exchange, bool chat)
+{
+    const caller who = authenticate(exchange.request);
+    if (exchange.request.method != "POST") {
+        throw error(error_kind::BadRequest, "use POST");
+    }
+    const json body = parseBody(exchange.request.body);
+    const contract *route = front.read().inForce->content.findModelRoute(field<std::string>(body, "model", ""));
+    if (route == nullptr) {
+        throw error(error_kind::UnknownRoute, "no such model");
+    }
+    if (stopping) {
+        throw error(error_kind::ShuttingDown);
+    }
+    const account_place place(who.load);
+    request_payload payload = modelPayload(body, chat);
+    request_facts what = facts(who, *route, service_kind::Model);
+    what.prefix = prefixKey(payload.prompt);
+    const auto session = std::make_shared<request_session>(m_host, ownThread(), std::move(what), std::move(payload));
+    session->begin();
+    co_await answer(exchange, session, 0);
+}
+
+asio::awaitable<void> gateway::handlePlain(http_exchange &exchange)
+{
+    const http_request &request = exchange.request;
+    const caller who = authenticate(request);
+    const contract *route = front.read().inForce->content.findPlainRoute(request.path);
+    if (route == nullptr) {
+        throw error(error_kind::UnknownRoute);
+    }
+    if (stopping) {
+        throw error(error_kind::ShuttingDown);
+    }
+    request_payload payload;
+    payload.method = request.method;
+    payload.target = request.path + (request.query.empty() ? "" : "?" + request.query);
+    payload.contentType = std::string(request.header("Content-Type"));
+    payload.idempotencyKey = std::string(request.header("Idempotency-Key"));
+    payload.body = request.body;
+    payload.bodyHash = hashBytes(payload.method + "\n" + payload.target + "\n" + payload.body);
+    if (payload.idempotencyKey.size() > maxKeyBytes) {
+        throw error(error_kind::BadRequest, "the Idempotency-Key is too long");
+    }
+    if (route->keyRequired && payload.idempotencyKey.empty()) {
+        throw error(error_kind::KeyRequired);
+    }
+    const account_place place(who.load);
+    request_facts what = facts(who, *route, service_kind::Plain);
+    what.needsClaim = !route->repeatable && !payload.idempotencyKey.empty();
+    const auto session = std::make_shared<request_session>(m_host, ownThread(), std::move(what), std::move(payload));
+    session->begin();
+    co_await answer(exchange, session, 0);
+}
+
+asio::awaitable<void> gateway::answer(http_exchange &exchange, const std::shared_ptr<request_session> &session, std::uint32_t from)
+{
+    exchange.watchCaller([session] { session->callerGone(); });
+    if (session->payload().stream) {
+        co_await answerStream(exchange, session, from);
+    } else {
+        co_await answerWhole(exchange, session);
+    }
+}
+
+asio::awaitable<void> gateway::answerStream(http_exchange &exchange, const std::shared_ptr<request_session> &session, std::uint32_t from)
+{
+    const std::string id = session->facts().id;
+    // The status waits for the first token, so that a refusal is a plain HTTP error.
+    while (session->readable() <= from && !session->isOver()) {
+        co_await session->changed();
+    }
+    if (session->failed() && session->readable() <= from) {
+        co_await exchange.respond(answerFor(session->failure()).httpStatus, "application/json", errorBody(session->failure(), id, ""), idHeader(id));
+        co_return;
+    }
+    bool open = co_await exchange.startStream(200, "text/event-stream", idHeader(id));
+    const std::string head = eventHead(*session);
+    std::uint32_t next = from;
+    std::string batch;
+    while (open) {
+        batch.clear();
+        for (const std::uint32_t end = session->readable(); next < end; ++next) {
+            batch += eventText(*session, next, head);
+        }
+        const bool last = session->isOver();
+        if (last) {
+            batch += session->failed() ? errorEvent(id, session->failure()) : "data: [DONE]\n\n";
+        }
+        open = co_await exchange.writeChunk(batch);
+        session->readerAt(next);
+        if (last) {
+            break;
+        }
+        if (next >= session->readable() && !session->isOver()) {
+            co_await session->changed();
+        }
+    }
+    if (open) {
+        co_await exchange.endStream();
+    } else if (!session->isOver()) {
+        session->callerGone();
+    }
+}
+
+asio::awaitable<void> gateway::answerWhole(http_exchange &exchange, const std::shared_ptr<request_session> &session)
+{
+    while (!session->isOver()) {
+        session->readerAt(session->readable());
+        co_await session->changed();
+    }
+    const std::string id = session->facts().id;
+    if (session->failed()) {
+        co_await exchange.respond(answerFor(session->failure()).httpStatus, "application/json", errorBody(session->failure(), id, ""), idHeader(id));
+    } else if (session->facts().kind == service_kind::Model) {
+        co_await exchange.respond(200, "application/json", wholeAnswer(*session), idHeader(id));
+    } else {
+        http_headers extra = idHeader(id);
+        extra.push_back({ "Cache-Control", "no-store" });
+        if (session->replayed()) {
+            extra.push_back({ "X-Replayed", "1" });
+        }
+        co_await exchange.respond(session->status(), session->contentType(), session->text(), extra);
+    }
+}
+
+asio::awaitable<void> gateway::handleAttach(http_exchange &exchange)
+{
+    const caller who = authenticate(exchange.request);
+    const std::string id = exchange.request.path.substr(attachPath.size());
+    const std::uint32_t from = resumeIndex(exchange.request);
+    const auto session = m_host.find(id);
+    if (session == nullptr && peers != nullptr) {
+        co_await attachToPeer(exchange, id, who.account.name, from);
+        co_return;
+    }
+    if (session == nullptr || session->facts().account != who.account.name || session->facts().kind != service_kind::Model) {
+        throw error(error_kind::UnknownRequest);
+    }
+    // The session lives on another thread, perhaps: read it there, write here.
+    const auto here = exchange.executor();
+    co_await asio::dispatch(session->context().get_executor(), asio::use_awaitable);
+    session->callerBack();
+    std::uint32_t next = from;
+    bool open = true;
+    bool started = false;
+    while (open) {
+        while (session->readable() <= next && !session->isOver()) {
+            co_await session->changed();
+        }
+        const std::string head = eventHead(*session);
+        std::string batch;
+        for (const std::uint32_t end = session->readable(); next < end; ++next) {
+            batch += eventText(*session, next, head);
+        }
+        const bool last = session->isOver();
+        if (last) {
+            batch += session->failed() ? errorEvent(id, session->failure()) : "data: [DONE]\n\n";
+        }
+        session->readerAt(next);
+        co_await asio::dispatch(here, asio::use_awaitable);
+        if (!started) {
+            started = true;
+            open = co_await exchange.startStream(200, "text/event-stream", idHeader(id));
+        }
+        open = open && co_await exchange.writeChunk(batch);
+        if (last) {
+            break;
+        }
+        co_await asio::dispatch(session->context().get_executor(), asio::use_awaitable);
+    }
+    co_await asio::dispatch(here, asio::use_awaitable);
+    if (open) {
+        co_await exchange.endStream();
+    }
+}
+
+asio::awaitable<void> gateway::attachToPeer(http_exchange &exchange, std::string id, std::string account, std::uint32_t from)
+{
+    std::uint32_t next = from;
+    bool started = false;
+    while (true) {
+        const remote_requests::part part = co_await peers->fetch(id, account, next, systemNow() + peerFetchWithin);
+        if (!part.known) {
+            if (started) {
+                exchange.abandon();
+                co_return;
+            }
+            throw error(error_kind::UnknownRequest);
+        }
+        if (!started) {
+            started = true;
+            co_await exchange.startStream(200, "text/event-stream", idHeader(id));
+        }
+        std::string batch;
+        for (const std::string &token : part.tokens) {
+            batch += "id: " + std::to_string(next++) + "\ndata: " + R"({"id":")" + id + R"(","choices":[{"index":0,"text":)" + dumpJson(token)
+                + R"(,"delta":{"content":)" + dumpJson(token) + "}}]}\n\n";
+        }
+        if (part.over) {
+            batch += part.failed ? errorEvent(id, part.failure) : "data: [DONE]\n\n";
+        }
+        const bool open = co_await exchange.writeChunk(batch);
+        if (part.over || !open) {
+            break;
+        }
+    }
+    co_await exchange.endStream();
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/shell/gateway.h
@@ -0,0 +1,84 @@
+// The callers' interface: accounts, routes, completions, plain services, re-attaching, health and metrics.
+#pragma once
+
+#include "chicoryrouter/rcu_cell.h"
+#include "chicoryrouter/request_machine.h"
+#include "shell/http.h"
+#include "shell/request_host.h"
+
+#include <unordered_map>
+
+namespace chicoryrouter {
+
+struct account_entry
+{
+    client_account account;
+    std::shared_ptr<account_load> load;
+};
+
+// What the gateway needs of the configuration; published whole by the control strand.
+struct front_table
+{
+    std::shared_ptr<const revisioned_document> inForce = std::make_shared<revisioned_document>();
+    std::unordered_map<std::string, account_entry> accounts; // by token hash
+};
+
+// Answers requests that are held at another entry instance. The peer link implements it.
+class remote_requests
+{
+public:
+    virtual ~remote_requests() = default;
+    // Tokens of the request from index `from` on, waiting up to `deadline` for more. Empty when no peer holds it.
+    struct part
+    {
+        bool known = false;
+        bool over = false;
+        bool failed = false;
+        error_kind failure = error_kind::Internal;
+        std::vector<std::string> tokens;
+    };
+    virtual boost::asio::awaitable<part> fetch(std::string requestId, std::string account, std::uint32_t from, time_point deadline) = 0;
+};
+
+class gateway
+{
+public:
+    gateway(request_host &host, std::string instanceName);
+
+    rcu_cell<front_table> front;
+    std::atomic<bool> stopping { false }; // no new work; what is open goes on
+    http_handler operatorCalls;           // answers /operator/...; set before the first request
+    remote_requests *peers = nullptr;     // null: none
+
+    boost::asio::awaitable<void> handle(http_exchange &exchange);
+
+    static void bindThread(request_thread *own); // once on each request thread, before it serves
+    static request_thread &ownThread();
+
+private:
+    struct caller
+    {
+        client_account account;
+        std::shared_ptr<account_load> load;
+    };
+
+    boost::asio::awaitable<void> handleModel(http_exchange &exchange, bool chat);
+    boost::asio::awaitable<void> handlePlain(http_exchange &exchange);
+    boost::asio::awaitable<void> handleAttach(http_exchange &exchange);
+    boost::asio::awaitable<void> attachToPeer(http_exchange &exchange, std::string id, std::string account, std::uint32_t from);
+    boost::asio::awaitable<void> answer(http_exchange &exchange, const std::shared_ptr<request_session> &session, std::uint32_t from);
+    boost::asio::awaitable<void> answerStream(http_exchange &exchange, const std::shared_ptr<request_session> &session, std::uint32_t from);
+    boost::asio::awaitable<void> answerWhole(http_exchange &exchange, const std::shared_ptr<request_session> &session);
+
+    caller authenticate(const http_request &request) const;
+    request_facts facts(const caller &who, const contract &promised, service_kind kind);
+    [[nodiscard]] bool isReady() const;
+    std::string newRequestId();
+
+    request_host &m_host;
+    std::string m_instance;
+    std::uint64_t m_start; // makes request ids unique over restarts
+    std::atomic<std::uint64_t> m_requests { 0 };
+};
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/shell/http.h
@@ -0,0 +1,156 @@
+// HTTP as the shells use it: a server and a client over Boost.Beast, behind types that need no Beast header.
+#pragma once
+
+#include "chicoryrouter/endpoint.h"
+#include "chicoryrouter/error.h"
+#include "chicoryrouter/time.h"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chicoryrouter {
+
+class worker_pool;
+
+struct http_header
+{
+    std::string name;
+    std::string value;
+};
+using http_headers = std::vector<http_header>;
+
+std::string_view findHeader(const http_headers &headers, std::string_view name); // empty when absent; names compare without case
+
+// ---- Server ----------------------------------------------------------------------------------------------------------------------------
+
+struct http_request
+{
+    std::string method;
+    std::string path;  // target without its query
+    std::string query; // what stands behind '?'
+    http_headers headers;
+    std::string body;
+
+    [[nodiscard]] std::string_view header(std::string_view name) const { return findHeader(headers, name); }
+    [[nodiscard]] std::string parameter(std::string_view name) const; // of the query, not decoded; empty when absent
+};
+
+// One request being answered. All calls run on the connection's thread.
+class http_exchange
+{
+public:
+    virtual ~http_exchange() = default;
+
+    http_request request;
+
+    virtual boost::asio::awaitable<void> respond(int status, std::string contentType, std::string body, http_headers extra = {}) = 0;
+    virtual boost::asio::awaitable<bool> startStream(int status, std::string contentType, http_headers extra = {}) = 0; // false: caller gone
+    virtual boost::asio::awaitable<bool> writeChunk(std::string_view bytes) = 0;                                        // false: caller gone
+    virtual boost::asio::awaitable<void> endStream() = 0;
+    virtual void abandon() = 0;                                 // closes without an end: the caller sees that the answer is cut
+    virtual void watchCaller(std::function<void()> onGone) = 0; // tells once when the caller closes; until the handler returns
+    [[nodiscard]] virtual bool started() const = 0;             // a status was written
+    [[nodiscard]] virtual boost::asio::any_io_executor executor() const = 0;
+};
+
+using http_handler = std::function<boost::asio::awaitable<void>(http_exchange &)>;
+
+struct http_server_limits
+{
+    std::size_t maxHeaderBytes = 16 * 1024;
+    std::size_t maxBodyBytes = 2 * 1024 * 1024;
+    duration receiveWithin = std::chrono::seconds(10); // headers and body of one request
+    duration idleWithin = std::chrono::seconds(60);    // between two requests of a kept connection
+    duration writeWithin = std::chrono::seconds(30);   // one write to a caller that does not read
+};
+
+class http_server
+{
+public:
+    http_server(worker_pool &workers, const address &where, http_handler handler, http_server_limits limits = {}); // throws when it cannot listen
+    ~http_server();
+    http_server(const http_server &) = delete;
+    http_server &operator=(const http_server &) = delete;
+
+    [[nodiscard]] std::uint16_t port() const; // the one in use, also when 0 was asked for
+    void close();                             // accepts no more; open requests go on, kept connections close after their answer
+    void abortAll();                          // closes every connection at once; used to play a crash
+
+private:
+    struct state;
+    std::shared_ptr<state> m_state;
+};
+
+// ---- Client ----------------------------------------------------------------------------------------------------------------------------
+
+struct http_call
+{
+    std::string method = "GET";
+    std::string target = "/";
+    http_headers headers;
+    std::string body;
+};
+
+struct http_response
+{
+    int status = 0;
+    http_headers headers;
+    std::string body;
+};
+
+// Why a call failed, with the one fact that matters for a repeat.
+class http_failure : public std::exception
+{
+public:
+    http_failure(bool byteMayHaveLeft, error_kind kind, std::string text);
+
+    [[nodiscard]] bool byteMayHaveLeft() const { return m_byteMayHaveLeft; }
+    [[nodiscard]] error_kind kind() const { return m_kind; }
+    [[nodiscard]] const char *what() const noexcept override { return m_text.c_str(); }
+
+private:
+    bool m_byteMayHaveLeft;
+    error_kind m_kind;
+    std::string m_text;
+};
+
+// An answer being read. Destroying it before its end closes the connection, which tells the other side to stop.
+class http_stream
+{
+public:
+    virtual ~http_stream() = default;
+
+    int status = 0;
+    http_headers headers;
+
+    virtual boost::asio::awaitable<std::size_t> readSome(char *buffer, std::size_t size) = 0; // 0 at the end; throws http_failure
+    virtual void cancel() = 0;                                                                // a waiting readSome() throws
+};
+
+// Connections to other processes, kept for reuse. Belongs to one thread.
+class http_client
+{
+public:
+    explicit http_client(boost::asio::any_io_executor executor);
+    ~http_client();
+
+    // A whole call. `deadline` covers connecting, sending and the answer. Throws http_failure.
+    boost::asio::awaitable<http_response> call(address where, http_call request, time_point deadline, std::size_t maxBytes = 8 * 1024 * 1024);
+
+    // Sends the request and reads the answer's head. `fresh` avoids kept connections, whose silent end cannot be told from a lost
+    // request. `onSending` is called before the first byte may leave. `deadline` covers everything, the reading too.
+    boost::asio::awaitable<std::unique_ptr<http_stream>> open(
+        address where, http_call request, time_point deadline, bool fresh, std::function<void()> onSending);
+
+private:
+    struct state;
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/shell/http_client.cpp
@@ -0,0 +1,252 @@
+// The HTTP client: kept connections by address, whole calls and streamed answers.
+#include "shell/clock.h"
+#include "shell/http.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <map>
+
+namespace chicoryrouter {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t mostKeptPerAddress = 64;
+constexpr duration keptFor = std::chrono::seconds(20); // shorter than servers keep theirs
+
+struct kept_connection
+{
+    std::unique_ptr<beast::tcp_stream> stream;
+    time_point dropAt {};
+};
+
+using address_key = std::pair<std::string, std::uint16_t>;
+
+asio::redirect_error_t<asio::use_awaitable_t<>> into(beast::error_code &code)
+{
+    return asio::redirect_error(asio::use_awaitable, code);
+}
+
+std::chrono::steady_clock::time_point steadyDeadline(time_point deadline)
+{
+    constexpr duration longest = std::chrono::hours(24);
+    const duration left = std::min<duration>(deadline == noDeadline ? longest : deadline - systemNow(), longest);
+    return std::chrono::steady_clock::now() + std::max(left, duration(0));
+}
+
+bool stillOpen(beast::tcp_stream &stream)
+{
+    char peeked = 0;
+    beast::error_code code;
+    stream.socket().non_blocking(true, code);
+    stream.socket().receive(asio::buffer(&peeked, 1), tcp::socket::message_peek, code);
+    return code == asio::error::would_block;
+}
+
+} // namespace
+
+http_failure::http_failure(bool byteMayHaveLeft, error_kind kind, std::string text)
+    : m_byteMayHaveLeft(byteMayHaveLeft)
+    , m_kind(kind)
+    , m_text(std::move(text))
+{
+}
+
+struct http_client::state
+{
+    explicit state(asio::any_io_executor owner)
+        : executor(std::move(owner))
+    {
+    }
+
+    std::unique_ptr<beast::tcp_stream> takeKept(const address &where)
+    {
+        auto &list = kept[{ where.ip, where.port }];
+        while (!list.empty()) {
+            kept_connection last = std::move(list.back());
+            list.pop_back();
+            if (last.dropAt > systemNow() && stillOpen(*last.stream)) {
+                return std::move(last.stream);
+            }
+        }
+        return nullptr;
+    }
+
+    void keep(const address &where, std::unique_ptr<beast::tcp_stream> stream)
+    {
+        auto &list = kept[{ where.ip, where.port }];
+        if (list.size() < mostKeptPerAddress) {
+            stream->expires_never();
+            list.push_back({ std::move(stream), systemNow() + keptFor });
+        }
+    }
+
+    asio::awaitable<std::unique_ptr<beast::tcp_stream>> connect(const address &where, time_point deadline, bool fresh)
+    {
+        if (!fresh) {
+            if (auto stream = takeKept(where)) {
+                stream->expires_at(steadyDeadline(deadline));
+                co_return stream;
+            }
+        }
+        auto stream = std::make_unique<beast::tcp_stream>(executor);
+        stream->expires_at(steadyDeadline(deadline));
+        const tcp::endpoint place(asio::ip::make_address(where.ip), where.port);
+        beast::error_code code;
+        co_await stream->async_connect(place, into(code));
+        if (code) {
+            throw http_failure(false, error_kind::EndpointRefused, "connect: " + code.message());
+        }
+        stream->socket().set_option(tcp::no_delay(true), code);
+        co_return stream;
+    }
+
+    asio::any_io_executor executor;
+    std::map<address_key, std::vector<kept_connection>> kept;
+};
+
+namespace {
+
+http::request<http::string_body> makeMessage(const address &where, http_call &call)
+{
+    http::request<http::string_body> message { http::string_to_verb(call.method), call.target, 11 };
+    message.set(http::field::host, where.ip + ":" + std::to_string(where.port));
+    for (const http_header &item : call.headers) {
+        message.set(item.name, item.value);
+    }
+    message.body() = std::move(call.body);
+    message.prepare_payload();
+    return message;
+}
+
+template<typename Fields>
+http_headers copyHeaders(const Fields &fields)
+{
+    http_headers headers;
+    for (const auto &field : fields) {
+        headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    }
+    return headers;
+}
+
+class open_stream : public http_stream
+{
+public:
+    using keep_function = std::function<void(std::unique_ptr<beast::tcp_stream>)>;
+
+    open_stream(std::unique_ptr<beast::tcp_stream> connection, keep_function keep)
+        : m_connection(std::move(connection))
+        , m_keep(std::move(keep))
+    {
+        m_parser.body_limit(boost::none);
+    }
+
+    asio::awaitable<void> readHead()
+    {
+        beast::error_code code;
+        co_await http::async_read_header(*m_connection, m_buffer, m_parser, into(code));
+        if (code) {
+            const bool garbage = code.category() == http::make_error_code(http::error::bad_value).category() && code != http::error::end_of_stream
+                && code != http::error::partial_message;
+            throw http_failure(true, garbage ? error_kind::EndpointGarbage : error_kind::EndpointLost, "answer head: " + code.message());
+        }
+        status = static_cast<int>(m_parser.get().result_int());
+        headers = copyHeaders(m_parser.get());
+    }
+
+    asio::awaitable<std::size_t> readSome(char *buffer, std::size_t size) override
+    {
+        while (!m_parser.is_done()) {
+            m_parser.get().body().data = buffer;
+            m_parser.get().body().size = size;
+            beast::error_code code;
+            co_await http::async_read_some(*m_connection, m_buffer, m_parser, into(code));
+            const std::size_t got = size - m_parser.get().body().size;
+            if (code && code != http::error::need_buffer) {
+                throw http_failure(true, error_kind::EndpointLost, "answer: " + code.message());
+            }
+            if (got > 0) {
+                co_return got;
+            }
+        }
+        if (m_connection != nullptr && m_parser.keep_alive() && m_keep) {
+            m_keep(std::move(m_connection));
+        }
+        co_return 0;
+    }
+
+    void cancel() override
+    {
+        if (m_connection != nullptr) {
+            m_connection->close();
+        }
+    }
+
+private:
+    std::unique_ptr<beast::tcp_stream> m_connection; // null once it is kept for others
+    keep_function m_keep;
+    beast::flat_buffer m_buffer;
+    http::response_parser<http::buffer_body> m_parser;
+};
+
+} // namespace
+
+http_client::http_client(asio::any_io_executor executor)
+    : m_state(std::make_shared<state>(std::move(executor)))
+{
+}
+
+http_client::~http_client() = default;
+
+asio::awaitable<std::unique_ptr<http_stream>> http_client::open(
+    address where, http_call request, time_point deadline, bool fresh, std::function<void()> onSending)
+{
+    const std::shared_ptr<state> shared = m_state;
+    std::unique_ptr<beast::tcp_stream> connection = co_await shared->connect(where, deadline, fresh);
+    auto message = makeMessage(where, request);
+    if (onSending) {
+        onSending();
+    }
+    beast::error_code code;
+    co_await http::async_write(*connection, message, into(code));
+    if (code) {
+        throw http_failure(true, error_kind::EndpointLost, "send: " + code.message());
+    }
+    auto keep = [weak = std::weak_ptr<state>(shared), where](std::unique_ptr<beast::tcp_stream> stream) {
+        if (const auto owner = weak.lock()) {
+            owner->keep(where, std::move(stream));
+        }
+    };
+    auto stream = std::make_unique<open_stream>(std::move(connection), std::move(keep));
+    co_await stream->readHead();
+    co_return stream;
+}
+
+asio::awaitable<http_response> http_client::call(address where, http_call request, time_point deadline, std::size_t maxBytes)
+{
+    const std::unique_ptr<http_stream> stream = co_await open(std::move(where), std::move(request), deadline, false, nullptr);
+    http_response response;
+    response.status = stream->status;
+    response.headers = stream->headers;
+    std::array<char, 16384> buffer {};
+    while (true) {
+        const std::size_t got = co_await stream->readSome(buffer.data(), buffer.size());
+        if (got == 0) {
+            co_return response;
+        }
+        if (response.body.size() + got > maxBytes) {
+            throw http_failure(true, error_kind::EndpointGarbage, "answer: too large");
+        }
+        response.body.append(buffer.data(), got);
+    }
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/shell/http_server.cpp
@@ -0,0 +1,426 @@
+// The HTTP server: one coroutine per connection on the thread it was given to.
+#include "shell/clock.h"
+#include "shell/http.h"
+#include "shell/worker_pool.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+#include <mutex>
+#include <set>
+
+namespace chicoryrouter {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+asio::redirect_error_t<asio::use_awaitable_t<>> into(beast::error_code &code)
+{
+    return asio::redirect_error(asio::use_awaitable, code);
+}
+
+bool sameName(std::string_view a, std::string_view b)
+{
+    return a.size() == b.size()
+        && std::equal(a.begin(), a.end(), b.begin(), [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
+}
+
+} // namespace
+
+std::string_view findHeader(const http_headers &headers, std::string_view name)
+{
+    const auto found = std::find_if(headers.begin(), headers.end(), [&](const http_header &item) { return sameName(item.name, name); });
+    return found == headers.end() ? std::string_view() : std::string_view(found->value);
+}
+
+std::string http_request::parameter(std::string_view name) const
+{
+    std::string_view rest = query;
+    while (!rest.empty()) {
+        const std::string_view part = rest.substr(0, rest.find('&'));
+        rest.remove_prefix(std::min(rest.size(), part.size() + 1));
+        const auto equals = part.find('=');
+        if (part.substr(0, equals) == name) {
+            return equals == std::string_view::npos ? std::string() : std::string(part.substr(equals + 1));
+        }
+    }
+    return {};
+}
+
+namespace {
+
+class connection;
+
+// What the server and its connections share.
+struct connection_set
+{
+    std::mutex lock;
+    std::set<connection *> open;
+    std::atomic<bool> closing { false };
+};
+
+class connection : public http_exchange, public std::enable_shared_from_this<connection>
+{
+public:
+    connection(tcp::socket socket, std::shared_ptr<connection_set> all, const http_server_limits &limits)
+        : m_stream(std::move(socket))
+        , m_all(std::move(all))
+        , m_limits(limits)
+    {
+        const std::lock_guard guard(m_all->lock);
+        m_all->open.insert(this);
+    }
+
+    ~connection() override
+    {
+        const std::lock_guard guard(m_all->lock);
+        m_all->open.erase(this);
+    }
+
+    asio::awaitable<void> serve(const http_handler &handler)
+    {
+        bool keep = true;
+        bool first = true;
+        while (keep && !m_all->closing) {
+            const read_result got = co_await receive(first);
+            first = false;
+            if (got == read_result::Closed) {
+                break;
+            }
+            if (got == read_result::Answered) {
+                break;
+            }
+            co_await handle(handler);
+            stopWatching();
+            keep = m_keepAlive && !m_broken;
+        }
+        beast::error_code ignored;
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    asio::awaitable<void> respond(int status, std::string contentType, std::string body, http_headers extra) override
+    {
+        http::response<http::string_body> response { http::status(status), m_version };
+        setHeaders(response, contentType, extra);
+        response.keep_alive(m_keepAlive && !m_all->closing);
+        response.body() = std::move(body);
+        response.prepare_payload();
+        m_started = true;
+        m_keepAlive = response.keep_alive();
+        m_stream.expires_after(m_limits.writeWithin);
+        beast::error_code code;
+        co_await http::async_write(m_stream, response, into(code));
+        m_broken = m_broken || code;
+    }
+
+    asio::awaitable<bool> startStream(int status, std::string contentType, http_headers extra) override
+    {
+        http::response<http::empty_body> response { http::status(status), m_version };
+        setHeaders(response, contentType, extra);
+        response.set(http::field::cache_control, "no-store");
+        response.keep_alive(m_keepAlive && !m_all->closing);
+        response.chunked(true);
+        m_started = true;
+        m_keepAlive = response.keep_alive();
+        http::response_serializer<http::empty_body> serializer(response);
+        m_stream.expires_after(m_limits.writeWithin);
+        beast::error_code code;
+        co_await http::async_write_header(m_stream, serializer, into(code));
+        m_broken = m_broken || code;
+        co_return !m_broken;
+    }
+
+    asio::awaitable<bool> writeChunk(std::string_view bytes) override
+    {
+        if (m_broken || bytes.empty()) {
+            co_return !m_broken;
+        }
+        m_stream.expires_after(m_limits.writeWithin);
+        beast::error_code code;
+        co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(bytes.data(), bytes.size())), into(code));
+        m_broken = m_broken || code;
+        co_return !m_broken;
+    }
+
+    asio::awaitable<void> endStream() override
+    {
+        if (!m_broken) {
+            m_stream.expires_after(m_limits.writeWithin);
+            beast::error_code code;
+            co_await asio::async_write(m_stream, http::make_chunk_last(), into(code));
+            m_broken = m_broken || code;
+        }
+    }
+
+    void abandon() override
+    {
+        m_broken = true;
+        m_stream.close();
+    }
+
+    void watchCaller(std::function<void()> onGone) override
+    {
+        m_onGone = std::move(onGone);
+        const std::uint64_t watch = ++m_watch;
+        m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(), watch](beast::error_code code) { self->onReadable(watch, code); });
+    }
+
+    [[nodiscard]] bool started() const override { return m_started; }
+    [[nodiscard]] asio::any_io_executor executor() const override { return const_cast<connection *>(this)->m_stream.get_executor(); }
+
+    void closeFromAnyThread()
+    {
+        asio::post(m_stream.get_executor(), [self = shared_from_this()] {
+            self->m_broken = true;
+            self->m_stream.close();
+        });
+    }
+
+private:
+    enum class read_result {
+        Request,
+        Answered, // an error was answered; the connection ends
+        Closed,
+    };
+
+    template<typename Response>
+    static void setHeaders(Response &response, const std::string &contentType, const http_headers &extra)
+    {
+        response.set(http::field::content_type, contentType);
+        for (const http_header &item : extra) {
+            response.set(item.name, item.value);
+        }
+    }
+
+    asio::awaitable<read_result> receive(bool first)
+    {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
+        parser.body_limit(m_limits.maxBodyBytes);
+        beast::error_code code;
+        if (!first && m_buffer.size() == 0) {
+            m_stream.expires_after(m_limits.idleWithin);
+            co_await m_stream.socket().async_wait(tcp::socket::wait_read, into(code));
+        }
+        m_stream.expires_after(m_limits.receiveWithin);
+        co_await http::async_read(m_stream, m_buffer, parser, into(code));
+        m_started = false;
+        if (code) {
+            co_return co_await answerReadError(code, parser.got_some());
+        }
+        take(parser.release());
+        co_return read_result::Request;
+    }
+
+    void take(http::request<http::string_body> message)
+    {
+        m_version = message.version();
+        m_keepAlive = message.keep_alive();
+        request = {};
+        request.method = std::string(message.method_string());
+        const std::string_view target(message.target().data(), message.target().size());
+        const auto mark = target.find('?');
+        request.path = std::string(target.substr(0, mark));
+        request.query = mark == std::string_view::npos ? std::string() : std::string(target.substr(mark + 1));
+        for (const auto &field : message) {
+            request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+        }
+        request.body = std::move(message.body());
+    }
+
+    asio::awaitable<read_result> answerReadError(beast::error_code code, bool gotSome)
+    {
+        const bool quietEnd = code == http::error::end_of_stream || code == asio::error::operation_aborted || code == asio::error::connection_reset;
+        const bool idle = code == beast::error::timeout && !gotSome;
+        if (quietEnd || idle || m_all->closing) {
+            co_return read_result::Closed;
+        }
+        error_kind kind = error_kind::BadRequest;
+        if (code == http::error::header_limit) {
+            kind = error_kind::HeaderTooLarge;
+        } else if (code == http::error::body_limit) {
+            kind = error_kind::BodyTooLarge;
+        } else if (code == beast::error::timeout) {
+            kind = error_kind::SlowSender;
+        }
+        m_keepAlive = false;
+        // The timeout closed our own side already when the sender was slow; then nobody can be told.
+        co_await respond(answerFor(kind).httpStatus, "application/json", errorBody(kind, "", code.message()), {});
+        co_await drain();
+        co_return read_result::Answered;
+    }
+
+    // Reads on for a moment, so that the answer is not lost to a reset while the sender still sends.
+    asio::awaitable<void> drain()
+    {
+        beast::error_code code;
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, code);
+        m_stream.expires_after(std::chrono::seconds(1));
+        std::array<char, 4096> scratch {};
+        std::size_t total = 0;
+        while (!code && total < m_limits.maxBodyBytes) {
+            total += co_await m_stream.async_read_some(asio::buffer(scratch), into(code));
+        }
+    }
+
+    asio::awaitable<void> handle(const http_handler &handler)
+    {
+        error_kind kind = error_kind::Internal;
+        std::string detail;
+        try {
+            co_await handler(*this);
+            co_return;
+        } catch (const error &fault) {
+            kind = fault.kind();
+            detail = fault.detail();
+        } catch (const std::exception &fault) {
+            detail = fault.what();
+        }
+        if (m_started) {
+            abandon();
+        } else {
+            co_await respond(answerFor(kind).httpStatus, "application/json", errorBody(kind, "", detail), {});
+        }
+    }
+
+    void onReadable(std::uint64_t watch, beast::error_code code)
+    {
+        if (watch != m_watch || !m_onGone || code == asio::error::operation_aborted) {
+            return;
+        }
+        char peeked = 0;
+        beast::error_code peekError;
+        m_stream.socket().non_blocking(true, peekError);
+        const std::size_t got = m_stream.socket().receive(asio::buffer(&peeked, 1), tcp::socket::message_peek, peekError);
+        const bool pipelined = got > 0 && !peekError;
+        if (!pipelined && peekError != asio::error::would_block) {
+            const auto tell = std::move(m_onGone);
+            m_onGone = nullptr;
+            m_broken = true;
+            tell();
+        }
+    }
+
+    void stopWatching()
+    {
+        ++m_watch;
+        m_onGone = nullptr;
+        beast::error_code ignored;
+        m_stream.socket().cancel(ignored);
+    }
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    std::shared_ptr<connection_set> m_all;
+    http_server_limits m_limits;
+    std::function<void()> m_onGone;
+    std::uint64_t m_watch = 0; // only the newest watch may report
+    unsigned m_version = 11;
+    bool m_keepAlive = true;
+    bool m_started = false;
+    bool m_broken = false;
+};
+
+} // namespace
+
+struct http_server::state : std::enable_shared_from_this<http_server::state>
+{
+    state(worker_pool &pool, http_handler onRequest, http_server_limits bounds)
+        : workers(pool)
+        , acceptor(pool.next())
+        , handler(std::move(onRequest))
+        , limits(bounds)
+    {
+    }
+
+    void listen(const address &where)
+    {
+        const tcp::endpoint place(asio::ip::make_address(where.ip), where.port);
+        acceptor.open(place.protocol());
+        acceptor.set_option(asio::socket_base::reuse_address(true));
+        acceptor.bind(place);
+        acceptor.listen();
+        port = acceptor.local_endpoint().port();
+    }
+
+    asio::awaitable<void> acceptLoop()
+    {
+        const auto self = shared_from_this();
+        while (true) {
+            asio::io_context &context = workers.next();
+            beast::error_code code;
+            tcp::socket socket = co_await acceptor.async_accept(context, into(code));
+            if (code == asio::error::operation_aborted || !acceptor.is_open()) {
+                co_return;
+            }
+            if (!code) {
+                beast::error_code ignored;
+                socket.set_option(tcp::no_delay(true), ignored);
+                asio::post(context, [self, moved = std::move(socket)]() mutable { self->startConnection(std::move(moved)); });
+            }
+        }
+    }
+
+    void startConnection(tcp::socket socket)
+    {
+        const auto executor = socket.get_executor();
+        const auto fresh = std::make_shared<connection>(std::move(socket), connections, limits);
+        asio::co_spawn(
+            executor, [self = shared_from_this(), fresh]() -> asio::awaitable<void> { co_await fresh->serve(self->handler); }, asio::detached);
+    }
+
+    worker_pool &workers;
+    tcp::acceptor acceptor;
+    http_handler handler;
+    http_server_limits limits;
+    std::shared_ptr<connection_set> connections = std::make_shared<connection_set>();
+    std::uint16_t port = 0;
+};
+
+http_server::http_server(worker_pool &workers, const address &where, http_handler handler, http_server_limits limits)
+    : m_state(std::make_shared<state>(workers, std::move(handler), limits))
+{
+    m_state->listen(where);
+    asio::co_spawn(
+        m_state->acceptor.get_executor(), [self = m_state]() -> asio::awaitable<void> { co_await self->acceptLoop(); }, asio::detached);
+}
+
+http_server::~http_server()
+{
+    close();
+}
+
+std::uint16_t http_server::port() const
+{
+    return m_state->port;
+}
+
+void http_server::close()
+{
+    m_state->connections->closing = true;
+    asio::post(m_state->acceptor.get_executor(), [self = m_state] {
+        beast::error_code ignored;
+        self->acceptor.close(ignored);
+    });
+}
+
+void http_server::abortAll()
+{
+    close();
+    const std::lock_guard guard(m_state->connections->lock);
+    for (connection *item : m_state->connections->open) {
+        item->closeFromAnyThread();
+    }
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/shell/platform_client.cpp
@@ -0,0 +1,88 @@
+// Reading the platform's lists.
+#include "shell/platform_client.h"
+
+#include <nlohmann/json.hpp>
+
+namespace chicoryrouter {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+
+namespace {
+
+instance_record readInstance(const json &value)
+{
+    instance_record record;
+    record.id = value.at("id");
+    record.failureDomain = value.at("failure_domain");
+    record.cls = value.at("class") == "on_demand" ? instance_class::OnDemand : instance_class::Reclaimable;
+    record.service = value.at("service");
+    record.version = value.at("version");
+    record.where = { value.at("ip"), value.at("port") };
+    record.leaving = value.at("leaving");
+    if (record.leaving) {
+        record.leaveBy = time_point(duration(value.at("leave_by_us").get<std::int64_t>()));
+    }
+    return record;
+}
+
+asio::awaitable<std::optional<std::string>> fetchText(http_client &client, address where, std::string target, time_point deadline)
+{
+    http_call call;
+    call.target = std::move(target);
+    try {
+        http_response response = co_await client.call(std::move(where), std::move(call), deadline);
+        if (response.status == 200) {
+            co_return std::move(response.body);
+        }
+    } catch (const http_failure &) {
+        co_return std::nullopt;
+    }
+    co_return std::nullopt;
+}
+
+} // namespace
+
+std::optional<instance_list> decodeInstanceList(const std::string &text)
+{
+    try {
+        const json value = json::parse(text);
+        instance_list list;
+        for (const json &item : value.at("instances")) {
+            list.endpoints.push_back(readInstance(item));
+        }
+        for (const json &item : value.at("entries")) {
+            list.members.push_back({ item.at("instance"), item.at("failure_domain"), { item.at("ip"), item.at("port") } });
+        }
+        return list;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+std::optional<load_report> decodeLoadReport(const std::string &endpointId, const std::string &text)
+{
+    try {
+        const json value = json::parse(text);
+        if (value.at("id") != endpointId) {
+            return std::nullopt; // another process took over its address
+        }
+        return load_report { endpointId, value.at("epoch"), value.at("sequence"), value.at("completed"), value.at("running"), value.at("queued") };
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+asio::awaitable<std::optional<instance_list>> fetchInstanceList(http_client &client, address where, time_point deadline)
+{
+    const std::optional<std::string> text = co_await fetchText(client, std::move(where), "/instances", deadline);
+    co_return text ? decodeInstanceList(*text) : std::nullopt;
+}
+
+asio::awaitable<std::optional<load_report>> fetchLoadReport(http_client &client, endpoint_ptr from, time_point deadline)
+{
+    const std::optional<std::string> text = co_await fetchText(client, from->where, "/load", deadline);
+    co_return text ? decodeLoadReport(from->id, *text) : std::nullopt;
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/shell/request_host.cpp
@@ -0,0 +1,121 @@
+// The daemon's open requests and waiting tickets.
+#include "shell/request_host.h"
+
+#include "chicoryrouter/hash.h"
+#include "chicoryrouter/stream_moves.h"
+#include "shell/clock.h"
+#include "shell/request_session.h"
+
+namespace chicoryrouter {
+
+request_host::request_host() = default;
+request_host::~request_host() = default;
+
+retry_budget &request_host::budgetOf(const std::string &service)
+{
+    const std::lock_guard guard(m_lock);
+    auto &budget = m_budgets[service];
+    if (budget == nullptr) {
+        budget = std::make_unique<retry_budget>();
+    }
+    return *budget;
+}
+
+void request_host::add(const std::shared_ptr<request_session> &session)
+{
+    const std::lock_guard guard(m_lock);
+    m_sessions[session->facts().id] = session;
+}
+
+void request_host::remove(const std::string &requestId)
+{
+    std::shared_ptr<request_session> last; // destroyed outside the lock
+    const std::lock_guard guard(m_lock);
+    const auto found = m_sessions.find(requestId);
+    if (found != m_sessions.end()) {
+        last = std::move(found->second);
+        m_sessions.erase(found);
+    }
+}
+
+std::shared_ptr<request_session> request_host::find(const std::string &requestId) const
+{
+    const std::lock_guard guard(m_lock);
+    const auto found = m_sessions.find(requestId);
+    return found == m_sessions.end() ? nullptr : found->second;
+}
+
+std::vector<std::shared_ptr<request_session>> request_host::open() const
+{
+    std::vector<std::shared_ptr<request_session>> result;
+    const std::lock_guard guard(m_lock);
+    for (const auto &[id, session] : m_sessions) {
+        if (!session->over()) {
+            result.push_back(session);
+        }
+    }
+    return result;
+}
+
+std::size_t request_host::openCount() const
+{
+    return open().size();
+}
+
+void request_host::clear()
+{
+    std::map<std::string, std::shared_ptr<request_session>> last; // destroyed outside the lock
+    const std::lock_guard guard(m_lock);
+    last.swap(m_sessions);
+}
+
+void request_host::expect(std::uint64_t ticket, const std::shared_ptr<request_session> &session)
+{
+    const std::lock_guard guard(m_lock);
+    m_waiting[ticket] = session;
+}
+
+void request_host::forget(std::uint64_t ticket)
+{
+    const std::lock_guard guard(m_lock);
+    m_waiting.erase(ticket);
+}
+
+void request_host::serve(const std::string &service, seeded_random &random)
+{
+    for (const served_ticket &served : slots.serveWaiting(service, systemNow(), random)) {
+        std::shared_ptr<request_session> session;
+        {
+            const std::lock_guard guard(m_lock);
+            const auto found = m_waiting.find(served.ticket);
+            if (found != m_waiting.end()) {
+                session = found->second.lock();
+                m_waiting.erase(found);
+            }
+        }
+        if (session != nullptr) {
+            session->onServed(served.answer);
+        } else if (served.answer.result == slot_answer::outcome::Granted) {
+            served.answer.where->load->giveBack(); // its caller left in the meantime
+        }
+    }
+}
+
+void request_host::moveStreams(const reclaim_notice &notice)
+{
+    const std::uint64_t key = hashBytes(notice.endpointId);
+    std::vector<stream_cost> streams;
+    for (const auto &session : open()) {
+        if (session->servedByKey() == key) {
+            streams.push_back({ session->facts().id, session->recomputeTokens(), move_method::Resume });
+        }
+    }
+    planStreamMoves(streams, notice.leaveBy, systemNow());
+    for (const stream_cost &stream : streams) {
+        if (const auto session = find(stream.requestId)) {
+            session->onNotice(notice.endpointId, notice.leaveBy, stream.method);
+        }
+    }
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/shell/request_host.h
@@ -0,0 +1,87 @@
+// What all requests of one daemon share, and what each request thread has of its own.
+#pragma once
+
+#include "chicoryrouter/dispatcher.h"
+#include "chicoryrouter/fleet.h"
+#include "chicoryrouter/retry_budget.h"
+#include "shell/http.h"
+#include "shell/metrics.h"
+#include "shell/store_client.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace chicoryrouter {
+
+class request_session;
+struct request_snapshot;
+
+// A request thread's own tools. Used on that thread only.
+struct request_thread
+{
+    request_thread(boost::asio::io_context &io, const address &keyValue, std::shared_ptr<store_counters> counters, std::uint64_t seed)
+        : context(io)
+        , client(io.get_executor())
+        , store(io.get_executor(), keyValue, std::move(counters))
+        , random(seed)
+    {
+    }
+
+    boost::asio::io_context &context;
+    http_client client;
+    store_client store;
+    seeded_random random;
+};
+
+// Copies a request that must finish to a peer, and keeps the copy current. The peer link implements it.
+class request_copier
+{
+public:
+    virtual ~request_copier() = default;
+    [[nodiscard]] virtual bool available() const = 0;                                // any thread: there is a peer to copy to
+    virtual boost::asio::awaitable<bool> copy(const request_snapshot &snapshot) = 0; // true: a peer holds it
+    virtual void drop(const std::string &requestId) = 0;                             // any thread: the request is over
+};
+
+// Shared by all threads of a daemon.
+class request_host
+{
+public:
+    request_host();
+    ~request_host();
+
+    dispatcher slots;
+    metrics counts;
+    std::function<void(const attempt_outcome &)> onOutcome; // set before the first request; called on request threads
+    request_copier *copier = nullptr;                       // null: no peers. Outlives every request
+
+    retry_budget &budgetOf(const std::string &service); // any thread; lives as long as the host
+    std::uint64_t nextTicket() { return m_tickets.fetch_add(1) + 1; }
+
+    void add(const std::shared_ptr<request_session> &session); // findable until remove()
+    void remove(const std::string &requestId);
+    void clear(); // forgets all, once no request thread runs any more
+    [[nodiscard]] std::shared_ptr<request_session> find(const std::string &requestId) const;
+    [[nodiscard]] std::vector<std::shared_ptr<request_session>> open() const;
+    [[nodiscard]] std::size_t openCount() const;
+
+    void expect(std::uint64_t ticket, const std::shared_ptr<request_session> &session); // before dispatcher::acquire() may queue it
+    void forget(std::uint64_t ticket);
+    void serve(const std::string &service, seeded_random &random); // any thread: hands free slots to those who wait
+    void moveStreams(const reclaim_notice &notice);                // any thread
+
+private:
+    mutable std::mutex m_lock;
+    std::map<std::string, std::unique_ptr<retry_budget>> m_budgets;
+    std::map<std::string, std::shared_ptr<request_session>> m_sessions; // open, or over and still held for callers
+    std::map<std::uint64_t, std::weak_ptr<request_session>> m_waiting;  // by ticket
+    std::atomic<std::uint64_t> m_tickets { 0 };
+};
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/shell/request_session.cpp
@@ -0,0 +1,603 @@
+// Carrying out one request's actions.
+#include "shell/request_session.h"
+
+#include "shell/clock.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <array>
+
+namespace chicoryrouter {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t mostUnreadTokens = 512; // an attempt pauses while the callers are further behind
+constexpr std::size_t maxPlainAnswerBytes = 8 * 1024 * 1024;
+constexpr std::size_t maxHistoryBytes = 4096;
+constexpr std::uint32_t bytesPerPromptToken = 4; // rough; only orders moves by cost
+constexpr duration storeCallWithin = 500ms;
+constexpr duration claimSettleWithin = 5s;
+constexpr duration heldAfterEnd = 60s; // how long a finished answer can be re-attached to
+
+asio::steady_timer::time_point steadyAt(time_point moment)
+{
+    const auto now = asio::steady_timer::clock_type::now();
+    return moment == noDeadline ? now + 24h : now + std::max<duration>(moment - systemNow(), duration(0));
+}
+
+} // namespace
+
+request_session::request_session(request_host &host, request_thread &thread, request_facts facts, request_payload payload)
+    : m_host(host)
+    , m_thread(thread)
+    , m_payload(std::move(payload))
+    , m_machine(std::move(facts), host.budgetOf(facts.promised.service))
+    , m_wake(thread.context, asio::steady_timer::time_point::max())
+    , m_room(thread.context, asio::steady_timer::time_point::max())
+    , m_timer(thread.context)
+{
+}
+
+void request_session::begin(std::vector<std::string> already)
+{
+    m_tokens = std::move(already);
+    m_copied = static_cast<std::uint32_t>(m_tokens.size());
+    m_tokenCount = m_copied;
+    m_host.add(shared_from_this());
+    perform(m_machine.start(systemNow()));
+}
+
+// ---- Readers ---------------------------------------------------------------------------------------------------------------------------
+
+std::uint32_t request_session::readable() const
+{
+    return m_protected ? std::min<std::uint32_t>(m_copied, static_cast<std::uint32_t>(m_tokens.size())) : static_cast<std::uint32_t>(m_tokens.size());
+}
+
+std::string request_session::text() const
+{
+    std::string whole;
+    for (const std::string &part : m_tokens) {
+        whole += part;
+    }
+    return whole;
+}
+
+asio::awaitable<void> request_session::changed()
+{
+    boost::system::error_code ignored;
+    co_await m_wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+void request_session::notifyReaders()
+{
+    m_wake.cancel();
+}
+
+void request_session::readerAt(std::uint32_t index)
+{
+    m_readUpTo = index;
+    if (m_tokens.size() - index < mostUnreadTokens / 2) {
+        m_room.cancel();
+    }
+}
+
+void request_session::callerGone()
+{
+    m_readers = false;
+    m_room.cancel();
+    perform(m_machine.onCallerGone(systemNow()));
+}
+
+asio::awaitable<void> request_session::waitForReader()
+{
+    while (m_readers && !m_machine.isOver() && m_tokens.size() >= m_readUpTo + mostUnreadTokens) {
+        boost::system::error_code ignored;
+        co_await m_room.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        m_machine.onCallerCaughtUp(systemNow());
+    }
+}
+
+// ---- Actions ---------------------------------------------------------------------------------------------------------------------------
+
+void request_session::perform(request_actions actions)
+{
+    for (request_action &action : actions) {
+        std::visit([this](const auto &what) { perform(what); }, action);
+    }
+    const endpoint_ptr where = m_machine.servedBy();
+    m_servedByKey = where == nullptr ? 0 : where->key;
+    armTimer();
+}
+
+void request_session::armTimer()
+{
+    if (m_machine.isOver()) {
+        m_timer.cancel();
+        return;
+    }
+    m_timer.expires_at(steadyAt(m_machine.nextDeadline()));
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &code) {
+        if (code || self->m_machine.isOver()) {
+            return;
+        }
+        const bool callersAreBehind = self->m_readers && self->m_tokens.size() >= self->m_readUpTo + mostUnreadTokens;
+        if (callersAreBehind) {
+            self->m_machine.onCallerCaughtUp(systemNow()); // silence of ours, not of the endpoint
+        }
+        self->perform(self->m_machine.onTimer(systemNow()));
+    });
+}
+
+void request_session::perform(const acquire_slot &action)
+{
+    const request_facts &facts = m_machine.facts();
+    slot_request wanted;
+    wanted.ticket = m_host.nextTicket();
+    wanted.service = facts.promised.service;
+    wanted.account = facts.account;
+    wanted.weight = facts.weight;
+    wanted.rank = facts.promised.rank;
+    wanted.waitUntil = action.waitUntil;
+    wanted.accepted = action.accepted;
+    wanted.query = action.query;
+    m_ticket = wanted.ticket;
+    m_host.expect(wanted.ticket, shared_from_this());
+    const slot_answer answer = m_host.slots.acquire(wanted, m_thread.random);
+    if (answer.result == slot_answer::outcome::Queued) {
+        note(log_part::Route, "waits for a slot at " + facts.promised.service);
+        m_host.serve(facts.promised.service, m_thread.random); // a slot may have come free between look and queue
+        return;
+    }
+    m_host.forget(wanted.ticket);
+    // Through the queue of the thread, so that the machine is never called from within itself.
+    asio::post(m_thread.context, [self = shared_from_this(), answer] { self->onSlotAnswer(answer); });
+}
+
+void request_session::onServed(const slot_answer &answer)
+{
+    asio::post(m_thread.context, [self = shared_from_this(), answer] { self->onSlotAnswer(answer); });
+}
+
+void request_session::onSlotAnswer(const slot_answer &answer)
+{
+    m_ticket = 0;
+    if (answer.result == slot_answer::outcome::Granted) {
+        note(log_part::Route,
+            "to " + answer.where->id + " in " + answer.where->failureDomain + " version " + answer.where->version + ": " + std::string(toText(answer.reason)));
+        perform(m_machine.onSlot(answer.where, systemNow()));
+        return;
+    }
+    note(log_part::Route, "no slot: " + std::string(answerFor(answer.kind).name));
+    perform(m_machine.onNoSlot(answer.kind, systemNow()));
+}
+
+void request_session::perform(const copy_to_peer &)
+{
+    asio::co_spawn(m_thread.context, copyLoop(true), asio::detached);
+}
+
+asio::awaitable<void> request_session::copyLoop(bool first)
+{
+    const auto self = shared_from_this();
+    m_copying = true;
+    bool more = true;
+    while (more) {
+        request_snapshot snapshot;
+        const request_facts &facts = m_machine.facts();
+        snapshot.id = facts.id;
+        snapshot.account = facts.account;
+        snapshot.route = facts.promised.route;
+        snapshot.service = facts.promised.service;
+        snapshot.arrival = facts.arrival;
+        snapshot.deadline = facts.deadline;
+        snapshot.payload = m_payload;
+        snapshot.firstToken = m_copied;
+        snapshot.tokens.assign(m_tokens.begin() + m_copied, m_tokens.end());
+        const auto upTo = static_cast<std::uint32_t>(m_tokens.size());
+        const bool held = co_await m_host.copier->copy(snapshot);
+        m_protected = held;
+        m_copied = upTo;
+        if (first) {
+            first = false;
+            note(log_part::Peer, held ? "copied to a peer" : "no peer to copy to");
+            perform(m_machine.onCopied(systemNow()));
+        }
+        notifyReaders();
+        more = m_tokens.size() > m_copied;
+    }
+    m_copying = false;
+}
+
+void request_session::perform(const make_claim &)
+{
+    asio::co_spawn(m_thread.context, runClaim(), asio::detached);
+}
+
+asio::awaitable<void> request_session::runClaim()
+{
+    using step = claim_machine::step;
+    const auto self = shared_from_this();
+    const request_facts &facts = m_machine.facts();
+    const std::string key = claimKey(facts.account, facts.promised.route, m_payload.idempotencyKey);
+    claim_record record;
+    record.nonce = facts.id;
+    record.bodyHash = m_payload.bodyHash;
+    record.requestId = facts.id;
+    record.openUntil = facts.deadline;
+    m_claim = std::make_unique<claim_machine>(record, facts.waitUntil);
+    step next = m_claim->start();
+    while (next == step::Create || next == step::Read || next == step::Wait) {
+        const time_point deadline = std::min(systemNow() + storeCallWithin, facts.waitUntil);
+        if (next == step::Create) {
+            const store_reply reply = co_await m_thread.store.compareAndSwap(key, 0, encodeClaim(record), claimKeptFor, deadline);
+            next = m_claim->onCreated(reply, systemNow());
+        } else if (next == step::Read) {
+            const store_reply reply = co_await m_thread.store.get(key, deadline);
+            next = m_claim->onRead(reply, systemNow());
+        } else {
+            asio::steady_timer pause(m_thread.context, steadyAt(m_claim->retryAt()));
+            co_await pause.async_wait(asio::use_awaitable);
+            next = m_claim->onRetry(systemNow());
+        }
+    }
+    m_claimWon = next == step::Won;
+    if (next == step::Won) {
+        note(log_part::Claim, "claimed");
+        perform(m_machine.onClaimed(systemNow()));
+        if (m_machine.isOver() && !m_machine.mayHaveRun()) {
+            co_await settleClaim();
+        }
+        co_return;
+    }
+    if (next == step::Replay) {
+        m_status = m_claim->holder().status;
+        m_contentType = m_claim->holder().contentType;
+        m_tokens = { m_claim->holder().answer };
+        m_replayed = true;
+        note(log_part::Claim, "answered by the earlier call " + m_claim->holder().requestId);
+        perform(m_machine.onReplayed(systemNow()));
+        co_return;
+    }
+    note(log_part::Claim, "refused: " + std::string(answerFor(m_claim->refusal()).name));
+    perform(m_machine.onClaimRefused(m_claim->refusal(), systemNow()));
+    if (m_claim->mayStandUnused()) {
+        co_await settleClaim();
+    }
+}
+
+// After the end: the record gets the answer, or goes away when nothing was run, so that the key can be used again.
+asio::awaitable<void> request_session::settleClaim()
+{
+    const auto self = shared_from_this();
+    const request_facts &facts = m_machine.facts();
+    const std::string key = claimKey(facts.account, facts.promised.route, m_payload.idempotencyKey);
+    claim_record record = m_claim->mine();
+    record.done = !m_failed;
+    if (record.done && text().size() <= maxHeldAnswerBytes) {
+        record.status = m_status;
+        record.contentType = m_contentType;
+        record.answer = text();
+    }
+    const bool unused = m_failed && !m_machine.mayHaveRun();
+    const time_point giveUpAt = systemNow() + claimSettleWithin;
+    while (systemNow() < giveUpAt) {
+        const time_point deadline = systemNow() + storeCallWithin;
+        const store_reply held = co_await m_thread.store.get(key, deadline);
+        const std::optional<claim_record> found = held.outcome == store_outcome::Ok ? decodeClaim(held.value) : std::nullopt;
+        const bool notOurs = held.outcome == store_outcome::NotFound || (found && found->nonce != record.nonce);
+        if (notOurs || (found && found->done)) {
+            co_return;
+        }
+        if (found) {
+            store_reply reply;
+            if (unused) {
+                reply = co_await m_thread.store.remove(key, held.version, deadline);
+            } else {
+                reply = co_await m_thread.store.compareAndSwap(key, held.version, encodeClaim(record), claimKeptFor, deadline);
+            }
+            if (reply.outcome == store_outcome::Ok) {
+                co_return;
+            }
+        }
+        asio::steady_timer pause(m_thread.context, 200ms);
+        co_await pause.async_wait(asio::use_awaitable);
+    }
+    logLine(log_part::Claim, log_level::Warning, facts.id + " record not settled: the key-value service did not answer");
+}
+
+void request_session::perform(const transfer_kv &action)
+{
+    asio::co_spawn(m_thread.context, runTransfer(action), asio::detached);
+}
+
+asio::awaitable<void> request_session::runTransfer(transfer_kv action)
+{
+    const auto self = shared_from_this();
+    bool arrived = false;
+    try {
+        http_response exported = co_await m_thread.client.call(action.from->where, kvExportRequest(facts().id, action.fromAttempt), action.deadline, SIZE_MAX);
+        if (exported.status == 200) {
+            const http_response imported
+                = co_await m_thread.client.call(action.to->where, kvImportRequest(facts().id, std::move(exported.body)), action.deadline);
+            arrived = imported.status == 200;
+        }
+    } catch (const http_failure &) {
+        arrived = false;
+    }
+    note(log_part::Route, std::string(arrived ? "KV cache moved to " : "KV cache not moved, computed again at ") + action.to->id);
+    perform(m_machine.onTransferred(arrived, systemNow()));
+}
+
+void request_session::perform(const send_attempt &action)
+{
+    const auto open = std::make_shared<open_attempt>();
+    open->where = action.to;
+    m_open[action.attempt] = open;
+    m_host.counts.countAttempt();
+    if (action.attempt > 1) {
+        note(log_part::Request, "attempt " + std::to_string(action.attempt) + " from token " + std::to_string(action.resumeFrom));
+    }
+    const bool model = facts().kind == service_kind::Model;
+    asio::co_spawn(m_thread.context, model ? runModel(open, action) : runPlain(open, action), asio::detached);
+}
+
+void request_session::sent(const std::shared_ptr<open_attempt> &open, std::uint32_t number)
+{
+    if (open->cancelled) {
+        throw http_failure(false, error_kind::EndpointRefused, "cancelled before sending");
+    }
+    m_machine.onSent(number, systemNow());
+}
+
+asio::awaitable<void> request_session::runModel(std::shared_ptr<open_attempt> open, send_attempt action)
+{
+    const auto self = shared_from_this();
+    const std::uint32_t number = action.attempt;
+    std::string already;
+    for (std::uint32_t i = 0; i < action.resumeFrom; ++i) {
+        already += m_tokens[i];
+    }
+    engine_call call { facts().id, number, facts().promised.rank, action.resumeFrom, already, action.withTransferredKv };
+    attempt_reach reach = attempt_reach::MayHaveRun;
+    error_kind kind = error_kind::EndpointFailed;
+    try {
+        auto onSending = [this, open, number] {
+            sent(open, number);
+        };
+        std::unique_ptr<http_stream> stream
+            = co_await m_thread.client.open(open->where->where, engineRequest(m_payload, call), facts().deadline, false, onSending);
+        open->stream = std::move(stream);
+        if (open->stream->status == 200) {
+            const bool ended = co_await readEvents(open, number);
+            if (ended || open->cancelled) {
+                co_return;
+            }
+        } else {
+            reach = provesNotRun(open->stream->status, open->stream->headers) ? attempt_reach::ProvedNotRun : reach;
+            kind = reach == attempt_reach::ProvedNotRun ? error_kind::EndpointRefused : kind;
+        }
+    } catch (const http_failure &failure) {
+        reach = failure.byteMayHaveLeft() ? attempt_reach::MayHaveRun : attempt_reach::NotSent;
+        kind = failure.kind();
+    } catch (const error &fault) {
+        kind = fault.kind();
+    }
+    attemptFailed(open, number, reach, kind);
+}
+
+// True when the answer ended whole; false when the stream closed before.
+asio::awaitable<bool> request_session::readEvents(std::shared_ptr<open_attempt> open, std::uint32_t number)
+{
+    const std::shared_ptr<http_stream> stream = open->stream;
+    engine_event_reader reader;
+    std::array<char, 16384> buffer {};
+    while (true) {
+        const std::size_t got = co_await stream->readSome(buffer.data(), buffer.size());
+        if (got == 0) {
+            co_return false;
+        }
+        reader.feed({ buffer.data(), got });
+        while (std::optional<engine_event> event = reader.next()) {
+            if (open->cancelled) {
+                co_return true;
+            }
+            if (event->done) {
+                if (event->requestId != facts().id || event->attempt != number) {
+                    continue;
+                }
+                m_open.erase(number);
+                // Read to the end, so that the connection can be kept.
+                co_await stream->readSome(buffer.data(), buffer.size());
+                perform(m_machine.onEnd(number, event->requestId, event->index, systemNow()));
+                co_return true;
+            }
+            if (!takeToken(number, std::move(*event))) {
+                throw error(error_kind::EndpointGarbage, "a token is missing");
+            }
+        }
+        notifyReaders();
+        if (m_protected && !m_copying && m_tokens.size() > m_copied) {
+            asio::co_spawn(m_thread.context, copyLoop(false), asio::detached);
+        }
+        co_await waitForReader();
+    }
+}
+
+bool request_session::takeToken(std::uint32_t number, engine_event event)
+{
+    if (event.attempt != number) {
+        return true; // another attempt's token on this connection: crossed
+    }
+    const time_point now = systemNow();
+    const token_verdict verdict = m_machine.onToken(number, event.requestId, event.index, now);
+    if (verdict == token_verdict::Deliver) {
+        if (m_tokens.empty()) {
+            m_host.counts.observeFirstToken(facts().promised.route, now - facts().arrival);
+        }
+        m_tokens.push_back(std::move(event.token));
+        m_tokenCount = static_cast<std::uint32_t>(m_tokens.size());
+        m_host.counts.countToken();
+    }
+    return verdict != token_verdict::Gap;
+}
+
+asio::awaitable<void> request_session::runPlain(std::shared_ptr<open_attempt> open, send_attempt action)
+{
+    const auto self = shared_from_this();
+    const std::uint32_t number = action.attempt;
+    const engine_call call { facts().id, number, facts().promised.rank, 0, {}, false };
+    const bool fresh = !facts().promised.repeatable; // a kept connection's silent end could not be told from a lost order
+    attempt_reach reach = attempt_reach::MayHaveRun;
+    error_kind kind = error_kind::EndpointFailed;
+    try {
+        auto onSending = [this, open, number] {
+            sent(open, number);
+        };
+        std::unique_ptr<http_stream> stream
+            = co_await m_thread.client.open(open->where->where, plainRequest(m_payload, call), facts().deadline, fresh, onSending);
+        open->stream = std::move(stream);
+        std::string body;
+        std::array<char, 16384> buffer {};
+        while (const std::size_t got = co_await open->stream->readSome(buffer.data(), buffer.size())) {
+            body.append(buffer.data(), got);
+            if (body.size() > maxPlainAnswerBytes) {
+                throw error(error_kind::EndpointGarbage, "the answer is too large");
+            }
+        }
+        if (open->cancelled) {
+            co_return;
+        }
+        const http_stream &answer = *open->stream;
+        const std::string_view echoed = findHeader(answer.headers, "X-Request-Id");
+        const bool crossed = !echoed.empty() && echoed != facts().id;
+        const bool notRun = provesNotRun(answer.status, answer.headers);
+        const bool worthRetry = answer.status >= 500 && facts().promised.repeatable;
+        if (!crossed && !notRun && !worthRetry) {
+            m_open.erase(number);
+            if (takeToken(number, { facts().id, number, 0, std::move(body), false })) {
+                m_status = answer.status;
+                m_contentType = std::string(findHeader(answer.headers, "Content-Type"));
+            }
+            perform(m_machine.onEnd(number, facts().id, 1, systemNow()));
+            co_return;
+        }
+        reach = notRun ? attempt_reach::ProvedNotRun : reach;
+        kind = notRun ? error_kind::EndpointRefused : (crossed ? error_kind::EndpointGarbage : kind);
+    } catch (const http_failure &failure) {
+        reach = failure.byteMayHaveLeft() ? attempt_reach::MayHaveRun : attempt_reach::NotSent;
+        kind = failure.kind();
+    } catch (const error &fault) {
+        kind = fault.kind();
+    }
+    attemptFailed(open, number, reach, kind);
+}
+
+void request_session::attemptFailed(const std::shared_ptr<open_attempt> &open, std::uint32_t number, attempt_reach reach, error_kind kind)
+{
+    if (open->cancelled || m_machine.isOver()) {
+        return;
+    }
+    m_open.erase(number);
+    note(log_part::Request, "attempt " + std::to_string(number) + " at " + open->where->id + " failed: " + std::string(answerFor(kind).name));
+    perform(m_machine.onAttemptFailed(number, reach, kind, systemNow()));
+}
+
+void request_session::perform(const cancel_attempt &action)
+{
+    const auto found = m_open.find(action.attempt);
+    if (found == m_open.end()) {
+        return;
+    }
+    found->second->cancelled = true;
+    if (found->second->stream != nullptr) {
+        found->second->stream->cancel();
+    }
+    m_open.erase(found);
+}
+
+void request_session::perform(const release_slot &action)
+{
+    action.where->load->giveBack();
+    if (action.sent && m_host.onOutcome) {
+        const request_facts &facts = m_machine.facts();
+        m_host.onOutcome({ action.where->id, facts.promised.service, action.where->version, facts.promised.route, action.failed, action.firstToken });
+    }
+    m_host.serve(m_machine.facts().promised.service, m_thread.random);
+}
+
+// ---- Ends ------------------------------------------------------------------------------------------------------------------------------
+
+void request_session::perform(const finish_request &action)
+{
+    m_host.counts.countAnswer();
+    note(log_part::Request, "answered in full, " + std::to_string(action.tokens) + " tokens");
+    close();
+}
+
+void request_session::perform(const fail_request &action)
+{
+    m_failed = true;
+    m_failure = action.kind;
+    m_host.counts.countFailure(action.kind);
+    note(log_part::Request, "failed: " + std::string(answerFor(action.kind).name) + ", ran: " + std::string(toText(answerFor(action.kind).ran)));
+    close();
+}
+
+void request_session::close()
+{
+    m_overFlag = true;
+    m_host.counts.countRecomputed(m_machine.recomputedTokens());
+    if (m_ticket != 0) {
+        m_host.slots.withdraw(m_machine.facts().promised.service, m_ticket);
+        m_host.forget(m_ticket);
+        m_ticket = 0;
+    }
+    if (m_claimWon) {
+        asio::co_spawn(m_thread.context, settleClaim(), asio::detached);
+    }
+    if (m_protected && m_host.copier != nullptr) {
+        m_copied = static_cast<std::uint32_t>(m_tokens.size()); // whole: nothing is left that a copy could save
+        m_host.copier->drop(facts().id);
+    }
+    m_timer.cancel();
+    m_room.cancel();
+    notifyReaders();
+    const bool mayBeAskedAgain = facts().kind == service_kind::Model;
+    const auto keep = std::make_shared<asio::steady_timer>(m_thread.context, mayBeAskedAgain ? heldAfterEnd : duration(0));
+    keep->async_wait([self = shared_from_this(), keep](const boost::system::error_code &) { self->m_host.remove(self->facts().id); });
+}
+
+void request_session::onNotice(const std::string &endpointId, time_point leaveBy, move_method method)
+{
+    asio::post(m_thread.context, [self = shared_from_this(), endpointId, leaveBy, method] {
+        if (!self->m_machine.isOver()) {
+            self->note(log_part::Request, "leaves " + endpointId + ", which is on notice");
+            self->m_host.counts.countMoved();
+            self->perform(self->m_machine.onNotice(endpointId, leaveBy, method, systemNow()));
+        }
+    });
+}
+
+std::uint32_t request_session::recomputeTokens() const
+{
+    return static_cast<std::uint32_t>(m_payload.prompt.size() / bytesPerPromptToken) + m_tokenCount;
+}
+
+void request_session::note(log_part part, std::string text)
+{
+    if (m_history.size() < maxHistoryBytes) {
+        m_history += text + "\n";
+    }
+    logLine(part, log_level::Info, facts().id + " " + text);
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/shell/request_session.h
@@ -0,0 +1,135 @@
+// One request inside a daemon: carries out what its request_machine asks for, and holds the answer for the callers that read it.
+// Lives on one request thread; functions marked "any thread" may be called from others.
+#pragma once
+
+#include "chicoryrouter/claim.h"
+#include "chicoryrouter/request_machine.h"
+#include "shell/engine_client.h"
+#include "shell/log.h"
+#include "shell/request_host.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace chicoryrouter {
+
+// A request as a peer needs it to go on in our place.
+struct request_snapshot
+{
+    std::string id;
+    std::string account;
+    std::string route;
+    std::string service;
+    time_point arrival {};
+    time_point deadline = noDeadline;
+    request_payload payload; // sent with the first copy only
+    bool withPayload = true;
+    std::uint32_t firstToken = 0; // index of tokens.front()
+    std::vector<std::string> tokens;
+};
+
+class request_session : public std::enable_shared_from_this<request_session>
+{
+public:
+    request_session(request_host &host, request_thread &thread, request_facts facts, request_payload payload);
+
+    void begin(std::vector<std::string> already = {}); // once; `already`: tokens delivered before a handover
+
+    // ---- For readers, on the session's thread
+    [[nodiscard]] std::uint32_t readable() const; // tokens that may be given to callers
+    [[nodiscard]] const std::string &token(std::uint32_t index) const { return m_tokens[index]; }
+    [[nodiscard]] bool isOver() const { return m_machine.isOver() && readable() == m_tokens.size(); }
+    [[nodiscard]] bool failed() const { return m_failed; }
+    [[nodiscard]] error_kind failure() const { return m_failure; }
+    [[nodiscard]] int status() const { return m_status; } // of a plain service's answer
+    [[nodiscard]] const std::string &contentType() const { return m_contentType; }
+    [[nodiscard]] std::string text() const;                    // the whole answer
+    [[nodiscard]] bool replayed() const { return m_replayed; } // the answer is an earlier call's with the same key
+    boost::asio::awaitable<void> changed();                    // until there is more to read or it is over
+    void readerAt(std::uint32_t index);                        // for back-pressure: the newest reader has written up to here
+    void callerGone();
+    void callerBack() { m_readers = true; }
+
+    [[nodiscard]] const request_facts &facts() const { return m_machine.facts(); }
+    [[nodiscard]] const request_payload &payload() const { return m_payload; }
+    [[nodiscard]] boost::asio::io_context &context() { return m_thread.context; }
+    [[nodiscard]] std::string explain() const { return m_history; } // what was decided, line by line
+
+    // ---- Any thread
+    void onServed(const slot_answer &answer);
+    void onNotice(const std::string &endpointId, time_point leaveBy, move_method method);
+    [[nodiscard]] std::uint64_t servedByKey() const { return m_servedByKey; }
+    [[nodiscard]] std::uint32_t recomputeTokens() const; // prompt and delivered tokens, roughly
+    [[nodiscard]] bool over() const { return m_overFlag; }
+
+private:
+    struct open_attempt
+    {
+        endpoint_ptr where;
+        std::shared_ptr<http_stream> stream; // null while connecting
+        bool cancelled = false;
+    };
+
+    void perform(request_actions actions);
+    void perform(const acquire_slot &action);
+    void perform(const copy_to_peer &action);
+    void perform(const make_claim &action);
+    void perform(const transfer_kv &action);
+    void perform(const send_attempt &action);
+    void perform(const cancel_attempt &action);
+    void perform(const release_slot &action);
+    void perform(const finish_request &action);
+    void perform(const fail_request &action);
+
+    void onSlotAnswer(const slot_answer &answer);
+    void sent(const std::shared_ptr<open_attempt> &open, std::uint32_t number);
+    boost::asio::awaitable<void> runModel(std::shared_ptr<open_attempt> open, send_attempt action);
+    boost::asio::awaitable<void> runPlain(std::shared_ptr<open_attempt> open, send_attempt action);
+    boost::asio::awaitable<bool> readEvents(std::shared_ptr<open_attempt> open, std::uint32_t number);
+    boost::asio::awaitable<void> runTransfer(transfer_kv action);
+    boost::asio::awaitable<void> runClaim();
+    boost::asio::awaitable<void> settleClaim();
+    boost::asio::awaitable<void> copyLoop(bool first);
+    boost::asio::awaitable<void> waitForReader();
+    bool takeToken(std::uint32_t number, engine_event event);
+    void attemptFailed(const std::shared_ptr<open_attempt> &open, std::uint32_t number, attempt_reach reach, error_kind kind);
+    void close();
+    void notifyReaders();
+    void armTimer();
+    void note(log_part part, std::string text);
+
+    request_host &m_host;
+    request_thread &m_thread;
+    request_payload m_payload;
+    request_machine m_machine;
+    std::vector<std::string> m_tokens; // the answer so far; a plain answer is one token
+    std::map<std::uint32_t, std::shared_ptr<open_attempt>> m_open;
+    boost::asio::steady_timer m_wake;       // readers wait on it; cancelled whenever something changed
+    boost::asio::steady_timer m_room;       // attempts wait on it while callers are slow
+    boost::asio::steady_timer m_timer;      // the machine's next deadline
+    std::uint64_t m_ticket = 0;             // of the pending acquire_slot; 0: none
+    std::unique_ptr<claim_machine> m_claim; // null unless the request needed one
+    bool m_claimWon = false;
+    std::uint32_t m_copied = 0;   // tokens a peer holds
+    bool m_copying = false;       // copyLoop() runs
+    bool m_protected = false;     // a peer holds this request; callers see only copied tokens
+    std::uint32_t m_readUpTo = 0; // what the newest reader has written
+    bool m_readers = true;        // somebody reads; without readers there is no back-pressure
+    bool m_failed = false;
+    bool m_replayed = false;
+    error_kind m_failure = error_kind::Internal;
+    int m_status = 200;
+    std::string m_contentType = "application/json";
+    std::string m_history; // bounded by maxHistoryBytes
+    std::atomic<std::uint64_t> m_servedByKey { 0 };
+    std::atomic<std::uint32_t> m_tokenCount { 0 };
+    std::atomic<bool> m_overFlag { false };
+};
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/shell/worker_pool.cpp
@@ -0,0 +1,42 @@
+// Threads with an I/O context each.
+#include "shell/worker_pool.h"
+
+namespace chicoryrouter {
+
+worker_pool::worker_pool(unsigned threads)
+{
+    for (unsigned i = 0; i < threads; ++i) {
+        m_workers.push_back(std::make_unique<worker>());
+        worker &fresh = *m_workers.back();
+        fresh.thread = std::thread([&fresh] { fresh.context.run(); });
+    }
+}
+
+worker_pool::~worker_pool()
+{
+    stop();
+}
+
+boost::asio::io_context &worker_pool::next()
+{
+    return at(m_turn.fetch_add(1, std::memory_order_relaxed) % m_workers.size());
+}
+
+boost::asio::io_context &worker_pool::at(std::size_t index)
+{
+    return m_workers.at(index)->context;
+}
+
+void worker_pool::stop()
+{
+    for (const auto &item : m_workers) {
+        item->context.stop();
+    }
+    for (const auto &item : m_workers) {
+        if (item->thread.joinable()) {
+            item->thread.join();
+        }
+    }
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/standin/deployment.h
@@ -0,0 +1,72 @@
+// A whole small deployment on loopback in one process: platform stand-ins, endpoints and daemons. For demo, tests and benchmarks.
+#pragma once
+
+#include "chicoryrouter/daemon.h"
+#include "standin/platform_standin.h"
+#include "standin/sync_client.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace chicoryrouter {
+
+struct deployment_options
+{
+    unsigned daemons = 2;
+    unsigned threadsPerDaemon = 2;
+    unsigned standinThreads = 2;
+    std::vector<std::string> failureDomains = { "fd-1", "fd-2" };
+    unsigned enginesPerDomain = 1;
+    unsigned plainPerDomain = 1;
+    engine_options engine;
+    std::uint32_t initialConcurrency = 4;
+    std::uint32_t maxConcurrency = 8;
+    std::uint32_t accountLimit = 200;
+    duration pollInterval = std::chrono::milliseconds(100);
+    duration gossipInterval = std::chrono::milliseconds(100);
+    std::string move; // YAML of a version move's entry; empty: none
+};
+
+// Routes of its document: model `chat` (prompt, repeatable) and `write-up` (long, must finish), plain `/stock` (repeatable) and
+// `/orders` (at most once, key required) and `/notes` (at most once, no key). One client account `demo` with token demoToken.
+inline constexpr const char *demoToken = "demo-token";
+inline constexpr const char *demoOperatorToken = "demo-operator-token";
+
+std::string deploymentDocument(const deployment_options &options);
+
+class deployment
+{
+public:
+    explicit deployment(deployment_options options = {});
+    ~deployment();
+
+    [[nodiscard]] daemon &at(std::size_t index) { return *m_daemons.at(index); }
+    [[nodiscard]] std::size_t size() const { return m_daemons.size(); }
+    daemon &addDaemon();                                        // in the next failure domain in turn
+    void replaceDocument(const std::string &yaml);              // straight into the store, as the next revision
+    bool waitReady(duration within = std::chrono::seconds(10)); // all daemons hold a document and know the endpoints
+    bool waitUntil(const std::function<bool()> &condition, duration within);
+
+    http_response completion(std::size_t daemonIndex, const std::string &route, const std::string &prompt, unsigned tokens, bool stream = true);
+    http_response plain(std::size_t daemonIndex, const std::string &method, const std::string &path, const std::string &key = "", const std::string &body = "");
+
+    store_standin &store() { return *m_store; }
+    platform_standin &platform() { return *m_platform; }
+    plain_standin &plainAt(std::size_t index) { return *m_plain.at(index); }
+    engine_standin &engineAt(std::size_t index) { return *m_engines.at(index); }
+    [[nodiscard]] std::string engineId(std::size_t index) const;
+    worker_pool &workers() { return m_workers; }
+
+private:
+    deployment_options m_options;
+    worker_pool m_workers;
+    std::unique_ptr<store_standin> m_store;
+    std::unique_ptr<platform_standin> m_platform;
+    std::vector<engine_standin *> m_engines;
+    std::vector<plain_standin *> m_plain;
+    std::vector<std::unique_ptr<daemon>> m_daemons;
+    std::uint64_t m_revision = 1;
+};
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/standin/sync_client.h
@@ -0,0 +1,23 @@
+// A blocking caller for demo, command line, tests and benchmarks: one call at a time, with its own thread of I/O.
+#pragma once
+
+#include "shell/http.h"
+
+#include <boost/asio/io_context.hpp>
+
+namespace chicoryrouter {
+
+class sync_client
+{
+public:
+    http_response call(const address &where, http_call request, duration within = std::chrono::seconds(30)); // throws http_failure
+
+private:
+    boost::asio::io_context m_context;
+};
+
+http_headers bearer(const std::string &token);       // the Authorization header
+std::string streamedText(const std::string &events); // all token texts of an event stream
+bool streamEnded(const std::string &events);         // it closed with its [DONE]
+
+} // namespace chicoryrouter
