--- /dev/null
+++ b/tests/support/world.cpp
@@ -0,0 +1,785 @@
+// The world's events.
+#include "support/world.h"
+
+#include "chicoryrouter/hash.h"
+#include "chicoryrouter/stream_moves.h"
+#include "standin/deployment.h"
+
+#include <algorithm>
+
+namespace chicoryrouter::test {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration linkDelay = 1ms;
+constexpr duration listLag = 200ms;
+constexpr duration reportInterval = 1s;
+constexpr duration tickInterval = 50ms;
+constexpr duration deathNoticedAfter = 3s;
+constexpr duration noWorkAfterNotice = 3s; // the brief: no new work after a few seconds
+constexpr duration plainAnswer = 5ms;
+constexpr int slowFactor = 20;
+
+} // namespace
+
+struct world::node
+{
+    node(const std::string &nodeDomain, const std::string &nodeName)
+        : domain(nodeDomain)
+        , name(nodeName)
+        , endpoints(nodeDomain, hashBytes(nodeName))
+    {
+    }
+
+    std::string domain;
+    std::string name;
+    bool dead = false;
+    fleet endpoints;
+    dispatcher slots;
+    std::map<std::string, retry_budget> budgets;
+    std::map<std::uint64_t, std::shared_ptr<live_request>> waiting;
+    std::uint64_t tickets = 0;
+};
+
+struct world::live_request
+{
+    world_request *outside = nullptr;
+    std::size_t node = 0;
+    std::unique_ptr<request_machine> machine;
+    std::unique_ptr<claim_machine> claim;
+    std::string service;
+    std::uint32_t copied = 0;                  // tokens the copy's holder knows
+    std::map<std::uint32_t, std::string> open; // attempt -> endpoint
+    std::map<std::uint32_t, std::string> at;   // every attempt's endpoint
+    std::uint64_t timers = 0;
+    bool abandoned = false; // its node died
+    bool claimWon = false;
+};
+
+std::string worldDocument()
+{
+    deployment_options options;
+    options.initialConcurrency = 4;
+    options.maxConcurrency = 16;
+    options.failureDomains = { "fd-1", "fd-2", "fd-3" };
+    return deploymentDocument(options);
+}
+
+world::world(const std::string &documentYaml, std::size_t nodes, std::uint64_t seed)
+    : m_document(std::make_shared<revisioned_document>(makeRevisioned(1, documentYaml)))
+    , m_random(seed)
+{
+    std::vector<std::uint64_t> members;
+    for (std::size_t i = 0; i < nodes; ++i) {
+        const auto &domains = m_document->content.failureDomains;
+        m_nodes.push_back(std::make_unique<node>(domains[i % domains.size()].name, "entry-" + std::to_string(i + 1)));
+        members.push_back(hashBytes(m_nodes.back()->name));
+    }
+    for (const auto &item : m_nodes) {
+        item->endpoints.setDocument(m_document);
+        item->endpoints.setMembers(members);
+    }
+    publishReports();
+    std::function<void()> tick = [this] {
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            m_nodes[i]->endpoints.onProbeTime(m_now);
+            refresh(i);
+        }
+    };
+    for (duration when = tickInterval; when < 30min; when += when < 60s ? duration(tickInterval) : duration(500ms)) {
+        at(worldStart + when, tick);
+    }
+}
+
+world::~world() = default;
+
+void world::say(const std::string &line)
+{
+    const auto millis = std::chrono::duration_cast<std::chrono::milliseconds>(m_now - worldStart).count();
+    m_transcript.push_back(std::to_string(millis) + "ms " + line);
+}
+
+void world::at(time_point moment, std::function<void()> what)
+{
+    m_events.push({ moment, ++m_order, std::move(what) });
+}
+
+void world::runUntil(time_point moment)
+{
+    while (!m_events.empty() && m_events.top().when <= moment) {
+        const event next = m_events.top();
+        m_events.pop();
+        m_now = std::max(m_now, next.when);
+        next.what();
+    }
+    m_now = std::max(m_now, moment);
+}
+
+// ---- Endpoints -------------------------------------------------------------------------------------------------------------------------
+
+void world::addEndpoint(const std::string &id, const std::string &domain, const std::string &service, const std::string &version)
+{
+    fake_endpoint fresh;
+    fresh.facts = { id, domain, instance_class::Reclaimable, service, version, { "10.0.0.1", 1 } };
+    fresh.model = service == "writer";
+    m_endpoints[id] = fresh;
+    publishList();
+}
+
+void world::publishList()
+{
+    std::vector<instance_record> list;
+    for (const auto &[id, item] : m_endpoints) {
+        if (!item.gone) {
+            list.push_back(item.facts);
+        }
+    }
+    after(m_now == worldStart ? duration(0) : duration(listLag), [this, list] {
+        for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+            if (m_nodes[i]->dead) {
+                continue;
+            }
+            const std::vector<reclaim_notice> notices = m_nodes[i]->endpoints.onInstanceList(list, m_now);
+            refresh(i);
+            for (const reclaim_notice &notice : notices) {
+                std::vector<stream_cost> streams;
+                std::map<std::string, std::shared_ptr<live_request>> byId;
+                for (const auto &live : m_live) {
+                    const endpoint_ptr where = live->machine->servedBy();
+                    if (live->node == i && !live->abandoned && !live->machine->isOver() && where != nullptr && where->id == notice.endpointId) {
+                        streams.push_back({ live->outside->id, live->machine->delivered() + 100, move_method::Resume });
+                        byId[live->outside->id] = live;
+                    }
+                }
+                planStreamMoves(streams, notice.leaveBy, m_now);
+                for (const stream_cost &stream : streams) {
+                    const auto live = byId.at(stream.requestId);
+                    perform(live, live->machine->onNotice(notice.endpointId, notice.leaveBy, stream.method, m_now));
+                }
+            }
+        }
+    });
+}
+
+void world::publishReports()
+{
+    std::vector<load_report> reports;
+    for (auto &[id, item] : m_endpoints) {
+        if (!item.gone) {
+            reports.push_back({ id, item.epoch, ++item.sequence, item.completed, item.running, 0 });
+        }
+    }
+    after(linkDelay, [this, reports] {
+        for (const auto &item : m_nodes) {
+            for (const load_report &report : reports) {
+                item->endpoints.onLoadReport(report);
+            }
+        }
+    });
+    if (m_now < worldStart + 30min) {
+        after(reportInterval, [this] { publishReports(); });
+    }
+}
+
+void world::refresh(std::size_t index)
+{
+    node &item = *m_nodes[index];
+    if (item.dead) {
+        return;
+    }
+    if (item.endpoints.isDirty()) {
+        item.slots.publish(item.endpoints.buildTable());
+    }
+    for (const std::string &service : item.slots.servicesWaiting()) {
+        serve(index, service);
+    }
+}
+
+void world::setFault(const std::string &endpoint, endpoint_fault fault)
+{
+    m_endpoints.at(endpoint).fault = fault;
+}
+
+void world::crash(const std::string &id)
+{
+    fake_endpoint &item = m_endpoints.at(id);
+    if (item.gone) {
+        return;
+    }
+    item.gone = true;
+    say("endpoint " + id + " is gone");
+    for (const auto &live : m_live) {
+        for (const auto &[attempt, where] : std::map<std::uint32_t, std::string>(live->open)) {
+            if (where == id) {
+                failAttempt(live, attempt, attempt_reach::MayHaveRun, error_kind::EndpointLost);
+            }
+        }
+    }
+    publishList();
+}
+
+void world::notice(const std::string &id, duration within)
+{
+    fake_endpoint &item = m_endpoints.at(id);
+    if (item.gone || item.facts.leaving) {
+        return;
+    }
+    item.facts.leaving = true;
+    item.facts.leaveBy = m_now + within;
+    item.noticedAt = m_now;
+    say("endpoint " + id + " is on notice");
+    publishList();
+    after(within, [this, id] { crash(id); });
+}
+
+void world::noticeDomain(const std::string &domain, duration within)
+{
+    for (const auto &[id, item] : m_endpoints) {
+        if (item.facts.failureDomain == domain) {
+            notice(id, within);
+        }
+    }
+}
+
+void world::turnCold(const std::string &id)
+{
+    fake_endpoint &item = m_endpoints.at(id);
+    ++item.epoch;
+    item.completed = 0;
+    say("endpoint " + id + " turned cold");
+}
+
+// ---- Requests --------------------------------------------------------------------------------------------------------------------------
+
+void world::ask(const std::string &id, const std::string &route, std::uint32_t tokens, std::size_t nodeIndex, const std::string &key, const std::string &body)
+{
+    const document &content = m_document->content;
+    const auto found = std::find_if(content.routes.begin(), content.routes.end(), [&](const contract &item) { return item.route == route; });
+    world_request &outside = m_requests[id];
+    outside.id = id;
+    outside.route = route;
+    outside.key = key;
+    outside.body = body;
+    outside.node = nodeIndex;
+    const service_kind kind = content.findService(found->service)->kind;
+    outside.tokens = kind == service_kind::Plain ? 1 : tokens;
+
+    const auto live = std::make_shared<live_request>();
+    live->outside = &outside;
+    live->node = nodeIndex;
+    live->service = found->service;
+    request_facts facts = makeFacts(id, "demo", *found, kind, m_now);
+    facts.needsClaim = !found->repeatable && !key.empty();
+    facts.needsCopy = found->mustFinish && m_nodes.size() > 1;
+    live->machine = std::make_unique<request_machine>(facts, m_nodes[nodeIndex]->budgets[found->service]);
+    say(id + " asked at " + m_nodes[nodeIndex]->name + " on " + route);
+    startRequest(live);
+}
+
+void world::startRequest(const std::shared_ptr<live_request> &live)
+{
+    m_live.push_back(live);
+    perform(live, live->machine->start(m_now));
+}
+
+void world::leaveCaller(const std::string &id)
+{
+    m_requests.at(id).callerGone = true;
+    for (const auto &live : m_live) {
+        if (live->outside->id == id && !live->abandoned) {
+            say(id + " caller left");
+            perform(live, live->machine->onCallerGone(m_now));
+        }
+    }
+}
+
+void world::perform(const std::shared_ptr<live_request> &live, request_actions actions)
+{
+    for (const request_action &action : actions) {
+        node &own = *m_nodes[live->node];
+        if (const auto *acquire = std::get_if<acquire_slot>(&action)) {
+            slot_request wanted;
+            wanted.ticket = ++own.tickets;
+            wanted.service = live->service;
+            wanted.account = "demo";
+            wanted.rank = live->machine->facts().promised.rank;
+            wanted.waitUntil = acquire->waitUntil;
+            wanted.accepted = acquire->accepted;
+            wanted.query = acquire->query;
+            own.waiting[wanted.ticket] = live;
+            const slot_answer answer = own.slots.acquire(wanted, m_random);
+            if (answer.result != slot_answer::outcome::Queued) {
+                own.waiting.erase(wanted.ticket);
+                after(duration(0), [this, live, answer] { onSlotAnswer(live, answer); });
+            } else {
+                say(live->outside->id + " waits");
+            }
+        } else if (std::holds_alternative<copy_to_peer>(action)) {
+            after(linkDelay * 2, [this, live] {
+                if (!live->abandoned) {
+                    say(live->outside->id + " copied to a peer");
+                    perform(live, live->machine->onCopied(m_now));
+                }
+            });
+        } else if (std::holds_alternative<make_claim>(action)) {
+            claim_record record;
+            record.nonce = live->outside->id;
+            record.requestId = live->outside->id;
+            record.bodyHash = hashBytes(live->outside->body);
+            record.openUntil = live->machine->facts().deadline;
+            live->claim = std::make_unique<claim_machine>(record, live->machine->facts().waitUntil);
+            claimStep(live, live->claim->start());
+        } else if (const auto *transfer = std::get_if<transfer_kv>(&action)) {
+            const std::string from = transfer->from->id;
+            const std::string to = transfer->to->id;
+            after(100ms, [this, live, from, to] {
+                const bool arrived = !m_endpoints.at(from).gone && !m_endpoints.at(to).gone && m_endpoints.at(to).fault == endpoint_fault::None;
+                if (!live->abandoned) {
+                    say(live->outside->id + (arrived ? " KV cache moved to " : " KV cache lost on the way to ") + to);
+                    perform(live, live->machine->onTransferred(arrived, m_now));
+                }
+            });
+        } else if (const auto *sending = std::get_if<send_attempt>(&action)) {
+            send(live, *sending);
+        } else if (const auto *cancel = std::get_if<cancel_attempt>(&action)) {
+            endAttempt(live, cancel->attempt);
+        } else if (const auto *released = std::get_if<release_slot>(&action)) {
+            release(live, *released);
+        } else if (const auto *finished = std::get_if<finish_request>(&action)) {
+            ++live->outside->ends;
+            live->outside->answered = true;
+            m_recomputed += live->machine->recomputedTokens();
+            say(live->outside->id + " answered in full, " + std::to_string(finished->tokens) + " tokens");
+            settleClaim(live);
+        } else if (const auto *failed = std::get_if<fail_request>(&action)) {
+            ++live->outside->ends;
+            live->outside->failure = failed->kind;
+            const error_answer &answer = answerFor(failed->kind);
+            say(live->outside->id + " failed: " + std::string(answer.name) + ", ran: " + std::string(toText(answer.ran)));
+            settleClaim(live);
+        }
+    }
+    armTimer(live);
+}
+
+void world::armTimer(const std::shared_ptr<live_request> &live)
+{
+    const std::uint64_t timer = ++live->timers;
+    const time_point next = live->machine->nextDeadline();
+    if (next == noDeadline) {
+        return;
+    }
+    at(std::max(next, m_now), [this, live, timer] {
+        if (timer == live->timers && !live->abandoned && !live->machine->isOver()) {
+            perform(live, live->machine->onTimer(m_now));
+        }
+    });
+}
+
+void world::onSlotAnswer(const std::shared_ptr<live_request> &live, const slot_answer &answer)
+{
+    if (live->abandoned) {
+        return;
+    }
+    if (answer.result == slot_answer::outcome::Granted) {
+        say(live->outside->id + " to " + answer.where->id + ": " + std::string(toText(answer.reason)));
+        perform(live, live->machine->onSlot(answer.where, m_now));
+    } else {
+        perform(live, live->machine->onNoSlot(answer.kind, m_now));
+    }
+}
+
+void world::serve(std::size_t index, const std::string &service)
+{
+    node &own = *m_nodes[index];
+    for (const served_ticket &served : own.slots.serveWaiting(service, m_now, m_random)) {
+        const auto found = own.waiting.find(served.ticket);
+        const std::shared_ptr<live_request> live = found->second;
+        own.waiting.erase(found);
+        after(duration(0), [this, live, answer = served.answer] { onSlotAnswer(live, answer); });
+    }
+}
+
+void world::release(const std::shared_ptr<live_request> &live, const release_slot &action)
+{
+    node &own = *m_nodes[live->node];
+    action.where->load->giveBack();
+    if (action.sent) {
+        const std::string route = live->machine->facts().promised.route;
+        own.endpoints.onOutcome({ action.where->id, live->service, action.where->version, route, action.failed, action.firstToken }, m_now);
+    }
+    const std::size_t index = live->node;
+    after(duration(0), [this, index] { refresh(index); });
+}
+
+// ---- Attempts --------------------------------------------------------------------------------------------------------------------------
+
+void world::send(const std::shared_ptr<live_request> &live, const send_attempt &action)
+{
+    live->open[action.attempt] = action.to->id;
+    live->at[action.attempt] = action.to->id;
+    live->outside->accepted = true;
+    after(linkDelay, [this, live, action] { arrive(live, action); });
+}
+
+bool world::running(const std::shared_ptr<live_request> &live, std::uint32_t attempt) const
+{
+    return !live->abandoned && live->open.count(attempt) != 0;
+}
+
+void world::arrive(const std::shared_ptr<live_request> &live, const send_attempt &action)
+{
+    const std::uint32_t attempt = action.attempt;
+    if (!running(live, attempt)) {
+        return;
+    }
+    fake_endpoint &where = m_endpoints.at(action.to->id);
+    if (where.gone || where.fault == endpoint_fault::Down) {
+        failAttempt(live, attempt, attempt_reach::NotSent, error_kind::EndpointRefused);
+        return;
+    }
+    ++live->outside->sends;
+    ++where.sends;
+    if (where.noticedAt != noDeadline && m_now > where.noticedAt + noWorkAfterNotice) {
+        m_broken.push_back(live->outside->id + " was sent to " + where.facts.id + " long after its notice");
+    }
+    live->machine->onSent(attempt, m_now);
+    if (where.fault == endpoint_fault::Refusing) {
+        after(linkDelay, [this, live, attempt] { failAttempt(live, attempt, attempt_reach::ProvedNotRun, error_kind::EndpointRefused); });
+        return;
+    }
+    ++live->outside->runs;
+    ++where.running;
+    where.mostRunning = std::max(where.mostRunning, where.running);
+    if (!live->outside->key.empty() && !where.model) {
+        ++m_runsByKey[live->outside->key];
+    }
+    const int factor = where.fault == endpoint_fault::Slow ? slowFactor : 1;
+    if (where.fault == endpoint_fault::Failing) {
+        after(where.firstToken, [this, live, attempt] { failAttempt(live, attempt, attempt_reach::MayHaveRun, error_kind::EndpointFailed); });
+    } else if (where.fault == endpoint_fault::Silent) {
+        say(live->outside->id + " meets silence at " + where.facts.id);
+    } else if (where.model) {
+        const int left = where.fault == endpoint_fault::Cutting ? 2 : -1;
+        const std::string id = where.facts.id;
+        after(where.firstToken * factor, [this, live, attempt, id, from = action.resumeFrom, left] { nextToken(live, attempt, id, from, left); });
+    } else {
+        const std::string id = where.facts.id;
+        after(plainAnswer * factor, [this, live, attempt, id] { answerPlain(live, attempt, id); });
+    }
+}
+
+void world::nextToken(const std::shared_ptr<live_request> &live, std::uint32_t attempt, const std::string &id, std::uint32_t index, int left)
+{
+    if (!running(live, attempt)) {
+        return;
+    }
+    fake_endpoint &where = m_endpoints.at(id);
+    if (left == 0) {
+        failAttempt(live, attempt, attempt_reach::MayHaveRun, error_kind::EndpointLost);
+        return;
+    }
+    const std::string &requestId = live->outside->id;
+    if (index >= live->outside->tokens) {
+        ++where.completed;
+        endAttempt(live, attempt);
+        perform(live, live->machine->onEnd(attempt, requestId, live->outside->tokens, m_now));
+        return;
+    }
+    if (where.fault == endpoint_fault::Crossed) {
+        if (live->machine->onToken(attempt, "another", index, m_now) == token_verdict::Deliver) {
+            m_broken.push_back(requestId + " was given another request's token");
+        }
+        if (attempt > 1 && live->machine->onToken(attempt - 1, requestId, index, m_now) == token_verdict::Deliver && live->open.count(attempt - 1) == 0) {
+            m_broken.push_back(requestId + " was given a token of a closed attempt");
+        }
+    }
+    const bool gap = where.fault == endpoint_fault::Gapping && index == live->outside->tokens / 2;
+    const int copies = where.fault == endpoint_fault::Doubling ? 2 : 1;
+    for (int i = 0; i < copies && !gap; ++i) {
+        const token_verdict verdict = live->machine->onToken(attempt, requestId, index, m_now);
+        if (verdict == token_verdict::Deliver) {
+            deliver(live, index);
+        } else if (verdict == token_verdict::Gap) {
+            failAttempt(live, attempt, attempt_reach::MayHaveRun, error_kind::EndpointGarbage);
+            return;
+        }
+    }
+    armTimer(live);
+    const int factor = where.fault == endpoint_fault::Slow ? slowFactor : 1;
+    after(where.betweenTokens * factor, [this, live, attempt, id, index, left] { nextToken(live, attempt, id, index + 1, left > 0 ? left - 1 : left); });
+}
+
+void world::deliver(const std::shared_ptr<live_request> &live, std::uint32_t index)
+{
+    const bool copies = live->machine->facts().needsCopy;
+    const auto show = [this, live, index] {
+        if (live->abandoned || live->outside->callerGone) {
+            return;
+        }
+        live->copied = index + 1;
+        live->outside->seen.push_back(index);
+    };
+    // A copied request's token is shown only when the copy's holder has it too.
+    if (copies) {
+        live->copied = index + 1;
+        after(linkDelay * 2, show);
+    } else {
+        show();
+    }
+}
+
+void world::answerPlain(const std::shared_ptr<live_request> &live, std::uint32_t attempt, const std::string &id)
+{
+    if (!running(live, attempt)) {
+        return;
+    }
+    fake_endpoint &where = m_endpoints.at(id);
+    if (where.fault == endpoint_fault::Cutting) {
+        failAttempt(live, attempt, attempt_reach::MayHaveRun, error_kind::EndpointLost);
+        return;
+    }
+    if (live->machine->onToken(attempt, live->outside->id, 0, m_now) == token_verdict::Deliver) {
+        deliver(live, 0);
+    }
+    ++where.completed;
+    endAttempt(live, attempt);
+    perform(live, live->machine->onEnd(attempt, live->outside->id, 1, m_now));
+}
+
+void world::endAttempt(const std::shared_ptr<live_request> &live, std::uint32_t attempt)
+{
+    const auto found = live->open.find(attempt);
+    if (found == live->open.end()) {
+        return;
+    }
+    fake_endpoint &where = m_endpoints.at(found->second);
+    where.running -= where.running > 0 ? 1 : 0;
+    live->open.erase(found);
+}
+
+void world::failAttempt(const std::shared_ptr<live_request> &live, std::uint32_t attempt, attempt_reach reach, error_kind kind)
+{
+    if (!running(live, attempt)) {
+        return;
+    }
+    say(live->outside->id + " attempt " + std::to_string(attempt) + " at " + live->at.at(attempt) + " failed: " + std::string(answerFor(kind).name));
+    endAttempt(live, attempt);
+    perform(live, live->machine->onAttemptFailed(attempt, reach, kind, m_now));
+}
+
+// ---- Claims ----------------------------------------------------------------------------------------------------------------------------
+
+store_reply world::storeRead(const std::string &key)
+{
+    if (store.down) {
+        return {};
+    }
+    const auto found = store.values.find(key);
+    return found == store.values.end() ? store_reply { store_outcome::NotFound, 0, {} } : found->second;
+}
+
+store_reply world::storeSwap(const std::string &key, std::uint64_t expected, const std::string &value, bool erase)
+{
+    if (store.down) {
+        return {};
+    }
+    const auto found = store.values.find(key);
+    const std::uint64_t version = found == store.values.end() ? 0 : found->second.version;
+    if (version != expected) {
+        return { store_outcome::Conflict, version, {} };
+    }
+    if (erase) {
+        store.values.erase(key);
+    } else {
+        store.values[key] = { store_outcome::Ok, ++store.versions, value };
+    }
+    if (store.loseReplies > 0) {
+        --store.loseReplies;
+        return {};
+    }
+    return { store_outcome::Ok, store.versions, {} };
+}
+
+void world::claimStep(const std::shared_ptr<live_request> &live, claim_machine::step next)
+{
+    using step = claim_machine::step;
+    if (live->abandoned) {
+        return;
+    }
+    const std::string key = claimKey("demo", live->outside->route, live->outside->key);
+    switch (next) {
+    case step::Create:
+        after(store.delay, [this, live, key] {
+            const store_reply reply = storeSwap(key, 0, encodeClaim(live->claim->mine()), false);
+            after(store.delay, [this, live, reply] { claimStep(live, live->claim->onCreated(reply, m_now)); });
+        });
+        break;
+    case step::Read:
+        after(store.delay, [this, live, key] {
+            const store_reply reply = storeRead(key);
+            after(store.delay, [this, live, reply] { claimStep(live, live->claim->onRead(reply, m_now)); });
+        });
+        break;
+    case step::Wait:
+        at(live->claim->retryAt(), [this, live] { claimStep(live, live->claim->onRetry(m_now)); });
+        break;
+    case step::Won:
+        live->claimWon = true;
+        say(live->outside->id + " claimed " + live->outside->key);
+        perform(live, live->machine->onClaimed(m_now));
+        break;
+    case step::Replay:
+        live->outside->replayed = true;
+        live->outside->seen = { 0 };
+        say(live->outside->id + " replays " + live->claim->holder().requestId);
+        perform(live, live->machine->onReplayed(m_now));
+        break;
+    case step::Refused:
+        perform(live, live->machine->onClaimRefused(live->claim->refusal(), m_now));
+        break;
+    }
+}
+
+void world::settleClaim(const std::shared_ptr<live_request> &live)
+{
+    if (!live->claimWon) {
+        return;
+    }
+    const std::string key = claimKey("demo", live->outside->route, live->outside->key);
+    const bool unused = !live->outside->answered && !live->machine->mayHaveRun();
+    claim_record record = live->claim->mine();
+    record.done = live->outside->answered;
+    record.status = record.done ? 200 : 0;
+    after(store.delay, [this, key, record, unused] {
+        const store_reply held = storeRead(key);
+        const auto found = held.outcome == store_outcome::Ok ? decodeClaim(held.value) : std::nullopt;
+        if (found && found->nonce == record.nonce && !found->done) {
+            storeSwap(key, held.version, encodeClaim(record), unused);
+        }
+    });
+}
+
+// ---- Nodes -----------------------------------------------------------------------------------------------------------------------------
+
+void world::killNode(std::size_t index)
+{
+    node &dying = *m_nodes[index];
+    if (dying.dead) {
+        return;
+    }
+    dying.dead = true;
+    say(dying.name + " died");
+    for (const auto &live : m_live) {
+        if (live->node != index || live->abandoned) {
+            continue;
+        }
+        for (const auto &[attempt, where] : std::map<std::uint32_t, std::string>(live->open)) {
+            endAttempt(live, attempt);
+        }
+        live->abandoned = true;
+    }
+    after(deathNoticedAfter, [this, index] { takeOver(index); });
+}
+
+void world::takeOver(std::size_t deadNode)
+{
+    std::vector<std::uint64_t> members;
+    for (const auto &item : m_nodes) {
+        if (!item->dead) {
+            members.push_back(hashBytes(item->name));
+        }
+    }
+    std::size_t heir = m_nodes.size();
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        if (!m_nodes[i]->dead) {
+            m_nodes[i]->endpoints.setMembers(members);
+            heir = std::min(heir, i);
+        }
+    }
+    if (heir == m_nodes.size()) {
+        return;
+    }
+    for (const auto &live : std::vector<std::shared_ptr<live_request>>(m_live)) {
+        const bool held = live->node == deadNode && live->machine->facts().needsCopy && !live->machine->isOver() && live->outside->accepted;
+        if (!held) {
+            continue;
+        }
+        const auto heirs = std::make_shared<live_request>();
+        heirs->outside = live->outside;
+        heirs->node = heir;
+        heirs->service = live->service;
+        heirs->copied = live->copied;
+        request_facts facts = live->machine->facts();
+        facts.alreadyDelivered = live->copied;
+        heirs->machine = std::make_unique<request_machine>(facts, m_nodes[heir]->budgets[live->service]);
+        // The caller re-attaches with the number of the last token it has, and is given what the copy holds beyond it.
+        for (auto index = static_cast<std::uint32_t>(live->outside->seen.size()); index < live->copied; ++index) {
+            live->outside->seen.push_back(index);
+        }
+        say(live->outside->id + " taken over by " + m_nodes[heir]->name + " from token " + std::to_string(live->copied));
+        startRequest(heirs);
+    }
+}
+
+// ---- What must always hold -------------------------------------------------------------------------------------------------------------
+
+std::vector<std::string> world::faults() const
+{
+    std::vector<std::string> broken = m_broken;
+    std::set<const world_request *> orphaned; // their entry instance died with no copy made
+    for (const auto &live : m_live) {
+        const bool copied = live->machine->facts().needsCopy && live->outside->accepted;
+        if (live->abandoned && !live->machine->isOver() && !copied) {
+            orphaned.insert(live->outside);
+        }
+    }
+    for (const auto &[id, item] : m_requests) {
+        const contract *promised = nullptr;
+        for (const contract &route : m_document->content.routes) {
+            promised = route.route == item.route ? &route : promised;
+        }
+        if (item.ends == 0 && orphaned.count(&item) == 0) {
+            broken.push_back(id + " never ended");
+        }
+        if (item.ends > 1) {
+            broken.push_back(id + " ended more than once");
+        }
+        if (!promised->repeatable && item.runs > 1) {
+            broken.push_back(id + " may run once and ran " + std::to_string(item.runs) + " times");
+        }
+        for (std::size_t i = 0; i < item.seen.size(); ++i) {
+            if (item.seen[i] != i) {
+                broken.push_back(id + " got token " + std::to_string(item.seen[i]) + " in place " + std::to_string(i));
+                break;
+            }
+        }
+        if (item.answered && !item.callerGone && item.seen.size() != item.tokens) {
+            broken.push_back(id + " was answered with " + std::to_string(item.seen.size()) + " of " + std::to_string(item.tokens) + " tokens");
+        }
+        const bool saysNotRun = item.failure != error_kind::Count && answerFor(item.failure).ran == ran_state::No;
+        if (saysNotRun && item.runs > 0) {
+            broken.push_back(id + " ran and was refused with ran: no");
+        }
+    }
+    for (const auto &[key, runs] : m_runsByKey) {
+        if (runs > 1) {
+            broken.push_back("key " + key + " ran " + std::to_string(runs) + " times");
+        }
+    }
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        if (m_nodes[i]->dead) {
+            continue;
+        }
+        for (const endpoint_status &status : m_nodes[i]->endpoints.status()) {
+            if (status.known->load->inFlight != 0) {
+                broken.push_back(m_nodes[i]->name + " kept a slot at " + status.known->id);
+            }
+        }
+    }
+    return broken;
+}
+
+} // namespace chicoryrouter::test
