--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -260,6 +260,7 @@
 std::vector<endpoint_status> fleet::status() const
 {
     std::vector<endpoint_status> result;
+    result.reserve(m_endpoints.size());
     for (const auto &[id, item] : m_endpoints) {
         result.push_back({ std::make_shared<endpoint>(item.facts), limitOf(item), item.report });
     }
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -592,7 +592,7 @@
     return static_cast<std::uint32_t>(m_payload.prompt.size() / bytesPerPromptToken) + m_tokenCount;
 }
 
-void request_session::note(log_part part, std::string text)
+void request_session::note(log_part part, const std::string &text)
 {
     if (m_history.size() < maxHistoryBytes) {
         m_history += text + "\n";
--- a/src/shell/request_session.h
+++ b/src/shell/request_session.h
@@ -102,7 +102,7 @@
     void close();
     void notifyReaders();
     void armTimer();
-    void note(log_part part, std::string text);
+    void note(log_part part, const std::string &text);
 
     request_host &m_host;
     request_thread &m_thread;
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -255,6 +255,9 @@
 
 void world::ask(const std::string &id, const std::string &route, std::uint32_t tokens, std::size_t nodeIndex, const std::string &key, const std::string &body)
 {
+    if (m_nodes[nodeIndex]->dead) {
+        return; // nobody listens there
+    }
     const document &content = m_document->content;
     const auto found = std::find_if(content.routes.begin(), content.routes.end(), [&](const contract &item) { return item.route == route; });
     world_request &outside = m_requests[id];
@@ -488,6 +491,11 @@
         perform(live, live->machine->onEnd(attempt, requestId, live->outside->tokens, m_now));
         return;
     }
+    if (where.fault == endpoint_fault::EndingEarly && index + 1 == live->outside->tokens) {
+        endAttempt(live, attempt);
+        perform(live, live->machine->onEnd(attempt, requestId, live->outside->tokens, m_now));
+        return;
+    }
     if (where.fault == endpoint_fault::Crossed) {
         if (live->machine->onToken(attempt, "another", index, m_now) == token_verdict::Deliver) {
             m_broken.push_back(requestId + " was given another request's token");
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -32,7 +32,8 @@
     Crossed,  // sends tokens of another request and of an older attempt in between
     Doubling, // sends each token twice
     Gapping,  // leaves out a token
-    Slow,     // takes twenty times as long
+    EndingEarly, // says it is done before the last token
+    Slow,        // takes twenty times as long
 };
 
 struct fake_endpoint
--- /dev/null
+++ b/tests/unit/limits.cpp
@@ -0,0 +1,311 @@
+// What endpoints bear and how it is divided; retries; fair queueing.
+#include "chicoryrouter/admission_queue.h"
+#include "chicoryrouter/endpoint_limit.h"
+#include "chicoryrouter/fleet.h"
+#include "chicoryrouter/hash.h"
+#include "chicoryrouter/retry_budget.h"
+#include "support/world.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <numeric>
+
+using namespace chicoryrouter;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point someday = test::worldStart;
+
+std::vector<std::uint64_t> memberHashes(std::size_t count)
+{
+    std::vector<std::uint64_t> members;
+    for (std::size_t i = 0; i < count; ++i) {
+        members.push_back(hashBytes("entry-" + std::to_string(i)));
+    }
+    return members;
+}
+
+waiting_request waiting(std::uint64_t ticket, const std::string &account, priority rank = priority::Normal, double weight = 1.0)
+{
+    return { ticket, account, weight, rank, someday + 1s, false };
+}
+
+fleet fleetOf(std::size_t endpoints)
+{
+    fleet all("fd-1", 1);
+    all.setDocument(std::make_shared<revisioned_document>(makeRevisioned(1, test::worldDocument())));
+    std::vector<instance_record> list;
+    for (std::size_t i = 0; i < endpoints; ++i) {
+        list.push_back({ "e" + std::to_string(i), "fd-1", instance_class::Reclaimable, "writer", "v1", { "10.0.0.1", 1 } });
+    }
+    all.onInstanceList(list, someday);
+    return all;
+}
+
+std::size_t usable(fleet &all)
+{
+    return all.buildTable()->find("writer")->groups[0].local.size();
+}
+
+} // namespace
+
+Test(limits, parts_of_a_limit_sum_up_to_it_for_every_membership_of_1_to_9)
+{
+    for (std::size_t count = 1; count <= 9; ++count) {
+        const auto members = memberHashes(count);
+        for (std::uint32_t total = 0; total <= 40; ++total) {
+            for (std::uint64_t key = 1; key <= 20; ++key) {
+                std::uint32_t sum = 0;
+                for (const std::uint64_t self : members) {
+                    sum += slotShare(total, key, members, self);
+                }
+                cr_assert_eq(sum, total, "%zu members, limit %u", count, total);
+            }
+        }
+    }
+}
+
+Test(limits, two_views_that_differ_by_one_member_exceed_a_limit_by_the_newcomers_part_at_most)
+{
+    for (std::size_t count = 1; count <= 8; ++count) {
+        const auto fewer = memberHashes(count);
+        const auto more = memberHashes(count + 1);
+        for (std::uint32_t total = 0; total <= 40; ++total) {
+            for (std::uint64_t key = 1; key <= 20; ++key) {
+                // The worst mixture of views: each member holds the view that gives it more.
+                std::uint32_t sum = slotShare(total, key, more, more.back());
+                for (const std::uint64_t self : fewer) {
+                    sum += std::max(slotShare(total, key, fewer, self), slotShare(total, key, more, self));
+                }
+                const auto newcomer = static_cast<std::uint32_t>((total + count) / (count + 1));
+                cr_assert_leq(sum, total + newcomer, "%zu or %zu members, limit %u: %u", count, count + 1, total, sum);
+            }
+        }
+    }
+}
+
+Test(limits, a_daemon_outside_the_membership_has_no_slots)
+{
+    cr_assert_eq(slotShare(100, 1, memberHashes(3), hashBytes("stranger")), 0);
+}
+
+Test(limits, a_fresh_endpoint_starts_small_and_doubles_with_completions)
+{
+    const version_spec version { "v1", 2, 16, true };
+    const auto limitAt = [&](std::uint64_t completed) {
+        return warmLimit(version, { "e", 1, 1, completed, 0, 0 }, 0);
+    };
+    cr_assert_eq(limitAt(0), 2);
+    cr_assert_eq(limitAt(3), 2);
+    cr_assert_eq(limitAt(4), 4);
+    cr_assert_eq(limitAt(12), 8);
+    cr_assert_eq(limitAt(28), 16);
+    cr_assert_eq(limitAt(100000), 16);
+}
+
+Test(limits, a_queue_at_the_endpoint_lowers_its_limit_to_what_runs)
+{
+    const version_spec version { "v1", 2, 16, true };
+    cr_assert_eq(endpointLimit(version, { "e", 1, 1, 1000, 5, 3 }, 0), 5);
+    cr_assert_eq(endpointLimit(version, { "e", 1, 1, 1000, 0, 3 }, 0), 1);
+    cr_assert_eq(endpointLimit(version, { "e", 1, 1, 1000, 5, 0 }, 0), 16);
+}
+
+Test(limits, an_endpoint_that_turns_cold_is_noticed_after_three_slow_answers_and_starts_over)
+{
+    fleet all = fleetOf(2);
+    all.onLoadReport({ "e0", 1, 1, 1000, 0, 0 });
+    const attempt_outcome usual { "e0", "writer", "v1", "chat", false, 50ms };
+    for (int i = 0; i < 20; ++i) {
+        all.onOutcome(usual, someday);
+    }
+    cr_assert_eq(all.status()[0].limit, 16);
+    const attempt_outcome slow { "e0", "writer", "v1", "chat", false, 2s };
+    all.onOutcome(slow, someday);
+    all.onOutcome(slow, someday);
+    cr_assert_eq(all.status()[0].limit, 16, "two slow answers may be chance");
+    all.onOutcome(slow, someday);
+    cr_assert_eq(all.status()[0].limit, 4);
+}
+
+Test(limits, a_new_epoch_in_a_report_starts_over)
+{
+    fleet all = fleetOf(1);
+    all.onLoadReport({ "e0", 1, 7, 1000, 0, 0 });
+    cr_assert_eq(all.status()[0].limit, 16);
+    cr_assert(all.onLoadReport({ "e0", 2, 1, 0, 0, 0 }));
+    cr_assert_eq(all.status()[0].limit, 4);
+    cr_assert_not(all.onLoadReport({ "e0", 1, 8, 1000, 0, 0 }), "a late report of the old epoch is not taken");
+    cr_assert_eq(all.status()[0].limit, 4);
+}
+
+Test(limits, a_failing_endpoint_is_set_aside_and_probed_with_one_request)
+{
+    fleet all = fleetOf(6);
+    const attempt_outcome bad { "e0", "writer", "v1", "chat", true, {} };
+    for (int i = 0; i < 3; ++i) {
+        all.onOutcome(bad, someday);
+    }
+    cr_assert_eq(usable(all), 5);
+    all.onProbeTime(someday + 4s);
+    cr_assert_eq(usable(all), 5);
+    all.onProbeTime(someday + 5s);
+    cr_assert_eq(usable(all), 6);
+    cr_assert_eq(all.status()[0].limit, 1);
+    all.onOutcome(bad, someday + 6s);
+    cr_assert_eq(usable(all), 5, "one failure of the probe sets it aside again");
+    all.onProbeTime(someday + 15s);
+    cr_assert_eq(usable(all), 5, "for twice as long");
+    all.onProbeTime(someday + 16s);
+    all.onOutcome({ "e0", "writer", "v1", "chat", false, 50ms }, someday + 17s);
+    cr_assert_gt(all.status()[0].limit, 1);
+}
+
+Test(limits, no_more_than_a_third_of_a_version_is_set_aside)
+{
+    fleet all = fleetOf(6);
+    for (int e = 0; e < 6; ++e) {
+        for (int i = 0; i < 5; ++i) {
+            all.onOutcome({ "e" + std::to_string(e), "writer", "v1", "chat", true, {} }, someday);
+        }
+    }
+    cr_assert_eq(usable(all), 4);
+}
+
+Test(limits, a_domain_taken_out_gets_nothing_and_comes_back)
+{
+    fleet all = fleetOf(3);
+    cr_assert_eq(usable(all), 3);
+    std::string text = test::worldDocument();
+    const std::string line = "{name: fd-1, region: prairie}";
+    text.replace(text.find(line), line.size(), "{name: fd-1, region: prairie, out: true}");
+    all.setDocument(std::make_shared<revisioned_document>(makeRevisioned(2, text)));
+    cr_assert_eq(usable(all), 0);
+    all.setDocument(std::make_shared<revisioned_document>(makeRevisioned(3, test::worldDocument())));
+    cr_assert_eq(usable(all), 3);
+}
+
+Test(limits, a_notice_is_not_taken_back_by_a_list_that_lags)
+{
+    fleet all = fleetOf(2);
+    cr_assert_eq(all.onNotice("e0", someday + 10s).size(), 1);
+    std::vector<instance_record> late;
+    for (const char *id : { "e0", "e1" }) {
+        late.push_back({ id, "fd-1", instance_class::Reclaimable, "writer", "v1", { "10.0.0.1", 1 } });
+    }
+    cr_assert_eq(all.onInstanceList(late, someday).size(), 0);
+    cr_assert_eq(usable(all), 1);
+    cr_assert_eq(all.onNotice("e0", someday + 10s).size(), 0, "a second notice is no news");
+}
+
+Test(limits, an_account_limit_is_divided_by_demand_and_sums_up)
+{
+    cr_assert(divideByDemand(10, { 0, 0 }) == (std::vector<std::uint32_t> { 5, 5 }));
+    cr_assert(divideByDemand(10, { 3, 1 }) == (std::vector<std::uint32_t> { 7, 3 }));
+    cr_assert(divideByDemand(1, { 1, 5 }) == (std::vector<std::uint32_t> { 0, 1 }));
+    seeded_random random(5);
+    for (int round = 0; round < 1000; ++round) {
+        std::vector<double> demand;
+        for (std::uint64_t i = 0; i <= uniformBelow(random, 9); ++i) {
+            demand.push_back(static_cast<double>(uniformBelow(random, 100)));
+        }
+        const auto total = static_cast<std::uint32_t>(uniformBelow(random, 200));
+        const auto parts = divideByDemand(total, demand);
+        cr_assert_eq(std::accumulate(parts.begin(), parts.end(), 0U), total);
+    }
+}
+
+Test(limits, retries_stay_below_a_tenth_of_a_thousand_first_sends)
+{
+    retry_budget budget;
+    int retries = 0;
+    for (int i = 0; i < 1000; ++i) {
+        budget.onFirstSend();
+        retries += budget.trySpend(someday) ? 1 : 0;
+    }
+    cr_assert_leq(retries, 100, "%d", retries);
+    cr_assert_gt(retries, 80);
+}
+
+Test(limits, a_quiet_service_can_repair_a_single_failure_and_earns_slowly_by_waiting)
+{
+    retry_budget budget;
+    int atOnce = 0;
+    while (budget.trySpend(someday)) {
+        ++atOnce;
+    }
+    cr_assert_eq(atOnce, retry_budget::reserve);
+    cr_assert_not(budget.trySpend(someday + 29s));
+    cr_assert(budget.trySpend(someday + 31s));
+    cr_assert_not(budget.trySpend(someday + 32s));
+}
+
+Test(limits, a_large_account_does_not_starve_a_small_one)
+{
+    admission_queue queue;
+    for (std::uint64_t i = 0; i < 200; ++i) {
+        cr_assert(queue.push(waiting(i, "large")));
+    }
+    cr_assert(queue.push(waiting(1000, "small")));
+    cr_assert_eq(queue.pop()->ticket, 0);
+    const std::uint64_t second = queue.pop()->ticket;
+    const std::uint64_t third = queue.pop()->ticket;
+    cr_assert(second == 1000 || third == 1000);
+}
+
+Test(limits, accounts_are_served_by_weight)
+{
+    admission_queue queue;
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        queue.push(waiting(i, "heavy", priority::Normal, 3.0));
+        queue.push(waiting(1000 + i, "light", priority::Normal, 1.0));
+    }
+    int heavy = 0;
+    for (int i = 0; i < 80; ++i) {
+        heavy += queue.pop()->ticket < 1000 ? 1 : 0;
+    }
+    cr_assert(heavy >= 58 && heavy <= 62, "%d of 80 went to the account with three times the weight", heavy);
+}
+
+Test(limits, prompt_goes_first_and_long_is_not_starved)
+{
+    admission_queue queue;
+    for (std::uint64_t i = 0; i < 100; ++i) {
+        queue.push(waiting(i, "a", priority::Prompt));
+        queue.push(waiting(1000 + i, "a", priority::Long));
+    }
+    int longOnes = 0;
+    for (int i = 0; i < 80; ++i) {
+        longOnes += queue.pop()->ticket >= 1000 ? 1 : 0;
+    }
+    cr_assert_eq(longOnes, 10);
+}
+
+Test(limits, a_queue_is_bounded_in_count_and_time_but_never_sheds_what_was_accepted)
+{
+    admission_queue queue(2);
+    cr_assert(queue.push(waiting(1, "a")));
+    cr_assert(queue.push(waiting(2, "a")));
+    cr_assert_not(queue.push(waiting(3, "a")));
+    waiting_request accepted = waiting(4, "a");
+    accepted.accepted = true;
+    accepted.waitUntil = someday + 1h;
+    cr_assert(queue.push(accepted));
+    cr_assert_eq(queue.nextExpiry(), someday + 1s);
+    cr_assert_eq(queue.takeExpired(someday + 1s).size(), 2);
+    cr_assert_eq(queue.pop()->ticket, 4);
+    cr_assert_not(queue.pop().has_value());
+}
+
+Test(limits, a_request_that_could_not_be_placed_is_next_in_its_account_again)
+{
+    admission_queue queue;
+    queue.push(waiting(1, "a"));
+    queue.push(waiting(2, "a"));
+    queue.putBack(*queue.pop());
+    cr_assert_eq(queue.pop()->ticket, 1);
+    cr_assert(queue.remove(2).has_value());
+    cr_assert_eq(queue.size(), 0);
+}
