--- /dev/null
+++ b/include/chicoryrouter/agreement.h
@@ -0,0 +1,123 @@
+// What the daemons of a deployment agree on without a coordinator, as one daemon holds it: the document in force, the members, load
+// reports, evidence and version moves, account demand. Pure; the messages are the real encoded ones, so tests exchange them directly.
+//
+// How to use: onTick() once every gossip interval; send compose(target) to each probe's target and give what comes back to receive().
+// Whoever gets a message answers with its own compose(). When receive() names a newer document, pull it from that peer.
+#pragma once
+
+#include "chicoryrouter/configuration.h"
+#include "chicoryrouter/endpoint_limit.h"
+#include "chicoryrouter/evidence.h"
+#include "chicoryrouter/fleet.h"
+#include "chicoryrouter/membership.h"
+#include "chicoryrouter/version_mover.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace chicoryrouter {
+
+inline constexpr std::size_t maxGossipBytes = 64 * 1024; // larger messages are refused unread
+
+// Requests per second that one daemon sees of each client account.
+struct account_demand
+{
+    std::string account;
+    double perSecond = 0.0;
+};
+
+struct demand_statement
+{
+    std::uint64_t origin = 0;   // hash of the daemon's name
+    std::uint64_t sequence = 0; // higher is newer
+    std::vector<account_demand> accounts;
+};
+
+struct gossip_message
+{
+    std::string from; // instance name of the sender
+    std::string to;   // instance name it is meant for; another process at that address ignores it
+    configuration_advert advert;
+    std::vector<member_facts> members;
+    std::vector<load_report> loads;
+    std::vector<evidence_cell> evidence;
+    std::vector<move_mark> marks;
+    std::vector<demand_statement> demands;
+};
+
+std::string encodeGossip(const gossip_message &message);
+std::optional<gossip_message> decodeGossip(std::string_view bytes); // nothing when it is none; fields it does not know are passed over
+
+struct gossip_result
+{
+    bool understood = false; // false: not for us, or no gossip
+    std::string from;
+    bool hasNewerDocument = false;  // pull it from `from`
+    std::vector<load_report> loads; // newer than what was held; for the fleet
+};
+
+struct agreement_options
+{
+    membership_options members;
+    std::size_t newsPerMessage = 24; // members told per message
+    std::size_t loadsPerMessage = 32;
+    std::size_t cellsPerMessage = 12;
+};
+
+class agreement
+{
+public:
+    agreement(member_facts self, agreement_options options, std::uint64_t seed);
+
+    // ---- Gossip
+    std::vector<probe> onTick(time_point now);
+    std::string compose(const std::string &to, time_point now);
+    gossip_result receive(std::string_view bytes, time_point now);
+    [[nodiscard]] document_envelope documentForPeers() const;
+
+    // ---- What this daemon learns itself
+    adoption offerDocument(std::uint64_t revision, std::string text);
+    bool onLoadReport(const load_report &report);                   // true: newer than what was held
+    void onOutcome(const attempt_outcome &outcome, time_point now); // counts as evidence while its service moves
+    void setDemand(std::vector<account_demand> demand);
+    void updateMoves(const std::function<move_surroundings(const version_move &)> &around, time_point now);
+
+    // ---- What follows from it
+    [[nodiscard]] const configuration &documents() const { return m_documents; }
+    membership &members() { return m_members; }
+    [[nodiscard]] const membership &members() const { return m_members; }
+    std::map<std::string, version_mover> &moves() { return m_moves; } // by service
+    [[nodiscard]] const std::map<std::string, version_mover> &moves() const { return m_moves; }
+    [[nodiscard]] std::vector<version_share> shares() const;
+    [[nodiscard]] std::uint32_t accountPart(const client_account &account) const; // this daemon's part of the account's limit
+    [[nodiscard]] bool pollsEndpoint(std::uint64_t endpointKey) const;            // this daemon is one of the two that ask it for its load
+    [[nodiscard]] const evidence_book &evidence() const { return m_evidence; }
+
+private:
+    struct held_report
+    {
+        load_report report;
+        std::uint32_t told = 0;
+    };
+
+    [[nodiscard]] double demandOf(std::uint64_t origin, const std::string &account) const;
+    void syncMoves();
+    void pruneDemands();
+
+    agreement_options m_options;
+    std::uint64_t m_self;
+    configuration m_documents;
+    membership m_members;
+    evidence_book m_evidence;
+    std::map<std::string, version_mover> m_moves;
+    std::map<std::string, held_report> m_loads;          // by endpoint id
+    std::map<std::uint64_t, demand_statement> m_demands; // by origin, self included
+    std::uint64_t m_demandSequence = 0;
+    std::map<std::string, std::uint64_t> m_seenWhileCold; // endpoint -> answers of a version on trial left out as warm-up
+    std::map<std::string, time_point> m_lossCountsFrom;   // endpoint -> its next lost connection counts from then on
+};
+
+} // namespace chicoryrouter
--- a/include/chicoryrouter/configuration.h
+++ b/include/chicoryrouter/configuration.h
@@ -44,7 +44,7 @@
     adoption offer(std::uint64_t revision, std::string text); // the only way in
 
     [[nodiscard]] std::shared_ptr<const revisioned_document> inForce() const { return m_inForce; } // never null; revision 0: none yet
-    [[nodiscard]] configuration_advert advert() const { return { m_inForce->revision, m_inForce->hash }; }
+    [[nodiscard]] configuration_advert advert() const { return {m_inForce->revision, m_inForce->hash}; }
     [[nodiscard]] bool isNewer(const configuration_advert &other) const;       // worth pulling
     [[nodiscard]] const std::string &lastFault() const { return m_lastFault; } // why the newest offer was Invalid
 
--- a/include/chicoryrouter/dispatcher.h
+++ b/include/chicoryrouter/dispatcher.h
@@ -21,9 +21,9 @@
 // One client account's open requests at this daemon. `limit` is this daemon's part of the account's limit.
 struct account_load
 {
-    std::atomic<std::uint32_t> inFlight { 0 };
-    std::atomic<std::uint32_t> limit { 0 };
-    std::atomic<std::uint64_t> asked { 0 }; // requests seen, refused ones included: the demand by which limits are divided
+    std::atomic<std::uint32_t> inFlight{0};
+    std::atomic<std::uint32_t> limit{0};
+    std::atomic<std::uint64_t> asked{0}; // requests seen, refused ones included: the demand by which limits are divided
 
     bool tryTake(); // counts one request in; false when the limit is reached
     void giveBack();
@@ -79,7 +79,7 @@
     struct service_queue
     {
         mutable std::mutex lock;
-        std::atomic<std::size_t> waiting { 0 }; // queue.size(), readable without the lock
+        std::atomic<std::size_t> waiting{0}; // queue.size(), readable without the lock
         admission_queue queue;
         std::map<std::uint64_t, slot_request> requests; // by ticket; the same tickets as in `queue`
     };
--- a/include/chicoryrouter/document.h
+++ b/include/chicoryrouter/document.h
@@ -77,10 +77,10 @@
     bool mustFinish = false;  // true: goes on although the caller left, and is copied to a peer before it is accepted
     bool keyRequired = false; // true: callers must send an Idempotency-Key
     priority rank = priority::Normal;
-    duration firstTokenTarget {};    // from arrival to the first token; zero: none stated
-    duration betweenTokensTarget {}; // between two tokens; zero: none stated
-    duration deadline {};            // from arrival to the whole answer; above zero
-    duration queueLimit {};          // longest wait before sending; zero: half of `deadline`
+    duration firstTokenTarget{};    // from arrival to the first token; zero: none stated
+    duration betweenTokensTarget{}; // between two tokens; zero: none stated
+    duration deadline{};            // from arrival to the whole answer; above zero
+    duration queueLimit{};          // longest wait before sending; zero: half of `deadline`
 };
 
 // ---- Version moves ---------------------------------------------------------------------------------------------------------------------
@@ -88,10 +88,10 @@
 struct version_move
 {
     std::string service;
-    std::string from;      // version that serves now
-    std::string to;        // version that should serve
-    time_point startAt {}; // no share before this moment
-    time_point doneBy {};  // by this moment the move is done or taken back
+    std::string from;     // version that serves now
+    std::string to;       // version that should serve
+    time_point startAt{}; // no share before this moment
+    time_point doneBy{};  // by this moment the move is done or taken back
 };
 
 // ---- Placement -------------------------------------------------------------------------------------------------------------------------
--- a/include/chicoryrouter/endpoint.h
+++ b/include/chicoryrouter/endpoint.h
@@ -33,9 +33,9 @@
 // Invariant: inFlight <= slots at the moment a slot is taken. `slots` may fall below `inFlight` later; then nothing new starts.
 struct endpoint_load
 {
-    std::atomic<std::uint32_t> inFlight { 0 };         // requests this daemon has open there
-    std::atomic<std::uint32_t> slots { 0 };            // this daemon's share of what the endpoint bears
-    std::atomic<std::uint32_t> firstTokenMicros { 0 }; // moving average of observed times to the first token, in microseconds; 0: not measured
+    std::atomic<std::uint32_t> inFlight{0};         // requests this daemon has open there
+    std::atomic<std::uint32_t> slots{0};            // this daemon's share of what the endpoint bears
+    std::atomic<std::uint32_t> firstTokenMicros{0}; // moving average of observed times to the first token, in microseconds; 0: not measured
 
     bool tryTake();  // takes one slot; false when all are taken
     void giveBack(); // returns one slot; asserts that one was taken
@@ -52,7 +52,7 @@
     instance_class cls = instance_class::Reclaimable;
     address where;
     endpoint_use use = endpoint_use::Usable;
-    duration linkDelay {};               // one way from this daemon
+    duration linkDelay{};                // one way from this daemon
     std::shared_ptr<endpoint_load> load; // never null
 };
 
--- a/include/chicoryrouter/fleet.h
+++ b/include/chicoryrouter/fleet.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "chicoryrouter/endpoint_limit.h"
+#include "chicoryrouter/request_machine.h"
 #include "chicoryrouter/routing_table.h"
 
 #include <map>
@@ -39,8 +40,8 @@
     std::string service;
     std::string version;
     std::string route;
-    bool failed = false;
-    duration firstToken {}; // zero: none was seen
+    attempt_result result = attempt_result::Answered;
+    duration firstToken{}; // zero: none was seen
 };
 
 struct endpoint_status
--- /dev/null
+++ b/include/chicoryrouter/membership.h
@@ -0,0 +1,125 @@
+// Which entry instances live: seeded by the platform's instance list, kept by probes and gossip, with incarnation numbers, suspicion
+// and refutation. Leaving is a state that a member states of itself, not an absence.
+//
+// Index
+//   facts . options . the membership
+//
+// Scope: every member probes the others of its own failure domain. Domains are joined through two bridges each, chosen by rendezvous,
+// so the work of one member does not grow with the number of domains. What is learned anywhere travels everywhere, piggybacked on probes.
+//
+// How to use: call onTick() once every gossip interval and carry out the probes it returns; report each by onAnswered() or
+// onUnanswered(). Give every message that goes out the news of news(), and every message that comes in to onNews().
+// Pure: no clock, no socket, no thread.
+#pragma once
+
+#include "chicoryrouter/endpoint.h"
+#include "chicoryrouter/random.h"
+#include "chicoryrouter/time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace chicoryrouter {
+
+// In the order of precedence: of two statements about one incarnation the later in this list wins.
+enum class member_state : std::uint8_t {
+    Alive,
+    Suspect, // did not answer; counted in until it is dead
+    Leaving, // says so itself: no new work, still answers
+    Dead,
+};
+
+struct member_facts
+{
+    std::string instance; // unique name
+    std::string failureDomain;
+    address peer;                  // where it listens for other daemons
+    std::uint64_t incarnation = 0; // only the member itself raises it; starts at its start time, so a restart is newer
+    member_state state = member_state::Alive;
+};
+
+struct membership_options
+{
+    duration answerWithin = std::chrono::seconds(1); // a direct probe; then others are asked to probe
+    duration suspectFor = std::chrono::seconds(3);   // time to refute before a member is dead
+    duration deadKept = std::chrono::minutes(10);    // a dead member is remembered, so that old news does not revive it
+    std::uint32_t helpers = 2;                       // members asked to probe one that did not answer
+    std::uint32_t timesTold = 8;                     // each piece of news is sent so many times by each member
+};
+
+// One probe to be made. With `through` set, that member is asked to probe the target.
+struct probe
+{
+    std::string target;
+    address where;
+    std::string through; // empty: probe directly
+    address throughWhere;
+};
+
+class membership
+{
+public:
+    membership(member_facts self, membership_options options, std::uint64_t seed);
+
+    std::vector<probe> onTick(time_point now);
+    void onAnswered(const std::string &target, time_point now);
+    void onUnanswered(const std::string &target, time_point now); // the probe failed or timed out; helpers are asked next
+    void onNews(const std::vector<member_facts> &news, time_point now);
+    std::vector<member_facts> news(std::size_t most, const std::string &to); // always holds this member itself and what is held of `to`
+    void onListed(const std::vector<member_facts> &listed, time_point now);  // the platform's list, which may lag
+    void leave();                                                            // from now on this member is Leaving
+
+    [[nodiscard]] const member_facts &self() const { return m_self; }
+    [[nodiscard]] const member_facts *find(const std::string &instance) const;
+    [[nodiscard]] std::vector<member_facts> all() const;                             // self included, the dead too
+    [[nodiscard]] std::vector<member_facts> living() const;                          // self included; Alive, Suspect and Leaving
+    [[nodiscard]] std::vector<std::uint64_t> sharers(time_point now) const;          // hashes of those among whom limits are divided
+    [[nodiscard]] bool isAmongFirst(std::string_view role, std::size_t count) const; // of the own domain's living members, by rendezvous for `role`
+    [[nodiscard]] std::uint64_t changes() const { return m_changes; }                // grows with every change of the membership
+    [[nodiscard]] std::uint64_t suspicions() const { return m_suspicions; }          // members this one suspected itself
+
+private:
+    struct known_member
+    {
+        member_facts facts;
+        time_point suspectUntil = noDeadline; // when a Suspect becomes Dead
+        time_point forgetAt = noDeadline;     // when a Dead one is forgotten
+        time_point countedUntil = noDeadline; // a Dead one still counts in the division of limits until then, or until it is delisted
+        bool listed = false;
+        std::uint32_t told = 0; // times the present statement was sent
+    };
+
+    struct pending_probe
+    {
+        time_point answerBy{};
+        bool indirect = false;
+    };
+
+    bool adopt(const member_facts &statement, time_point now);
+    void setState(known_member &item, member_state state, time_point now);
+    void suspect(const std::string &target, time_point now);
+    void expire(time_point now, std::vector<probe> &probes);
+    void askHelpers(const std::string &target, std::vector<probe> &probes);
+    void refuteIfAccused(const member_facts &statement);
+    [[nodiscard]] std::vector<std::string> probeRing(bool ownDomain) const;
+    [[nodiscard]] std::vector<std::string> bridgesOf(const std::string &domain) const;
+    [[nodiscard]] bool isLiving(const known_member &item) const { return item.facts.state != member_state::Dead; }
+    void probeNext(bool ownDomain, std::vector<std::string> &ring, time_point now, std::vector<probe> &probes);
+
+    member_facts m_self;
+    membership_options m_options;
+    seeded_random m_random;
+    std::map<std::string, known_member> m_members;  // without self
+    std::map<std::string, pending_probe> m_pending; // by target
+    std::vector<std::string> m_ownRing;             // own domain's members still to be probed in this round
+    std::vector<std::string> m_otherRing;           // other domains' bridges, likewise
+    std::uint64_t m_ticks = 0;
+    std::uint64_t m_changes = 0;
+    std::uint64_t m_suspicions = 0;
+};
+
+std::string_view toText(member_state state);
+
+} // namespace chicoryrouter
--- a/include/chicoryrouter/rcu_cell.h
+++ b/include/chicoryrouter/rcu_cell.h
@@ -78,12 +78,12 @@
 
     static std::uint64_t nextId()
     {
-        static std::atomic<std::uint64_t> ids { 0 };
+        static std::atomic<std::uint64_t> ids{0};
         return ids.fetch_add(1) + 1;
     }
 
     const std::uint64_t m_id = nextId(); // never reused, so a stale thread copy is never mistaken for a new cell's
-    std::atomic<std::uint64_t> m_generation { 1 };
+    std::atomic<std::uint64_t> m_generation{1};
     mutable std::mutex m_lock;
     std::shared_ptr<const T> m_current; // never null
 };
--- a/include/chicoryrouter/request_machine.h
+++ b/include/chicoryrouter/request_machine.h
@@ -41,7 +41,7 @@
     service_kind kind = service_kind::Model;
     double weight = 1.0;      // of the client account
     std::uint64_t prefix = 0; // prefixKey() of the prompt
-    time_point arrival {};
+    time_point arrival{};
     time_point waitUntil = noDeadline;  // latest moment of the first send
     time_point deadline = noDeadline;   // latest moment of the last byte
     bool needsClaim = false;            // came with an Idempotency-Key on a route that may not repeat
@@ -58,6 +58,15 @@
     MayHaveRun,   // a byte may have left
 };
 
+// How an attempt ended, as far as its endpoint and its version are concerned.
+enum class attempt_result : std::uint8_t {
+    Unused, // the slot was given back without sending
+    Answered,
+    Failed, // counts against the endpoint and its version
+    Lost,   // the connection broke: its process or instance is gone, with everything that was open there
+    Left,   // we turned away, or its end was announced: says nothing
+};
+
 enum class token_verdict : std::uint8_t {
     Deliver, // pass it on to the caller
     Drop,    // late, crossed or doubled: ignore it
@@ -105,9 +114,8 @@
 struct release_slot // nothing is reported back
 {
     endpoint_ptr where;
-    bool sent = false;      // false: the slot was never used
-    bool failed = false;    // counts against the endpoint and its version
-    duration firstToken {}; // observed time to the first token; zero: none was seen
+    attempt_result result = attempt_result::Unused;
+    duration firstToken{}; // observed time to the first token; zero: none was seen
 };
 struct finish_request
 {
@@ -166,20 +174,13 @@
         Move,
     };
 
-    enum class attempt_end : std::uint8_t {
-        Answered,
-        Failed,        // counts against the endpoint
-        FailedLeaving, // it was on notice: its end was announced
-        Left,          // we turn away from it; it must be told
-    };
-
     struct attempt
     {
         std::uint32_t number = 0;
         endpoint_ptr where;
-        time_point sentAt {};               // when the send was asked for
+        time_point sentAt{};                // when the send was asked for
         time_point quietUntil = noDeadline; // no token by then: taken as failed
-        duration firstToken {};             // zero until the first token
+        duration firstToken{};              // zero until the first token
         bool byteMayHaveLeft = false;
         bool draining = false; // another endpoint takes over as soon as it has a slot
     };
@@ -190,7 +191,7 @@
     request_actions retryLater(time_point now);
     request_actions fail(error_kind kind);
     void closeAll(request_actions &actions);
-    void closeAttempt(std::size_t index, attempt_end how, request_actions &actions);
+    void closeAttempt(std::size_t index, attempt_result result, bool tellEndpoint, request_actions &actions);
     void exclude(const endpoint_ptr &where);
     attempt *find(std::uint32_t number);
     [[nodiscard]] bool mayRepeat() const;
--- a/include/chicoryrouter/retry_budget.h
+++ b/include/chicoryrouter/retry_budget.h
@@ -29,8 +29,8 @@
 
     void earn(std::int64_t hundredths);
 
-    std::atomic<std::int64_t> m_hundredths { mostHeld }; // 0 <= m_hundredths <= mostHeld
-    std::atomic<std::int64_t> m_earnedAt { 0 };          // microseconds: when waiting last earned a retry
+    std::atomic<std::int64_t> m_hundredths{mostHeld}; // 0 <= m_hundredths <= mostHeld
+    std::atomic<std::int64_t> m_earnedAt{0};          // microseconds: when waiting last earned a retry
 };
 
 } // namespace chicoryrouter
--- /dev/null
+++ b/include/chicoryrouter/version_mover.h
@@ -0,0 +1,103 @@
+// One version move as one daemon sees it: how much traffic the new version gets, when it is condemned, and what the verdict should be.
+//
+// The share is a function of the evidence alone, so daemons that hold the same evidence compute the same share without asking anyone.
+// It rises by steps; each step needs a number of answers of the new version, on every route that has traffic, with no test leaning
+// against it. Two sequential probability ratio tests run per route, against the old version on the same route: failures, and answers
+// slower than the old version's usual ones. A test that crosses its bound condemns the version: the share is zero at once here, the
+// veto travels by gossip, and it is never withdrawn within the move.
+// The verdict is one record in the key-value service, made by compare-and-swap, and nothing is announced before. Without a verdict at
+// the time set, the move is taken back.
+#pragma once
+
+#include "chicoryrouter/document.h"
+#include "chicoryrouter/evidence.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace chicoryrouter {
+
+enum class move_state : std::uint8_t {
+    Waiting, // before its start
+    Moving,
+    Condemned, // vetoed here or elsewhere; the verdict is not recorded yet
+    Overdue,   // the time set has passed without a verdict; the verdict is not recorded yet
+    Done,      // verdict recorded: all traffic goes to the new version
+    TakenBack, // verdict recorded: all traffic stays with the old version
+};
+
+enum class move_verdict : std::uint8_t {
+    Done,
+    TakenBack,
+};
+
+// What daemons tell each other of a move. Order matters: of two marks the later in this list wins.
+enum class move_mark_kind : std::uint8_t {
+    Vetoed,
+    TakenBack,
+    Done,
+};
+
+struct move_mark
+{
+    std::uint64_t move = 0;
+    move_mark_kind kind = move_mark_kind::Vetoed;
+    std::string reason;
+};
+
+// What the mover needs to know of the service.
+struct move_surroundings
+{
+    std::uint32_t openRequests = 0;      // of the service, over all daemons, roughly
+    std::uint32_t newEndpoints = 0;      // of the new version, that may take work
+    std::uint32_t newMaxConcurrency = 1; // of one of them
+};
+
+std::uint64_t moveId(const version_move &move); // same everywhere; another start, end or pair of versions is another move
+std::string verdictKey(std::uint64_t move);     // in the key-value service
+std::string encodeVerdict(move_verdict verdict, const std::string &reason);
+std::optional<move_verdict> decodeVerdict(std::string_view text);
+std::string_view toText(move_state state);
+
+class version_mover
+{
+public:
+    explicit version_mover(version_move facts);
+
+    void update(const evidence_book &evidence, const move_surroundings &around, time_point now);
+    void onMark(const move_mark &mark);   // from a peer
+    void onVerdict(move_verdict verdict); // read from, or accepted by, the key-value service
+
+    [[nodiscard]] move_state state() const { return m_state; }
+    [[nodiscard]] std::uint32_t share() const;                        // of the new version, in thousandths
+    [[nodiscard]] std::uint32_t endpointCap() const { return m_cap; } // endpoints of the new version to use; 0: all
+    [[nodiscard]] std::optional<move_verdict> wantedVerdict() const;  // to be recorded now; nothing when none is due or one is recorded
+    [[nodiscard]] const std::string &reason() const { return m_reason; }
+    [[nodiscard]] std::optional<move_mark> mark() const; // to be told to peers
+    [[nodiscard]] const version_move &facts() const { return m_facts; }
+    [[nodiscard]] std::uint64_t id() const { return m_id; }
+    [[nodiscard]] std::size_t step() const { return m_step; }
+
+private:
+    void condemn(std::string reason);
+    void testRoutes(const evidence_book &evidence);
+    void testRoute(const evidence_book &evidence, const std::string &route);
+    void climb(const evidence_book &evidence, time_point now);
+    void concentrate(const move_surroundings &around);
+    [[nodiscard]] bool isOver() const { return m_state == move_state::Done || m_state == move_state::TakenBack; }
+    [[nodiscard]] time_point earliestEnd() const;
+
+    version_move m_facts;
+    std::uint64_t m_id;
+    move_state m_state = move_state::Waiting;
+    std::size_t m_step = 0; // only grows
+    std::uint32_t m_cap = 1;
+    bool m_leaning = false;               // some test leans against the new version: no higher step
+    bool m_passed = false;                // every test of every route with traffic has passed
+    time_point m_readySince = noDeadline; // since when the verdict could be Done
+    bool m_ready = false;                 // it has been for long enough
+    std::string m_reason;
+};
+
+} // namespace chicoryrouter
--- a/src/core/claim.cpp
+++ b/src/core/claim.cpp
@@ -21,11 +21,11 @@
 
 std::string encodeClaim(const claim_record &record)
 {
-    const nlohmann::json value = { { "nonce", record.nonce }, { "body", record.bodyHash }, { "request", record.requestId },
-        { "open_until", record.openUntil.time_since_epoch().count() }, { "done", record.done }, { "status", record.status }, { "type", record.contentType },
-        { "answer", nlohmann::json::binary_t(std::vector<std::uint8_t>(record.answer.begin(), record.answer.end())) } };
+    const nlohmann::json value = {{"nonce", record.nonce}, {"body", record.bodyHash}, {"request", record.requestId},
+        {"open_until", record.openUntil.time_since_epoch().count()}, {"done", record.done}, {"status", record.status}, {"type", record.contentType},
+        {"answer", nlohmann::json::binary_t(std::vector<std::uint8_t>(record.answer.begin(), record.answer.end()))}};
     const auto packed = nlohmann::json::to_msgpack(value);
-    return { packed.begin(), packed.end() };
+    return {packed.begin(), packed.end()};
 }
 
 std::optional<claim_record> decodeClaim(std::string_view text)
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -10,15 +10,15 @@
 
 std::string encodeEnvelope(const document_envelope &envelope)
 {
-    const auto packed = nlohmann::json::to_msgpack({ { "revision", envelope.revision }, { "text", envelope.text } });
-    return { packed.begin(), packed.end() };
+    const auto packed = nlohmann::json::to_msgpack({{"revision", envelope.revision}, {"text", envelope.text}});
+    return {packed.begin(), packed.end()};
 }
 
 std::optional<document_envelope> decodeEnvelope(std::string_view bytes)
 {
     try {
         const auto value = nlohmann::json::from_msgpack(bytes);
-        return document_envelope { value.at("revision"), value.at("text") };
+        return document_envelope{value.at("revision"), value.at("text")};
     } catch (const nlohmann::json::exception &) {
         return std::nullopt;
     }
@@ -35,7 +35,7 @@
         return adoption::Adopted;
     } catch (const error &fault) {
         m_lastFault = fault.detail();
-        m_refused = { revision, hash };
+        m_refused = {revision, hash};
         return adoption::Invalid;
     }
 }
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -65,20 +65,20 @@
 {
     const service_table *service = m_table.read().find(request.service);
     if (service == nullptr) {
-        return { slot_answer::outcome::Refused, nullptr, route_reason::LeastWait, error_kind::NoEndpoint };
+        return {slot_answer::outcome::Refused, nullptr, route_reason::LeastWait, error_kind::NoEndpoint};
     }
     const route_choice choice = chooseEndpoint(*service, request.query, m_options, random);
     if (choice.chosen == nullptr) {
-        return { slot_answer::outcome::Queued, nullptr, choice.reason, error_kind::Overloaded };
+        return {slot_answer::outcome::Queued, nullptr, choice.reason, error_kind::Overloaded};
     }
-    return { slot_answer::outcome::Granted, *choice.chosen, choice.reason, error_kind::Internal };
+    return {slot_answer::outcome::Granted, *choice.chosen, choice.reason, error_kind::Internal};
 }
 
 slot_answer dispatcher::acquire(const slot_request &request, seeded_random &random)
 {
     service_queue *queue = queueOf(request.service);
     if (queue == nullptr) {
-        return { slot_answer::outcome::Refused, nullptr, route_reason::LeastWait, error_kind::NoEndpoint };
+        return {slot_answer::outcome::Refused, nullptr, route_reason::LeastWait, error_kind::NoEndpoint};
     }
     // Nobody overtakes those who wait already: a free slot is theirs first.
     if (queue->waiting.load(std::memory_order_acquire) == 0) {
@@ -88,13 +88,13 @@
         }
     }
     const std::lock_guard guard(queue->lock);
-    const bool taken = queue->queue.push({ request.ticket, request.account, request.weight, request.rank, request.waitUntil, request.accepted });
+    const bool taken = queue->queue.push({request.ticket, request.account, request.weight, request.rank, request.waitUntil, request.accepted});
     if (!taken) {
-        return { slot_answer::outcome::Refused, nullptr, route_reason::LeastWait, error_kind::Overloaded };
+        return {slot_answer::outcome::Refused, nullptr, route_reason::LeastWait, error_kind::Overloaded};
     }
     queue->requests.emplace(request.ticket, request);
     queue->waiting.store(queue->queue.size(), std::memory_order_release);
-    return { slot_answer::outcome::Queued, nullptr, route_reason::LeastWait, error_kind::Overloaded };
+    return {slot_answer::outcome::Queued, nullptr, route_reason::LeastWait, error_kind::Overloaded};
 }
 
 std::vector<served_ticket> dispatcher::serveWaiting(const std::string &service, time_point now, seeded_random &random)
@@ -107,7 +107,7 @@
     const std::lock_guard guard(queue->lock);
     for (const waiting_request &late : queue->queue.takeExpired(now)) {
         queue->requests.erase(late.ticket);
-        served.push_back({ late.ticket, { slot_answer::outcome::Refused, nullptr, route_reason::LeastWait, error_kind::QueueTimeout } });
+        served.push_back({late.ticket, {slot_answer::outcome::Refused, nullptr, route_reason::LeastWait, error_kind::QueueTimeout}});
     }
     // A request that cannot be placed (its query excludes what is free) goes back and lets the next one try.
     std::vector<waiting_request> unplaced;
@@ -122,7 +122,7 @@
             break;
         }
         queue->requests.erase(next->ticket);
-        served.push_back({ next->ticket, std::move(answer) });
+        served.push_back({next->ticket, std::move(answer)});
     }
     for (waiting_request &item : unplaced) {
         queue->queue.putBack(std::move(item));
--- a/src/core/document.cpp
+++ b/src/core/document.cpp
@@ -93,7 +93,7 @@
 duration durationField(const json &object, const char *key)
 {
     const auto found = object.find(key);
-    return found == object.end() ? duration {} : parseDuration(found->get<std::string>()).value_or(duration {});
+    return found == object.end() ? duration{} : parseDuration(found->get<std::string>()).value_or(duration{});
 }
 
 service readService(const json &object)
@@ -135,7 +135,7 @@
     result.betweenTokensTarget = durationField(object, "between_tokens_target");
     result.deadline = durationField(object, "deadline");
     result.queueLimit = durationField(object, "queue_limit");
-    if (result.queueLimit == duration {}) {
+    if (result.queueLimit == duration{}) {
         result.queueLimit = result.deadline / 2;
     }
     return result;
@@ -153,24 +153,24 @@
         result.services.push_back(readService(entry));
     }
     for (const json &entry : root.at("failure_domains")) {
-        result.failureDomains.push_back({ entry.at("name"), entry.at("region"), entry.value("out", false) });
+        result.failureDomains.push_back({entry.at("name"), entry.at("region"), entry.value("out", false)});
     }
     for (const json &entry : root.at("accounts")) {
-        result.accounts.push_back({ entry.at("name"), entry.value("weight", 1.0), entry.at("max_in_flight"), entry.at("token_hashes") });
+        result.accounts.push_back({entry.at("name"), entry.value("weight", 1.0), entry.at("max_in_flight"), entry.at("token_hashes")});
     }
     for (const json &entry : root.at("routes")) {
         result.routes.push_back(readContract(entry));
     }
     for (const json &entry : root.value("moves", json::array())) {
-        const auto startAt = parseMoment(entry.at("start_at").get<std::string>()).value_or(time_point {});
-        const auto doneBy = parseMoment(entry.at("done_by").get<std::string>()).value_or(time_point {});
-        result.moves.push_back({ entry.at("service"), entry.at("from"), entry.at("to"), startAt, doneBy });
+        const auto startAt = parseMoment(entry.at("start_at").get<std::string>()).value_or(time_point{});
+        const auto doneBy = parseMoment(entry.at("done_by").get<std::string>()).value_or(time_point{});
+        result.moves.push_back({entry.at("service"), entry.at("from"), entry.at("to"), startAt, doneBy});
     }
     for (const json &entry : root.value("prices", json::array())) {
-        result.prices.push_back({ entry.at("failure_domain"), readClass(entry.at("class")), entry.at("per_hour") });
+        result.prices.push_back({entry.at("failure_domain"), readClass(entry.at("class")), entry.at("per_hour")});
     }
     for (const json &entry : root.value("placement", json::array())) {
-        result.placement.push_back({ entry.at("service"), entry.at("min_endpoints"), entry.at("max_endpoints") });
+        result.placement.push_back({entry.at("service"), entry.at("min_endpoints"), entry.at("max_endpoints")});
     }
     return result;
 }
@@ -243,7 +243,7 @@
     if (plain == route.path.empty()) {
         faults.add(at("routes", index, "path"), plain ? "a route to a plain service needs a path" : "a route to a model service has no path");
     }
-    if (route.deadline <= duration {}) {
+    if (route.deadline <= duration{}) {
         faults.add(at("routes", index, "deadline"), "must be above zero");
     }
     if (route.queueLimit > route.deadline) {
@@ -375,7 +375,7 @@
     json current = old;
     for (const json &step : json::diff(old, fresh)) {
         lines.push_back(patchLine(step, current));
-        current = current.patch(json::array({ step }));
+        current = current.patch(json::array({step}));
     }
     return lines;
 }
@@ -387,7 +387,7 @@
 
 std::string hashToken(std::string_view token)
 {
-    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest {};
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
     SHA256(reinterpret_cast<const unsigned char *>(token.data()), token.size(), digest.data());
     constexpr std::string_view digits = "0123456789abcdef";
     std::string text;
@@ -400,7 +400,7 @@
 
 std::string_view toText(priority rank)
 {
-    constexpr std::array<std::string_view, 3> names = { "prompt", "normal", "long" };
+    constexpr std::array<std::string_view, 3> names = {"prompt", "normal", "long"};
     return names.at(static_cast<std::size_t>(rank));
 }
 
--- a/src/core/endpoint.cpp
+++ b/src/core/endpoint.cpp
@@ -26,7 +26,7 @@
 
 std::string_view toText(endpoint_use use)
 {
-    constexpr std::array<std::string_view, 5> names = { "usable", "leaving", "domain_out", "set_aside", "unknown_version" };
+    constexpr std::array<std::string_view, 5> names = {"usable", "leaving", "domain_out", "set_aside", "unknown_version"};
     return names.at(static_cast<std::size_t>(use));
 }
 
--- a/src/core/endpoint_limit.cpp
+++ b/src/core/endpoint_limit.cpp
@@ -84,7 +84,7 @@
 
 bool cold_detector::observe(duration firstToken, duration usual)
 {
-    const bool slow = usual > duration {} && firstToken > usual * coldFactor;
+    const bool slow = usual > duration{} && firstToken > usual * coldFactor;
     if (!slow) {
         m_slowInRow = 0;
         m_cold = false;
--- /dev/null
+++ b/src/core/evidence.cpp
@@ -0,0 +1,137 @@
+// Counting and merging evidence.
+#include "chicoryrouter/evidence.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+#include <numeric>
+#include <set>
+
+namespace chicoryrouter {
+
+namespace {
+constexpr std::uint32_t timesTold = 4;
+constexpr double bucketsPerOctave = 4.0;
+constexpr double firstOctave = 10.0; // 2^10 us: about a millisecond
+} // namespace
+
+std::size_t latencyBucket(duration span)
+{
+    const double octaves = std::log2(std::max<double>(static_cast<double>(span.count()), 1.0)) - firstOctave;
+    return static_cast<std::size_t>(std::clamp(octaves * bucketsPerOctave, 0.0, static_cast<double>(latencyBuckets - 1)));
+}
+
+void evidence_counts::merge(const evidence_counts &other)
+{
+    answered = std::max(answered, other.answered);
+    failed = std::max(failed, other.failed);
+    for (std::size_t i = 0; i < latencyBuckets; ++i) {
+        latency[i] = std::max(latency[i], other.latency[i]);
+    }
+}
+
+void evidence_counts::add(const evidence_counts &other)
+{
+    answered += other.answered;
+    failed += other.failed;
+    for (std::size_t i = 0; i < latencyBuckets; ++i) {
+        latency[i] += other.latency[i];
+    }
+}
+
+std::uint64_t evidence_counts::latencies() const
+{
+    return std::accumulate(latency.begin(), latency.end(), std::uint64_t{0});
+}
+
+std::size_t evidence_counts::percentileBucket(double fraction) const
+{
+    const double wanted = fraction * static_cast<double>(latencies());
+    double seen = 0.0;
+    for (std::size_t i = 0; i < latencyBuckets; ++i) {
+        seen += latency[i];
+        if (seen >= wanted) {
+            return i;
+        }
+    }
+    return latencyBuckets - 1;
+}
+
+std::uint64_t evidence_counts::slowerThan(std::size_t bucket) const
+{
+    return std::accumulate(latency.begin() + static_cast<std::ptrdiff_t>(bucket) + 1, latency.end(), std::uint64_t{0});
+}
+
+evidence_book::evidence_book(std::uint64_t self)
+    : m_self(self)
+{
+}
+
+void evidence_book::record(const evidence_key &key, bool failed, duration latency)
+{
+    cell_state &cell = m_cells[{key, m_self}];
+    ++cell.counts.answered;
+    cell.counts.failed += failed ? 1 : 0;
+    if (!failed && latency > duration{}) {
+        ++cell.counts.latency.at(latencyBucket(latency));
+    }
+    cell.told = 0;
+}
+
+bool evidence_book::merge(const evidence_cell &cell)
+{
+    if (cell.origin == m_self) {
+        return false; // nobody knows our counts better than we do
+    }
+    cell_state &held = m_cells[{cell.key, cell.origin}];
+    const evidence_counts before = held.counts;
+    held.counts.merge(cell.counts);
+    const bool grown = before.answered != held.counts.answered || before.failed != held.counts.failed || before.latency != held.counts.latency;
+    held.told = grown ? 0 : held.told;
+    return grown;
+}
+
+void evidence_book::forgetExcept(const std::vector<std::uint64_t> &moves)
+{
+    std::erase_if(m_cells, [&](const auto &item) { return std::find(moves.begin(), moves.end(), item.first.first.move) == moves.end(); });
+}
+
+evidence_counts evidence_book::total(const evidence_key &key) const
+{
+    evidence_counts sum;
+    for (auto item = m_cells.lower_bound({key, 0}); item != m_cells.end() && item->first.first == key; ++item) {
+        sum.add(item->second.counts);
+    }
+    return sum;
+}
+
+std::vector<std::string> evidence_book::routes(std::uint64_t move) const
+{
+    std::set<std::string> names;
+    for (const auto &[key, cell] : m_cells) {
+        if (key.first.move == move) {
+            names.insert(key.first.route);
+        }
+    }
+    return {names.begin(), names.end()};
+}
+
+std::vector<evidence_cell> evidence_book::news(std::size_t most)
+{
+    std::vector<std::pair<const std::pair<evidence_key, std::uint64_t> *, cell_state *>> fresh;
+    for (auto &[key, cell] : m_cells) {
+        if (cell.told < timesTold) {
+            fresh.emplace_back(&key, &cell);
+        }
+    }
+    std::stable_sort(fresh.begin(), fresh.end(), [](const auto &a, const auto &b) { return a.second->told < b.second->told; });
+    fresh.resize(std::min(fresh.size(), most));
+    std::vector<evidence_cell> result;
+    for (const auto &[key, cell] : fresh) {
+        ++cell->told;
+        result.push_back({key->second, key->first, cell->counts});
+    }
+    return result;
+}
+
+} // namespace chicoryrouter
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -22,7 +22,7 @@
 
 duration average(duration held, duration fresh)
 {
-    return held == duration {} ? fresh : held + (fresh - held) / averageShift;
+    return held == duration{} ? fresh : held + (fresh - held) / averageShift;
 }
 
 } // namespace
@@ -30,7 +30,7 @@
 fleet::fleet(std::string ownDomain, std::uint64_t self)
     : m_ownDomain(std::move(ownDomain))
     , m_self(self)
-    , m_members({ self })
+    , m_members({self})
 {
 }
 
@@ -71,7 +71,7 @@
         item.facts.where = record.where;
         item.listed = true;
         if (record.leaving && !item.leaving) {
-            notices.push_back({ record.id, record.leaveBy });
+            notices.push_back({record.id, record.leaveBy});
         }
         // A notice is never taken back by a list that lags behind it.
         item.leaving = item.leaving || record.leaving;
@@ -93,7 +93,7 @@
     }
     found->second.leaving = true;
     m_dirty = true;
-    return { { endpointId, leaveBy } };
+    return {{endpointId, leaveBy}};
 }
 
 bool fleet::onLoadReport(const load_report &report)
@@ -119,7 +119,7 @@
 
 void fleet::observeFirstToken(known_endpoint &item, duration firstToken)
 {
-    if (firstToken == duration {}) {
+    if (firstToken == duration{}) {
         return;
     }
     auto &average32 = item.facts.load->firstTokenMicros;
@@ -130,17 +130,18 @@
         m_dirty = true;
     }
     duration &usual = m_usual[item.facts.service];
-    usual = average(usual, std::min(firstToken, usual == duration {} ? firstToken : usual * 2));
+    usual = average(usual, std::min(firstToken, usual == duration{} ? firstToken : usual * 2));
 }
 
 void fleet::onOutcome(const attempt_outcome &outcome, time_point now)
 {
     const auto found = m_endpoints.find(outcome.endpointId);
-    if (found == m_endpoints.end()) {
+    const bool saysSomething = outcome.result != attempt_result::Unused && outcome.result != attempt_result::Left;
+    if (found == m_endpoints.end() || !saysSomething) {
         return;
     }
     known_endpoint &item = found->second;
-    if (!outcome.failed) {
+    if (outcome.result == attempt_result::Answered) {
         m_dirty = m_dirty || item.probing;
         item.failuresInRow = 0;
         item.timesSetAside = 0;
@@ -223,13 +224,13 @@
 duration fleet::usualFirstToken(const std::string &service) const
 {
     const auto found = m_usual.find(service);
-    return found == m_usual.end() ? duration {} : found->second;
+    return found == m_usual.end() ? duration{} : found->second;
 }
 
 duration fleet::linkDelayTo(const std::string &failureDomain) const
 {
     if (failureDomain == m_ownDomain) {
-        return duration {};
+        return duration{};
     }
     const failure_domain *own = m_inForce->content.findFailureDomain(m_ownDomain);
     const failure_domain *other = m_inForce->content.findFailureDomain(failureDomain);
@@ -262,7 +263,7 @@
     std::vector<endpoint_status> result;
     result.reserve(m_endpoints.size());
     for (const auto &[id, item] : m_endpoints) {
-        result.push_back({ std::make_shared<endpoint>(item.facts), limitOf(item), item.report });
+        result.push_back({std::make_shared<endpoint>(item.facts), limitOf(item), item.report});
     }
     return result;
 }
--- /dev/null
+++ b/src/core/gossip_codec.cpp
@@ -0,0 +1,169 @@
+// Gossip messages as MessagePack. Arrays in a fixed order keep them small; a newer daemon may append to an array or add map keys, and
+// an older one passes over them.
+#include "chicoryrouter/agreement.h"
+
+#include <nlohmann/json.hpp>
+
+namespace chicoryrouter {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t maxItems = 4096; // of one kind in one message
+
+json toJson(const member_facts &item)
+{
+    return json::array({item.instance, item.failureDomain, item.peer.ip, item.peer.port, item.incarnation, static_cast<int>(item.state)});
+}
+
+json toJson(const load_report &item)
+{
+    return json::array({item.endpointId, item.epoch, item.sequence, item.completed, item.running, item.queued});
+}
+
+json toJson(const evidence_cell &item)
+{
+    json latency = json::array(); // pairs of bucket and count; most buckets are empty
+    for (std::size_t i = 0; i < latencyBuckets; ++i) {
+        if (item.counts.latency[i] != 0) {
+            latency.push_back(i);
+            latency.push_back(item.counts.latency[i]);
+        }
+    }
+    return json::array({item.origin, item.key.move, item.key.version, item.key.route, item.counts.answered, item.counts.failed, latency});
+}
+
+json toJson(const move_mark &item)
+{
+    return json::array({item.move, static_cast<int>(item.kind), item.reason});
+}
+
+json toJson(const demand_statement &item)
+{
+    json accounts = json::array();
+    for (const account_demand &part : item.accounts) {
+        accounts.push_back(json::array({part.account, part.perSecond}));
+    }
+    return json::array({item.origin, item.sequence, accounts});
+}
+
+template<typename Item>
+json listToJson(const std::vector<Item> &items)
+{
+    json list = json::array();
+    for (const Item &item : items) {
+        list.push_back(toJson(item));
+    }
+    return list;
+}
+
+template<typename Enum>
+Enum readEnum(const json &value, Enum last)
+{
+    const int number = value.get<int>();
+    if (number < 0 || number > static_cast<int>(last)) {
+        throw json::other_error::create(501, "unknown kind", nullptr);
+    }
+    return static_cast<Enum>(number);
+}
+
+void read(const json &value, member_facts &item)
+{
+    item = {value.at(0), value.at(1), {value.at(2), value.at(3)}, value.at(4), readEnum(value.at(5), member_state::Dead)};
+}
+
+void read(const json &value, load_report &item)
+{
+    item = {value.at(0), value.at(1), value.at(2), value.at(3), value.at(4), value.at(5)};
+}
+
+void read(const json &value, evidence_cell &item)
+{
+    item.origin = value.at(0);
+    item.key = {value.at(1), value.at(2), value.at(3)};
+    item.counts.answered = value.at(4);
+    item.counts.failed = value.at(5);
+    const json &latency = value.at(6);
+    for (std::size_t i = 0; i + 1 < latency.size(); i += 2) {
+        item.counts.latency.at(latency[i].get<std::size_t>()) = latency[i + 1];
+    }
+}
+
+void read(const json &value, move_mark &item)
+{
+    item = {value.at(0), readEnum(value.at(1), move_mark_kind::Done), value.at(2)};
+}
+
+void read(const json &value, demand_statement &item)
+{
+    item.origin = value.at(0);
+    item.sequence = value.at(1);
+    for (const json &part : value.at(2)) {
+        item.accounts.push_back({part.at(0), part.at(1)});
+    }
+}
+
+// One item that cannot be read, such as a kind from a newer version, costs only itself.
+template<typename Item>
+void readList(const json &message, const char *key, std::vector<Item> &items)
+{
+    const auto list = message.find(key);
+    if (list == message.end() || !list->is_array() || list->size() > maxItems) {
+        return;
+    }
+    for (const json &value : *list) {
+        try {
+            Item item;
+            read(value, item);
+            items.push_back(std::move(item));
+        } catch (const std::exception &) {
+            continue;
+        }
+    }
+}
+
+} // namespace
+
+std::string encodeGossip(const gossip_message &message)
+{
+    json value = {{"f", message.from}, {"t", message.to}, {"r", message.advert.revision}, {"h", message.advert.hash}, {"m", listToJson(message.members)}};
+    const auto addIfAny = [&](const char *key, json list) {
+        if (!list.empty()) {
+            value[key] = std::move(list);
+        }
+    };
+    addIfAny("l", listToJson(message.loads));
+    addIfAny("e", listToJson(message.evidence));
+    addIfAny("v", listToJson(message.marks));
+    addIfAny("d", listToJson(message.demands));
+    const auto packed = json::to_msgpack(value);
+    return {packed.begin(), packed.end()};
+}
+
+std::optional<gossip_message> decodeGossip(std::string_view bytes)
+{
+    if (bytes.size() > maxGossipBytes) {
+        return std::nullopt;
+    }
+    const json value = json::from_msgpack(bytes, true, false);
+    if (!value.is_object()) {
+        return std::nullopt;
+    }
+    try {
+        gossip_message message;
+        message.from = value.at("f");
+        message.to = value.at("t");
+        message.advert = {value.at("r"), value.at("h")};
+        readList(value, "m", message.members);
+        readList(value, "l", message.loads);
+        readList(value, "e", message.evidence);
+        readList(value, "v", message.marks);
+        readList(value, "d", message.demands);
+        return message;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/core/lease.cpp
@@ -0,0 +1,122 @@
+// Taking, renewing and losing a lease.
+#include "chicoryrouter/lease.h"
+
+#include <nlohmann/json.hpp>
+
+namespace chicoryrouter {
+
+std::string encodeLease(const lease_record &record)
+{
+    return nlohmann::json({{"holder", record.holder}, {"fencing", record.fencing}, {"renewals", record.renewals}}).dump();
+}
+
+std::optional<lease_record> decodeLease(std::string_view text)
+{
+    try {
+        const auto value = nlohmann::json::parse(text);
+        return lease_record{value.at("holder"), value.at("fencing"), value.at("renewals")};
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+}
+
+std::string leaseKey(std::string_view service)
+{
+    return "lease-" + std::string(service);
+}
+
+lease::lease(std::string self, lease_options options)
+    : m_self(std::move(self))
+    , m_options(options)
+{
+}
+
+lease::step lease::onTick(time_point now)
+{
+    if (now < m_nextTick) {
+        return step::Nothing;
+    }
+    m_nextTick = now + m_options.renewEvery;
+    return step::Read;
+}
+
+lease::step lease::onRead(const store_reply &reply, time_point now)
+{
+    if (reply.outcome == store_outcome::Unavailable || reply.outcome == store_outcome::Conflict) {
+        return step::Nothing;
+    }
+    const std::optional<lease_record> found = reply.outcome == store_outcome::Ok ? decodeLease(reply.value) : lease_record{};
+    const lease_record present = found.value_or(lease_record{});
+    const bool changed = reply.version != m_version || present.holder != m_holder;
+    m_version = reply.version;
+    m_holder = present.holder;
+    if (present.holder == m_self && present.fencing == m_fencing) {
+        if (m_givingUp) {
+            return swapTo({"", present.fencing, present.renewals + 1}, now);
+        }
+        return swapTo({m_self, present.fencing, present.renewals + 1}, now);
+    }
+    m_heldUntil = time_point{}; // somebody else's, or an earlier life's of ours
+    m_orderFrom = noDeadline;
+    if (changed) {
+        m_rivalMayTakeAt = now + m_options.term + m_options.longestPause;
+    }
+    const bool free = present.holder.empty();
+    if (m_givingUp || (!free && now < m_rivalMayTakeAt)) {
+        return step::Nothing;
+    }
+    m_takesOver = true;
+    return swapTo({m_self, present.fencing + 1, 0}, now);
+}
+
+lease::step lease::swapTo(const lease_record &record, time_point now)
+{
+    m_wanted = encodeLease(record);
+    m_fencing = record.fencing;
+    m_renewals = record.renewals;
+    m_swapBegan = now;
+    return step::Swap;
+}
+
+void lease::onSwapped(const store_reply &reply, time_point now)
+{
+    const bool tookOver = m_takesOver;
+    m_takesOver = false;
+    if (reply.outcome != store_outcome::Ok) {
+        // Lost or refused: the next read tells. What is held stays trusted until its term is over, no longer.
+        m_nextTick = now;
+        if (tookOver) {
+            m_fencing = reply.outcome == store_outcome::Conflict ? 0 : m_fencing;
+        }
+        return;
+    }
+    m_version = reply.version;
+    if (m_givingUp) {
+        m_holder.clear();
+        m_heldUntil = time_point{};
+        return;
+    }
+    m_holder = m_self;
+    m_heldUntil = m_swapBegan + m_options.term;
+    if (tookOver || m_orderFrom == noDeadline) {
+        m_orderFrom = now + m_options.longestPause;
+    }
+}
+
+void lease::giveUp()
+{
+    m_givingUp = true;
+    m_nextTick = time_point{};
+}
+
+bool lease::isHeld(time_point now) const
+{
+    return now < m_heldUntil && !m_givingUp;
+}
+
+bool lease::mayOrder(time_point now) const
+{
+    return isHeld(now) && now + m_options.safeRemainder < m_heldUntil && now >= m_orderFrom;
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/core/membership.cpp
@@ -0,0 +1,348 @@
+// Probes, suspicion and news.
+#include "chicoryrouter/membership.h"
+
+#include "chicoryrouter/hash.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace chicoryrouter {
+
+namespace {
+
+constexpr std::size_t bridgesPerDomain = 2;
+constexpr std::uint64_t deadProbeTurn = 10; // every tenth tick one dead member is tried, so that halves of a partition meet again
+constexpr duration countedAfterDeath = std::chrono::seconds(60);
+
+bool overrides(const member_facts &statement, const member_facts &held)
+{
+    return statement.incarnation != held.incarnation ? statement.incarnation > held.incarnation : statement.state > held.state;
+}
+
+} // namespace
+
+membership::membership(member_facts self, membership_options options, std::uint64_t seed)
+    : m_self(std::move(self))
+    , m_options(options)
+    , m_random(seed)
+{
+}
+
+// ---- Probing ---------------------------------------------------------------------------------------------------------------------------
+
+std::vector<probe> membership::onTick(time_point now)
+{
+    ++m_ticks;
+    std::vector<probe> probes;
+    expire(now, probes);
+    probeNext(true, m_ownRing, now, probes);
+    const std::vector<std::string> ownBridges = bridgesOf(m_self.failureDomain);
+    if (std::find(ownBridges.begin(), ownBridges.end(), m_self.instance) != ownBridges.end()) {
+        probeNext(false, m_otherRing, now, probes);
+    }
+    if (m_ticks % deadProbeTurn == 0) {
+        std::vector<const known_member *> dead;
+        for (const auto &[name, item] : m_members) {
+            if (!isLiving(item)) {
+                dead.push_back(&item);
+            }
+        }
+        if (!dead.empty()) {
+            const member_facts &facts = dead[uniformBelow(m_random, dead.size())]->facts;
+            probes.push_back({facts.instance, facts.peer, {}, {}});
+        }
+    }
+    return probes;
+}
+
+std::vector<std::string> membership::probeRing(bool ownDomain) const
+{
+    std::vector<std::string> ring;
+    if (ownDomain) {
+        for (const auto &[name, item] : m_members) {
+            if (item.facts.failureDomain == m_self.failureDomain && isLiving(item)) {
+                ring.push_back(name);
+            }
+        }
+        return ring;
+    }
+    std::set<std::string> domains;
+    for (const auto &[name, item] : m_members) {
+        domains.insert(item.facts.failureDomain);
+    }
+    domains.erase(m_self.failureDomain);
+    for (const std::string &domain : domains) {
+        for (const std::string &name : bridgesOf(domain)) {
+            ring.push_back(name);
+        }
+    }
+    return ring;
+}
+
+void membership::probeNext(bool ownDomain, std::vector<std::string> &ring, time_point now, std::vector<probe> &probes)
+{
+    if (ring.empty()) {
+        ring = probeRing(ownDomain);
+        for (std::size_t i = ring.size(); i > 1; --i) {
+            std::swap(ring[i - 1], ring[uniformBelow(m_random, i)]);
+        }
+    }
+    while (!ring.empty()) {
+        const std::string target = ring.back();
+        ring.pop_back();
+        const auto found = m_members.find(target);
+        if (found == m_members.end() || !isLiving(found->second) || m_pending.count(target) != 0) {
+            continue;
+        }
+        m_pending[target] = {now + m_options.answerWithin, false};
+        probes.push_back({target, found->second.facts.peer, {}, {}});
+        return;
+    }
+}
+
+void membership::expire(time_point now, std::vector<probe> &probes)
+{
+    for (auto item = m_pending.begin(); item != m_pending.end();) {
+        if (item->second.answerBy > now) {
+            ++item;
+            continue;
+        }
+        if (item->second.indirect) {
+            suspect(item->first, now);
+            item = m_pending.erase(item);
+            continue;
+        }
+        item->second = {now + m_options.answerWithin, true};
+        askHelpers(item->first, probes);
+        ++item;
+    }
+    for (auto item = m_members.begin(); item != m_members.end();) {
+        known_member &known = item->second;
+        if (known.facts.state == member_state::Suspect && known.suspectUntil <= now) {
+            setState(known, member_state::Dead, now);
+        }
+        item = known.forgetAt <= now ? m_members.erase(item) : std::next(item);
+    }
+}
+
+void membership::askHelpers(const std::string &target, std::vector<probe> &probes)
+{
+    const auto accused = m_members.find(target);
+    if (accused == m_members.end()) {
+        return;
+    }
+    std::vector<const member_facts *> helpers;
+    for (const auto &[name, item] : m_members) {
+        if (name != target && item.facts.state == member_state::Alive && m_pending.count(name) == 0) {
+            helpers.push_back(&item.facts);
+        }
+    }
+    for (std::uint32_t i = 0; i < m_options.helpers && !helpers.empty(); ++i) {
+        const std::size_t chosen = uniformBelow(m_random, helpers.size());
+        probes.push_back({target, accused->second.facts.peer, helpers[chosen]->instance, helpers[chosen]->peer});
+        helpers.erase(helpers.begin() + static_cast<std::ptrdiff_t>(chosen));
+    }
+}
+
+void membership::onAnswered(const std::string &target, time_point)
+{
+    m_pending.erase(target);
+}
+
+void membership::onUnanswered(const std::string &target, time_point now)
+{
+    const auto found = m_pending.find(target);
+    if (found != m_pending.end() && !found->second.indirect) {
+        found->second.answerBy = now; // the next tick asks the helpers
+    }
+}
+
+void membership::suspect(const std::string &target, time_point now)
+{
+    const auto found = m_members.find(target);
+    if (found != m_members.end() && found->second.facts.state < member_state::Suspect) {
+        ++m_suspicions;
+        setState(found->second, member_state::Suspect, now);
+    } else if (found != m_members.end() && found->second.facts.state == member_state::Leaving) {
+        setState(found->second, member_state::Dead, now); // it said that it would go
+    }
+}
+
+// ---- Statements ------------------------------------------------------------------------------------------------------------------------
+
+void membership::setState(known_member &item, member_state state, time_point now)
+{
+    item.facts.state = state;
+    item.told = 0;
+    item.suspectUntil = state == member_state::Suspect ? now + m_options.suspectFor : noDeadline;
+    item.forgetAt = state == member_state::Dead ? now + m_options.deadKept : noDeadline;
+    item.countedUntil = state == member_state::Dead ? now + countedAfterDeath : noDeadline;
+    ++m_changes;
+}
+
+void membership::refuteIfAccused(const member_facts &statement)
+{
+    const bool accused = statement.state == member_state::Suspect || statement.state == member_state::Dead;
+    if (accused && statement.incarnation >= m_self.incarnation) {
+        m_self.incarnation = statement.incarnation + 1;
+    }
+}
+
+bool membership::adopt(const member_facts &statement, time_point now)
+{
+    const auto [place, fresh] = m_members.try_emplace(statement.instance);
+    known_member &held = place->second;
+    if (!fresh && !overrides(statement, held.facts)) {
+        return false;
+    }
+    if (fresh && statement.state == member_state::Dead) {
+        m_members.erase(place); // of no use, and it would travel for ever
+        return false;
+    }
+    held.facts = statement;
+    setState(held, statement.state, now);
+    return true;
+}
+
+void membership::onNews(const std::vector<member_facts> &news, time_point now)
+{
+    for (const member_facts &statement : news) {
+        if (statement.instance == m_self.instance) {
+            refuteIfAccused(statement);
+        } else {
+            adopt(statement, now);
+        }
+    }
+}
+
+std::vector<member_facts> membership::news(std::size_t most, const std::string &to)
+{
+    std::vector<member_facts> result{m_self};
+    const auto receiver = m_members.find(to);
+    if (receiver != m_members.end()) {
+        result.push_back(receiver->second.facts); // so that it can refute
+    }
+    std::vector<known_member *> fresh;
+    for (auto &[name, item] : m_members) {
+        if (item.told < m_options.timesTold && name != to) {
+            fresh.push_back(&item);
+        }
+    }
+    std::sort(fresh.begin(), fresh.end(), [](const known_member *a, const known_member *b) { return a->told < b->told; });
+    for (known_member *item : fresh) {
+        if (result.size() >= most) {
+            break;
+        }
+        ++item->told;
+        result.push_back(item->facts);
+    }
+    return result;
+}
+
+void membership::onListed(const std::vector<member_facts> &listed, time_point now)
+{
+    for (auto &[name, item] : m_members) {
+        item.listed = false;
+    }
+    for (const member_facts &entry : listed) {
+        if (entry.instance == m_self.instance) {
+            continue;
+        }
+        const auto [place, fresh] = m_members.try_emplace(entry.instance);
+        if (fresh) {
+            place->second.facts = entry;
+            place->second.facts.incarnation = 0; // anything it says of itself is newer
+            setState(place->second, member_state::Alive, now);
+        }
+        place->second.listed = true;
+    }
+}
+
+void membership::leave()
+{
+    ++m_self.incarnation;
+    m_self.state = member_state::Leaving;
+}
+
+// ---- Views -----------------------------------------------------------------------------------------------------------------------------
+
+const member_facts *membership::find(const std::string &instance) const
+{
+    if (instance == m_self.instance) {
+        return &m_self;
+    }
+    const auto found = m_members.find(instance);
+    return found == m_members.end() ? nullptr : &found->second.facts;
+}
+
+std::vector<member_facts> membership::all() const
+{
+    std::vector<member_facts> result{m_self};
+    for (const auto &[name, item] : m_members) {
+        result.push_back(item.facts);
+    }
+    return result;
+}
+
+std::vector<member_facts> membership::living() const
+{
+    std::vector<member_facts> result = all();
+    std::erase_if(result, [](const member_facts &item) { return item.state == member_state::Dead; });
+    return result;
+}
+
+std::vector<std::uint64_t> membership::sharers(time_point now) const
+{
+    std::vector<std::uint64_t> result{hashBytes(m_self.instance)};
+    for (const auto &[name, item] : m_members) {
+        // One that is dead to us but still listed may only be cut off from us, and may still send: its part stays its own for a while.
+        const bool perhapsCutOff = item.listed && item.countedUntil > now;
+        if (isLiving(item) || perhapsCutOff) {
+            result.push_back(hashBytes(name));
+        }
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+std::vector<std::string> membership::bridgesOf(const std::string &domain) const
+{
+    std::vector<std::pair<std::uint64_t, std::string>> weighed;
+    const std::uint64_t key = hashBytes(domain);
+    if (domain == m_self.failureDomain) {
+        weighed.emplace_back(rendezvousWeight(key, hashBytes(m_self.instance)), m_self.instance);
+    }
+    for (const auto &[name, item] : m_members) {
+        if (item.facts.failureDomain == domain && isLiving(item)) {
+            weighed.emplace_back(rendezvousWeight(key, hashBytes(name)), name);
+        }
+    }
+    std::sort(weighed.rbegin(), weighed.rend());
+    weighed.resize(std::min(weighed.size(), bridgesPerDomain));
+    std::vector<std::string> names;
+    for (auto &[weight, name] : weighed) {
+        names.push_back(std::move(name));
+    }
+    return names;
+}
+
+bool membership::isAmongFirst(std::string_view role, std::size_t count) const
+{
+    const std::uint64_t key = hashBytes(role);
+    const std::uint64_t own = rendezvousWeight(key, hashBytes(m_self.instance));
+    std::size_t ahead = 0;
+    for (const auto &[name, item] : m_members) {
+        const bool rival = item.facts.failureDomain == m_self.failureDomain && item.facts.state < member_state::Leaving;
+        ahead += rival && rendezvousWeight(key, hashBytes(name)) > own ? 1 : 0;
+    }
+    return ahead < count;
+}
+
+std::string_view toText(member_state state)
+{
+    constexpr std::array<std::string_view, 4> names = {"alive", "suspect", "leaving", "dead"};
+    return names.at(static_cast<std::size_t>(state));
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/core/placement.cpp
@@ -0,0 +1,275 @@
+// Planning and carrying out placement.
+#include "chicoryrouter/placement.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace chicoryrouter {
+
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+constexpr double headroom = 1.2;
+constexpr duration firstHoldBack = 30s; // after a refused start
+constexpr duration longestHoldBack = 10min;
+constexpr duration askAgainAfter = 10s; // after a start without an answer, or one whose instance is not listed yet
+constexpr duration recordKept = 10min;  // a start whose instance never came is given up
+
+std::vector<placement_offer> cheapestFirst(const std::vector<placement_offer> &offers, instance_class cls)
+{
+    std::vector<placement_offer> result;
+    std::copy_if(offers.begin(), offers.end(), std::back_inserter(result), [&](const placement_offer &item) { return item.cls == cls; });
+    std::sort(result.begin(), result.end(),
+        [](const placement_offer &a, const placement_offer &b) { return a.perHour != b.perHour ? a.perHour < b.perHour : a.failureDomain < b.failureDomain; });
+    return result;
+}
+
+// Spreads `count` evenly over the first `domains` offers; the cheaper ones get the odd ones.
+void spread(std::uint32_t count, std::size_t domains, const std::vector<placement_offer> &offers, placement_plan &plan)
+{
+    for (std::size_t i = 0; i < domains; ++i) {
+        const auto part = static_cast<std::uint32_t>(count / domains + (i < count % domains ? 1 : 0));
+        if (part > 0) {
+            plan.shares.push_back({offers[i].failureDomain, offers[i].cls, part});
+            plan.perHour += part * offers[i].perHour;
+        }
+    }
+}
+
+std::uint32_t leftAfterLoss(std::uint32_t reclaimable, std::size_t domains, std::uint32_t onDemand)
+{
+    const auto worst = domains == 0 ? 0 : static_cast<std::uint32_t>((reclaimable + domains - 1) / domains);
+    return reclaimable - worst + onDemand;
+}
+
+// The smallest number of reclaimable instances over `domains` that suffices beside `onDemand`; nothing when `most` forbids it.
+std::optional<std::uint32_t> reclaimableNeeded(const placement_demand &demand, std::uint32_t needed, std::size_t domains, std::uint32_t onDemand)
+{
+    std::uint32_t count = needed > onDemand ? needed - onDemand : 0;
+    while (count + onDemand <= demand.most) {
+        if (leftAfterLoss(count, domains, onDemand) >= demand.promptEndpoints) {
+            return domains == 0 && count > 0 ? std::nullopt : std::optional(count);
+        }
+        ++count;
+    }
+    return std::nullopt;
+}
+
+placement_plan planWithoutReserve(std::uint32_t needed, const std::vector<placement_offer> &reclaimable, const std::vector<placement_offer> &onDemand)
+{
+    placement_plan plan;
+    plan.bearsLoss = false;
+    const auto &offers = reclaimable.empty() ? onDemand : reclaimable;
+    if (!offers.empty()) {
+        spread(needed, offers.size(), offers, plan);
+    }
+    return plan;
+}
+
+} // namespace
+
+std::uint32_t placement_plan::total() const
+{
+    std::uint32_t sum = 0;
+    for (const placement_share &item : shares) {
+        sum += item.count;
+    }
+    return sum;
+}
+
+placement_plan planPlacement(const placement_demand &demand, const std::vector<placement_offer> &offers)
+{
+    const std::vector<placement_offer> reclaimable = cheapestFirst(offers, instance_class::Reclaimable);
+    const std::vector<placement_offer> onDemand = cheapestFirst(offers, instance_class::OnDemand);
+    const std::uint32_t needed = std::clamp(std::max(demand.endpoints, demand.least), 0U, demand.most);
+    std::optional<placement_plan> best;
+    for (std::size_t domains = 0; domains <= reclaimable.size(); ++domains) {
+        for (std::uint32_t fixed = 0; fixed <= (onDemand.empty() ? 0 : std::max(needed, demand.promptEndpoints)); ++fixed) {
+            const std::optional<std::uint32_t> count = reclaimableNeeded(demand, needed, domains, fixed);
+            if (!count) {
+                continue;
+            }
+            placement_plan plan;
+            if (domains > 0) {
+                spread(*count, domains, reclaimable, plan);
+            }
+            if (fixed > 0) {
+                spread(fixed, std::min<std::size_t>(onDemand.size(), fixed), onDemand, plan);
+            }
+            // Of equally cheap plans the one that is spread over more failure domains.
+            if (!best || plan.perHour < best->perHour - 1e-9 || (plan.perHour < best->perHour + 1e-9 && plan.shares.size() > best->shares.size())) {
+                best = std::move(plan);
+            }
+        }
+    }
+    return best ? *best : planWithoutReserve(needed, reclaimable, onDemand);
+}
+
+demand_meter::demand_meter(duration fallAfter)
+    : m_fallAfter(fallAfter)
+{
+}
+
+std::uint32_t demand_meter::observe(std::uint32_t endpointsNeeded, time_point now)
+{
+    while (!m_samples.empty() && m_samples.front().dropAt <= now) {
+        m_samples.pop_front();
+    }
+    while (!m_samples.empty() && m_samples.back().needed <= endpointsNeeded) {
+        m_samples.pop_back();
+    }
+    m_samples.push_back({now + m_fallAfter, endpointsNeeded});
+    return m_samples.front().needed;
+}
+
+std::uint32_t endpointsFor(double openRequests, std::uint32_t concurrency)
+{
+    return static_cast<std::uint32_t>(std::ceil(openRequests * headroom / std::max(concurrency, 1U)));
+}
+
+// ---- Records ---------------------------------------------------------------------------------------------------------------------------
+
+std::string startsKey(std::string_view service)
+{
+    return "starts-" + std::string(service);
+}
+
+std::string encodeStarts(const std::vector<start_record> &records)
+{
+    json list = json::array();
+    for (const start_record &item : records) {
+        list.push_back({{"token", item.token}, {"failure_domain", item.failureDomain}, {"on_demand", item.cls == instance_class::OnDemand},
+            {"version", item.version}, {"decided_at", item.decidedAt.time_since_epoch().count()}});
+    }
+    return list.dump();
+}
+
+std::optional<std::vector<start_record>> decodeStarts(std::string_view text)
+{
+    try {
+        std::vector<start_record> records;
+        for (const json &item : json::parse(text)) {
+            const auto cls = item.at("on_demand") ? instance_class::OnDemand : instance_class::Reclaimable;
+            records.push_back(
+                {item.at("token"), item.at("failure_domain"), cls, item.at("version"), time_point(duration(item.at("decided_at").get<std::int64_t>()))});
+        }
+        return records;
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+// ---- The placer ------------------------------------------------------------------------------------------------------------------------
+
+placer::placer(std::string service)
+    : m_service(std::move(service))
+{
+}
+
+void placer::load(std::vector<start_record> records)
+{
+    m_records = std::move(records);
+    m_askAgainAt.clear();
+    m_unrecorded.reset();
+}
+
+placement_step placer::next(
+    const placement_plan &plan, const std::vector<running_endpoint> &running, const std::string &version, std::uint64_t fencing, time_point now)
+{
+    // What is listed needs no record any more; what never came is given up.
+    std::set<std::string> listed;
+    for (const running_endpoint &item : running) {
+        listed.insert(item.token);
+    }
+    std::erase_if(m_records, [&](const start_record &item) { return listed.count(item.token) != 0 || now >= item.decidedAt + recordKept; });
+
+    for (const start_record &item : m_records) {
+        const bool waitsForRecord = m_unrecorded && m_unrecorded->token == item.token;
+        const auto askAgain = m_askAgainAt.find(item.token);
+        if (!waitsForRecord && (askAgain == m_askAgainAt.end() || askAgain->second <= now)) {
+            m_askAgainAt[item.token] = now + askAgainAfter;
+            return {placement_step::kind::Start, item, {}, "recorded and not listed yet"};
+        }
+    }
+    if (m_unrecorded) {
+        return {placement_step::kind::Record, *m_unrecorded, {}, "recorded before it is asked for"};
+    }
+    std::map<std::pair<std::string, instance_class>, std::int64_t> missing;
+    for (const placement_share &item : plan.shares) {
+        missing[{item.failureDomain, item.cls}] += item.count;
+    }
+    for (const running_endpoint &item : running) {
+        missing[{item.failureDomain, item.cls}] -= item.leaving ? 0 : 1;
+    }
+    for (const start_record &item : m_records) {
+        --missing[{item.failureDomain, item.cls}];
+    }
+    bool anyMissing = false;
+    for (const auto &[place, count] : missing) {
+        if (count > 0) {
+            anyMissing = true;
+            if (!isHeldBack(place.first, place.second, now)) {
+                return startOne({place.first, place.second, 1}, version, fencing, now);
+            }
+        }
+    }
+    // Nothing is stopped while something is still to come: capacity first.
+    if (anyMissing || !m_records.empty()) {
+        return {};
+    }
+    for (const running_endpoint &item : running) {
+        if (!item.leaving && missing[{item.failureDomain, item.cls}] < 0) {
+            return {placement_step::kind::Stop, {}, item.id, "more than the plan in " + item.failureDomain};
+        }
+    }
+    return {};
+}
+
+placement_step placer::startOne(const placement_share &wanted, const std::string &version, std::uint64_t fencing, time_point now)
+{
+    start_record record;
+    record.token = m_service + "-" + std::to_string(fencing) + "-" + std::to_string(++m_starts);
+    record.failureDomain = wanted.failureDomain;
+    record.cls = wanted.cls;
+    record.version = version;
+    record.decidedAt = now;
+    m_records.push_back(record);
+    m_unrecorded = record;
+    return {placement_step::kind::Record, record, {}, "the plan wants one more in " + wanted.failureDomain};
+}
+
+void placer::onRecorded(bool stored)
+{
+    if (stored) {
+        m_unrecorded.reset();
+    }
+}
+
+void placer::onStarted(const std::string &token, bool accepted, bool answered, time_point now)
+{
+    const auto found = std::find_if(m_records.begin(), m_records.end(), [&](const start_record &item) { return item.token == token; });
+    if (found == m_records.end() || !answered) {
+        return;
+    }
+    refusal &held = m_refusals[{found->failureDomain, found->cls}];
+    if (accepted) {
+        held = {};
+        return;
+    }
+    held.until = now + std::min(firstHoldBack * (1 << std::min(held.inRow, 5U)), longestHoldBack);
+    ++held.inRow;
+    m_records.erase(found);
+}
+
+bool placer::isHeldBack(const std::string &failureDomain, instance_class cls, time_point now) const
+{
+    const auto found = m_refusals.find({failureDomain, cls});
+    return found != m_refusals.end() && now < found->second.until;
+}
+
+} // namespace chicoryrouter
--- a/src/core/request_machine.cpp
+++ b/src/core/request_machine.cpp
@@ -65,7 +65,7 @@
     assert(m_asking == slot_purpose::None && "one slot is asked for at a time");
     m_asking = purpose;
     m_retryAt = noDeadline;
-    return { acquire_slot { m_query, waitUntil, isAccepted() } };
+    return {acquire_slot{m_query, waitUntil, isAccepted()}};
 }
 
 request_actions request_machine::onSlot(const endpoint_ptr &where, time_point now)
@@ -73,15 +73,15 @@
     const slot_purpose purpose = m_asking;
     m_asking = slot_purpose::None;
     if (m_over || purpose == slot_purpose::None) {
-        return { release_slot { where } };
+        return {release_slot{where}};
     }
     m_held = where;
     if (purpose == slot_purpose::First && m_facts.needsCopy) {
-        return { copy_to_peer {} };
+        return {copy_to_peer{}};
     }
     const bool canTransfer = purpose == slot_purpose::Move && m_method == move_method::TransferKv && !m_attempts.empty();
     if (canTransfer) {
-        return { transfer_kv { m_attempts.front().number, m_attempts.front().where, where, m_leaveBy } };
+        return {transfer_kv{m_attempts.front().number, m_attempts.front().where, where, m_leaveBy}};
     }
     return purpose == slot_purpose::First ? onCopied(now) : proceedToSend(now);
 }
@@ -111,17 +111,17 @@
     if (m_over || m_held == nullptr) {
         return {};
     }
-    return m_facts.needsClaim ? request_actions { make_claim {} } : proceedToSend(now);
+    return m_facts.needsClaim ? request_actions{make_claim{}} : proceedToSend(now);
 }
 
 request_actions request_machine::onClaimed(time_point now)
 {
-    return m_over || m_held == nullptr ? request_actions {} : proceedToSend(now);
+    return m_over || m_held == nullptr ? request_actions{} : proceedToSend(now);
 }
 
 request_actions request_machine::onClaimRefused(error_kind kind, time_point)
 {
-    return m_over ? request_actions {} : fail(kind);
+    return m_over ? request_actions{} : fail(kind);
 }
 
 request_actions request_machine::onReplayed(time_point)
@@ -132,7 +132,7 @@
     request_actions actions;
     closeAll(actions);
     m_over = true;
-    append(actions, finish_request { 1 });
+    append(actions, finish_request{1});
     return actions;
 }
 
@@ -149,14 +149,14 @@
 {
     request_actions actions;
     if (now >= m_facts.deadline) {
-        append(actions, release_slot { where });
+        append(actions, release_slot{where});
         appendAll(actions, fail(error_kind::DeadlinePassed));
         return actions;
     }
     // A mover takes over from what it replaces; a hedge runs beside it.
     for (std::size_t i = m_attempts.size(); i > 0; --i) {
         if (m_attempts[i - 1].draining) {
-            closeAttempt(i - 1, attempt_end::Left, actions);
+            closeAttempt(i - 1, attempt_result::Left, true, actions);
         }
     }
     if (m_sends == 0) {
@@ -169,8 +169,8 @@
     if (m_sends > 1 && !withKv) {
         m_recomputed += m_delivered;
     }
-    m_attempts.push_back({ m_sends, where, now, now + quietLimit(), duration {}, false, false });
-    append(actions, send_attempt { m_sends, where, m_delivered, withKv });
+    m_attempts.push_back({m_sends, where, now, now + quietLimit(), duration{}, false, false});
+    append(actions, send_attempt{m_sends, where, m_delivered, withKv});
     return actions;
 }
 
@@ -199,7 +199,7 @@
     if (index > m_delivered) {
         return token_verdict::Gap;
     }
-    if (open->firstToken == duration {}) {
+    if (open->firstToken == duration{}) {
         open->firstToken = std::max(now - open->sentAt, duration(1));
     }
     open->quietUntil = now + quietLimit();
@@ -218,10 +218,10 @@
     }
     request_actions actions;
     const auto index = static_cast<std::size_t>(open - m_attempts.data());
-    closeAttempt(index, attempt_end::Answered, actions);
+    closeAttempt(index, attempt_result::Answered, false, actions);
     closeAll(actions);
     m_over = true;
-    append(actions, finish_request { tokens });
+    append(actions, finish_request{tokens});
     return actions;
 }
 
@@ -238,7 +238,8 @@
     exclude(open->where);
     const auto index = static_cast<std::size_t>(open - m_attempts.data());
     open->byteMayHaveLeft = bytesLeft;
-    closeAttempt(index, leaving ? attempt_end::FailedLeaving : attempt_end::Failed, actions);
+    const attempt_result result = kind == error_kind::EndpointLost ? attempt_result::Lost : attempt_result::Failed;
+    closeAttempt(index, leaving ? attempt_result::Left : result, false, actions);
     if (!m_attempts.empty() || m_held != nullptr) {
         return actions; // the hedge, or the mover that already has its slot, goes on alone
     }
@@ -315,7 +316,7 @@
     if (quiet != m_attempts.end()) {
         const attempt silent = *quiet;
         const bool left = silent.byteMayHaveLeft;
-        request_actions actions { cancel_attempt { silent.number, silent.where } };
+        request_actions actions{cancel_attempt{silent.number, silent.where}};
         appendAll(actions, onAttemptFailed(silent.number, left ? attempt_reach::MayHaveRun : attempt_reach::NotSent, error_kind::EndpointFailed, now));
         return actions;
     }
@@ -350,7 +351,7 @@
 
 time_point request_machine::hedgeAt() const
 {
-    const bool mayHedge = m_facts.kind == service_kind::Plain && m_facts.promised.repeatable && m_facts.promised.firstTokenTarget > duration {};
+    const bool mayHedge = m_facts.kind == service_kind::Plain && m_facts.promised.repeatable && m_facts.promised.firstTokenTarget > duration{};
     const bool oneOpen = m_attempts.size() == 1 && m_asking == slot_purpose::None && m_held == nullptr;
     if (!mayHedge || m_hedged || !oneOpen) {
         return noDeadline;
@@ -363,7 +364,7 @@
     if (m_facts.kind == service_kind::Plain) {
         return m_facts.promised.deadline;
     }
-    const duration target = std::max(m_facts.promised.betweenTokensTarget, m_delivered == 0 ? m_facts.promised.firstTokenTarget : duration {});
+    const duration target = std::max(m_facts.promised.betweenTokensTarget, m_delivered == 0 ? m_facts.promised.firstTokenTarget : duration{});
     return std::max(target * quietTargets, shortestQuietLimit);
 }
 
@@ -374,7 +375,7 @@
     request_actions actions;
     closeAll(actions);
     m_over = true;
-    append(actions, fail_request { truthful(kind) });
+    append(actions, fail_request{truthful(kind)});
     return actions;
 }
 
@@ -390,23 +391,23 @@
 void request_machine::closeAll(request_actions &actions)
 {
     while (!m_attempts.empty()) {
-        closeAttempt(m_attempts.size() - 1, attempt_end::Left, actions);
+        closeAttempt(m_attempts.size() - 1, attempt_result::Left, true, actions);
     }
     if (m_held != nullptr) {
-        append(actions, release_slot { std::move(m_held) });
+        append(actions, release_slot{std::move(m_held)});
         m_held = nullptr;
     }
 }
 
-void request_machine::closeAttempt(std::size_t index, attempt_end how, request_actions &actions)
+void request_machine::closeAttempt(std::size_t index, attempt_result result, bool tellEndpoint, request_actions &actions)
 {
     const attempt closed = m_attempts[index];
     m_attempts.erase(m_attempts.begin() + static_cast<std::ptrdiff_t>(index));
     m_ranUnknown = m_ranUnknown || closed.byteMayHaveLeft;
-    if (how == attempt_end::Left) {
-        append(actions, cancel_attempt { closed.number, closed.where });
+    if (tellEndpoint) {
+        append(actions, cancel_attempt{closed.number, closed.where});
     }
-    append(actions, release_slot { closed.where, true, how == attempt_end::Failed, closed.firstToken });
+    append(actions, release_slot{closed.where, result, closed.firstToken});
 }
 
 bool request_machine::mayHaveRun() const
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -114,13 +114,13 @@
 {
     if (query.prefix != 0) {
         if (const endpoint_ptr *best = byPrefix(list, query, options)) {
-            return { best, route_reason::Prefix };
+            return {best, route_reason::Prefix};
         }
     }
     if (const endpoint_ptr *best = bySample(list, query, options, random)) {
-        return { best, route_reason::LeastWait };
+        return {best, route_reason::LeastWait};
     }
-    return { firstFree(list, query, random), route_reason::OnlyFree };
+    return {firstFree(list, query, random), route_reason::OnlyFree};
 }
 
 // Whether leaving the own domain pays: the wait saved must beat the way there and back.
@@ -128,7 +128,7 @@
 {
     const std::uint64_t ownWait = estimatedWaitMicros(own);
     const std::uint64_t otherWait = estimatedWaitMicros(other) + 2 * static_cast<std::uint64_t>(other.linkDelay.count());
-    const bool ownIsBusy = std::uint64_t { openAt(own) } * 100 >= std::uint64_t { slotsAt(own) } * crossingLoadPercent;
+    const bool ownIsBusy = std::uint64_t{openAt(own)} * 100 >= std::uint64_t{slotsAt(own)} * crossingLoadPercent;
     return ownIsBusy && otherWait < ownWait;
 }
 
@@ -138,10 +138,10 @@
     if (own.chosen != nullptr) {
         const endpoint_ptr *other = bySample(group.remote, query, options, random);
         const bool cross = other != nullptr && crossingPays(**own.chosen, **other);
-        return cross ? route_choice { other, route_reason::OtherDomain } : own;
+        return cross ? route_choice{other, route_reason::OtherDomain} : own;
     }
     const route_choice other = chooseIn(group.remote, query, options, random);
-    return { other.chosen, route_reason::OtherDomain };
+    return {other.chosen, route_reason::OtherDomain};
 }
 
 const version_group *drawGroup(const service_table &table, const route_query &query, seeded_random &random)
@@ -219,7 +219,7 @@
 
 std::string_view toText(route_reason reason)
 {
-    constexpr std::array<std::string_view, 4> names = { "prefix", "least wait", "only free", "other domain" };
+    constexpr std::array<std::string_view, 4> names = {"prefix", "least wait", "only free", "other domain"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -68,7 +68,7 @@
         if (result.ip.size() > 2 && result.ip.front() == '[' && result.ip.back() == ']') {
             result.ip = result.ip.substr(1, result.ip.size() - 2);
         }
-        std::array<unsigned char, sizeof(in6_addr)> parsed {};
+        std::array<unsigned char, sizeof(in6_addr)> parsed{};
         const bool known = inet_pton(AF_INET, result.ip.c_str(), parsed.data()) == 1 || inet_pton(AF_INET6, result.ip.c_str(), parsed.data()) == 1;
         const std::string port = value.substr(colon + 1);
         const bool digits = !port.empty() && port.size() <= 5 && port.find_first_not_of("0123456789") == std::string::npos;
@@ -80,7 +80,7 @@
         return result;
     }
 
-    address whereOr(const std::string &pointer) { return find(pointer) == nullptr ? address {} : where(pointer); }
+    address whereOr(const std::string &pointer) { return find(pointer) == nullptr ? address{} : where(pointer); }
 
     duration span(const std::string &pointer, duration fallback, duration least, duration most)
     {
@@ -175,7 +175,7 @@
     result.logFile = reader.textOr("/log/file", result.logFile, "a file name");
     reader.failOnUnknown();
 
-    const std::set<std::string> levels = { "error", "warning", "info", "debug" };
+    const std::set<std::string> levels = {"error", "warning", "info", "debug"};
     if (levels.count(result.logLevel) == 0) {
         reader.fail("/log/level", "expected error, warning, info or debug");
     }
--- a/src/core/units.cpp
+++ b/src/core/units.cpp
@@ -16,7 +16,7 @@
     std::int64_t microseconds;
 };
 
-constexpr std::array<time_unit, 5> units = { { { "h", 3'600'000'000 }, { "min", 60'000'000 }, { "s", 1'000'000 }, { "ms", 1'000 }, { "us", 1 } } };
+constexpr std::array<time_unit, 5> units = {{{"h", 3'600'000'000}, {"min", 60'000'000}, {"s", 1'000'000}, {"ms", 1'000}, {"us", 1}}};
 constexpr std::int64_t maxUnits = 1'000'000'000'000'000; // keeps every product inside 64 bits after the check below
 
 } // namespace
@@ -39,7 +39,7 @@
 
 std::optional<time_point> parseMoment(std::string_view text)
 {
-    std::tm parts {};
+    std::tm parts{};
     int used = 0;
     const std::string copy(text);
     const int fields = std::sscanf(copy.c_str(), "%4d-%2d-%2dT%2d:%2d:%2dZ%n", // NOLINT(cert-err34-c)
@@ -68,11 +68,11 @@
 std::string momentText(time_point moment)
 {
     const std::time_t seconds = std::chrono::floor<std::chrono::seconds>(moment).time_since_epoch().count();
-    std::tm parts {};
+    std::tm parts{};
     gmtime_r(&seconds, &parts);
-    std::array<char, 32> text {};
+    std::array<char, 32> text{};
     const std::size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
-    return { text.data(), length };
+    return {text.data(), length};
 }
 
 } // namespace chicoryrouter
--- /dev/null
+++ b/src/core/version_mover.cpp
@@ -0,0 +1,270 @@
+// Steps, tests and verdicts of one version move.
+#include "chicoryrouter/version_mover.h"
+
+#include "chicoryrouter/hash.h"
+#include "chicoryrouter/routing_table.h"
+#include "chicoryrouter/units.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace chicoryrouter {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+struct move_step
+{
+    std::uint32_t share;          // thousandths of the service's traffic
+    std::uint64_t answersBefore;  // of the new version, in all, before this step is taken
+    std::uint64_t perRouteBefore; // and on each route that has traffic
+};
+
+constexpr std::array<move_step, 5> steps = {{{10, 0, 0}, {50, 20, 3}, {200, 80, 8}, {500, 250, 15}, {wholeShare, 500, 20}}};
+constexpr std::uint64_t answersForDone = 800;
+
+// Sequential test of failures: the new version fails as rarely as the old one, or by so many points more often.
+constexpr double leastFailureRate = 0.01;
+constexpr double failurePoints = 0.08;
+// Sequential test of slowness: this part of the answers is above the old version's 70th percentile, or that part.
+constexpr double usualPercentile = 0.70;
+constexpr double slowPartGood = 0.35;
+constexpr double slowPartBad = 0.70;
+// Bounds of the log likelihood ratio. A good version crosses the upper one with probability below exp(-8) per test, a bad one crosses
+// the lower one with probability below exp(-9.2).
+constexpr double condemnAt = 8.0;
+constexpr double passAt = -9.2;
+constexpr double leanAt = 2.0;                 // above: no higher step until more is known
+constexpr std::uint64_t oldAnswersNeeded = 30; // on a route, before its usual latency is known
+constexpr double routeWithTraffic = 0.02;      // part of the old version's answers that makes a route count
+
+constexpr duration longestSoak = 15min; // the verdict waits so long after the start, if the time set allows
+constexpr duration readyFor = 5s;       // longer than a veto needs to reach everybody
+constexpr duration lastMoment = 2s;     // before the time set: no more verdict but the one by default
+constexpr double wantedLoad = 0.7;      // of the new endpoints in use, so that faults under load show early
+
+double failureRatio(const evidence_counts &fresh, const evidence_counts &old)
+{
+    const double oldRate = static_cast<double>(old.failed) / static_cast<double>(std::max<std::uint64_t>(old.answered, 1));
+    const double good = std::clamp(oldRate, leastFailureRate, 0.9 - failurePoints);
+    const double bad = good + failurePoints;
+    const double failed = static_cast<double>(fresh.failed);
+    const double fine = static_cast<double>(fresh.answered - fresh.failed);
+    return failed * std::log(bad / good) + fine * std::log((1.0 - bad) / (1.0 - good));
+}
+
+double slownessRatio(const evidence_counts &fresh, const evidence_counts &old)
+{
+    const std::size_t usual = old.percentileBucket(usualPercentile);
+    const double slow = static_cast<double>(fresh.slowerThan(usual));
+    const double fine = static_cast<double>(fresh.latencies()) - slow;
+    return slow * std::log(slowPartBad / slowPartGood) + fine * std::log((1.0 - slowPartBad) / (1.0 - slowPartGood));
+}
+
+} // namespace
+
+std::uint64_t moveId(const version_move &move)
+{
+    return hashBytes(move.service + "\n" + move.from + "\n" + move.to + "\n" + momentText(move.startAt) + "\n" + momentText(move.doneBy));
+}
+
+std::string verdictKey(std::uint64_t move)
+{
+    return "verdict-" + std::to_string(move);
+}
+
+std::string encodeVerdict(move_verdict verdict, const std::string &reason)
+{
+    return (verdict == move_verdict::Done ? "done " : "taken_back ") + reason;
+}
+
+std::optional<move_verdict> decodeVerdict(std::string_view text)
+{
+    const std::string_view word = text.substr(0, text.find(' '));
+    if (word == "done") {
+        return move_verdict::Done;
+    }
+    return word == "taken_back" ? std::optional(move_verdict::TakenBack) : std::nullopt;
+}
+
+std::string_view toText(move_state state)
+{
+    constexpr std::array<std::string_view, 6> names = {"waiting", "moving", "condemned", "overdue", "done", "taken_back"};
+    return names.at(static_cast<std::size_t>(state));
+}
+
+version_mover::version_mover(version_move facts)
+    : m_facts(std::move(facts))
+    , m_id(moveId(m_facts))
+{
+}
+
+time_point version_mover::earliestEnd() const
+{
+    const duration window = m_facts.doneBy - m_facts.startAt;
+    return m_facts.startAt + std::min(longestSoak, window / 2);
+}
+
+void version_mover::update(const evidence_book &evidence, const move_surroundings &around, time_point now)
+{
+    if (isOver() || m_state == move_state::Condemned) {
+        return;
+    }
+    if (now >= m_facts.doneBy) {
+        m_state = move_state::Overdue;
+        m_reason = "no verdict by the time set";
+        return;
+    }
+    if (now < m_facts.startAt) {
+        return;
+    }
+    m_state = move_state::Moving;
+    testRoutes(evidence);
+    if (m_state == move_state::Moving) {
+        climb(evidence, now);
+        concentrate(around);
+    }
+}
+
+void version_mover::testRoutes(const evidence_book &evidence)
+{
+    m_leaning = false;
+    m_passed = true;
+    for (const std::string &route : evidence.routes(m_id)) {
+        testRoute(evidence, route);
+    }
+}
+
+void version_mover::testRoute(const evidence_book &evidence, const std::string &route)
+{
+    const evidence_counts fresh = evidence.total({m_id, m_facts.to, route});
+    const evidence_counts old = evidence.total({m_id, m_facts.from, route});
+    const double failures = failureRatio(fresh, old);
+    const bool usualKnown = old.latencies() >= oldAnswersNeeded;
+    const double slowness = usualKnown ? slownessRatio(fresh, old) : 0.0;
+    if (failures >= condemnAt) {
+        condemn("fails on route " + route + ": " + std::to_string(fresh.failed) + " of " + std::to_string(fresh.answered) + " answers");
+    } else if (slowness >= condemnAt) {
+        condemn("is slow on route " + route);
+    }
+    m_leaning = m_leaning || failures > leanAt || slowness > leanAt;
+    m_passed = m_passed && failures <= passAt;
+}
+
+void version_mover::climb(const evidence_book &evidence, time_point now)
+{
+    std::uint64_t answers = 0;
+    std::uint64_t oldAnswers = 0;
+    const std::vector<std::string> routes = evidence.routes(m_id);
+    for (const std::string &route : routes) {
+        answers += evidence.total({m_id, m_facts.to, route}).answered;
+        oldAnswers += evidence.total({m_id, m_facts.from, route}).answered;
+    }
+    const auto everyRouteHas = [&](std::uint64_t wanted) {
+        return std::all_of(routes.begin(), routes.end(), [&](const std::string &route) {
+            const auto old = static_cast<double>(evidence.total({m_id, m_facts.from, route}).answered);
+            const bool counts = old >= routeWithTraffic * static_cast<double>(oldAnswers);
+            return !counts || evidence.total({m_id, m_facts.to, route}).answered >= wanted;
+        });
+    };
+    while (m_step + 1 < steps.size() && !m_leaning && answers >= steps[m_step + 1].answersBefore && everyRouteHas(steps[m_step + 1].perRouteBefore)) {
+        ++m_step;
+    }
+    const bool fine = m_step + 1 == steps.size() && m_passed && !m_leaning && answers >= answersForDone && now >= earliestEnd();
+    if (!fine) {
+        m_readySince = noDeadline;
+        m_ready = false;
+        return;
+    }
+    m_readySince = std::min(m_readySince, now);
+    m_ready = now >= m_readySince + readyFor && now < m_facts.doneBy - lastMoment;
+}
+
+// A small share spread over many endpoints would never load one of them; faults that show under load would come to light at full share only.
+void version_mover::concentrate(const move_surroundings &around)
+{
+    if (share() == wholeShare) {
+        m_cap = 0;
+        return;
+    }
+    const double open = static_cast<double>(around.openRequests) * share() / wholeShare;
+    const double perEndpoint = wantedLoad * std::max(around.newMaxConcurrency, 1U);
+    m_cap = std::max(1U, static_cast<std::uint32_t>(std::ceil(open / perEndpoint)));
+}
+
+void version_mover::condemn(std::string reason)
+{
+    if (m_state != move_state::Condemned && !isOver()) {
+        m_state = move_state::Condemned;
+        m_reason = std::move(reason);
+    }
+}
+
+void version_mover::onMark(const move_mark &mark)
+{
+    if (mark.move != m_id || isOver()) {
+        return;
+    }
+    switch (mark.kind) {
+    case move_mark_kind::Vetoed:
+        condemn(mark.reason);
+        break;
+    case move_mark_kind::TakenBack:
+        m_reason = mark.reason;
+        onVerdict(move_verdict::TakenBack);
+        break;
+    case move_mark_kind::Done:
+        onVerdict(move_verdict::Done);
+        break;
+    }
+}
+
+void version_mover::onVerdict(move_verdict verdict)
+{
+    m_state = verdict == move_verdict::Done ? move_state::Done : move_state::TakenBack;
+}
+
+std::uint32_t version_mover::share() const
+{
+    switch (m_state) {
+    case move_state::Moving:
+        return steps[m_step].share;
+    case move_state::Done:
+        return wholeShare;
+    case move_state::Waiting:
+    case move_state::Condemned:
+    case move_state::Overdue:
+    case move_state::TakenBack:
+        return 0;
+    }
+    return 0;
+}
+
+std::optional<move_verdict> version_mover::wantedVerdict() const
+{
+    if (m_state == move_state::Condemned || m_state == move_state::Overdue) {
+        return move_verdict::TakenBack;
+    }
+    return m_state == move_state::Moving && m_ready ? std::optional(move_verdict::Done) : std::nullopt;
+}
+
+std::optional<move_mark> version_mover::mark() const
+{
+    switch (m_state) {
+    case move_state::Condemned:
+        return move_mark{m_id, move_mark_kind::Vetoed, m_reason};
+    case move_state::TakenBack:
+        return move_mark{m_id, move_mark_kind::TakenBack, m_reason};
+    case move_state::Done:
+        return move_mark{m_id, move_mark_kind::Done, m_reason};
+    case move_state::Waiting:
+    case move_state::Moving:
+    case move_state::Overdue:
+        return std::nullopt;
+    }
+    return std::nullopt;
+}
+
+} // namespace chicoryrouter
--- a/src/programs/chicory_standin.cpp
+++ b/src/programs/chicory_standin.cpp
@@ -37,7 +37,7 @@
     if (parts.size() != 4) {
         throw error(error_kind::BadRequest, "'" + text + "' is not ID:FAILURE_DOMAIN:SERVICE:VERSION");
     }
-    return { parts[0], parts[1], instance_class::Reclaimable, parts[2], parts[3], {} };
+    return {parts[0], parts[1], instance_class::Reclaimable, parts[2], parts[3], {}};
 }
 
 void addEntries(platform_standin &platform)
@@ -47,7 +47,7 @@
         if (parts.size() != 3) {
             throw error(error_kind::BadRequest, "'" + text + "' is not NAME:FAILURE_DOMAIN:PEER_PORT");
         }
-        platform.addEntry({ parts[0], parts[1], { "127.0.0.1", static_cast<std::uint16_t>(std::stoi(parts[2])) } });
+        platform.addEntry({parts[0], parts[1], {"127.0.0.1", static_cast<std::uint16_t>(std::stoi(parts[2]))}});
     }
 }
 
@@ -61,7 +61,7 @@
         std::ostringstream text;
         text << file.rdbuf();
         makeRevisioned(1, text.str());
-        store.put(std::string(configurationKey), encodeEnvelope({ 1, text.str() }));
+        store.put(std::string(configurationKey), encodeEnvelope({1, text.str()}));
     }
     for (const std::string &text : split(FLAGS_engine, ',')) {
         platform.addEngine(readEndpoint(text));
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -117,13 +117,13 @@
     if (held.outcome == store_outcome::Unavailable) {
         throw error(error_kind::PlatformUnavailable, "the key-value service does not answer");
     }
-    const std::optional<document_envelope> present = held.outcome == store_outcome::Ok ? decodeEnvelope(held.value) : document_envelope {};
+    const std::optional<document_envelope> present = held.outcome == store_outcome::Ok ? decodeEnvelope(held.value) : document_envelope{};
     const std::uint64_t presentRevision = present ? present->revision : 0;
     if (presentRevision != expectedRevision) {
         throw error(error_kind::StaleRevision, "revision " + std::to_string(presentRevision) + " is in force, not " + std::to_string(expectedRevision));
     }
-    const std::string bytes = encodeEnvelope({ expectedRevision + 1, yaml });
-    store_reply reply = co_await m_store.compareAndSwap(key, held.version, bytes, duration {}, systemNow() + callWithin);
+    const std::string bytes = encodeEnvelope({expectedRevision + 1, yaml});
+    store_reply reply = co_await m_store.compareAndSwap(key, held.version, bytes, duration{}, systemNow() + callWithin);
     if (reply.outcome == store_outcome::Unavailable) {
         // The write may have taken effect: read back before saying anything.
         reply = co_await m_store.get(key, systemNow() + callWithin);
@@ -216,7 +216,7 @@
         }
         load->limit = account.maxInFlight;
         for (const std::string &hash : account.tokenHashes) {
-            table->accounts[hash] = { account, load };
+            table->accounts[hash] = {account, load};
         }
     }
     m_front.front.publish(std::move(table));
@@ -234,11 +234,11 @@
     json endpoints = json::array();
     for (const endpoint_status &status : m_fleet.status()) {
         const endpoint &known = *status.known;
-        endpoints.push_back({ { "id", known.id }, { "service", known.service }, { "version", known.version }, { "failure_domain", known.failureDomain },
-            { "use", toText(known.use) }, { "limit", status.limit }, { "slots", known.load->slots.load() }, { "in_flight", known.load->inFlight.load() } });
+        endpoints.push_back({{"id", known.id}, {"service", known.service}, {"version", known.version}, {"failure_domain", known.failureDomain},
+            {"use", toText(known.use)}, {"limit", status.limit}, {"slots", known.load->slots.load()}, {"in_flight", known.load->inFlight.load()}});
     }
-    const json status = { { "instance", m_own.instance }, { "failure_domain", m_own.failureDomain }, { "revision", m_configuration.inForce()->revision },
-        { "endpoints", endpoints } };
+    const json status
+        = {{"instance", m_own.instance}, {"failure_domain", m_own.failureDomain}, {"revision", m_configuration.inForce()->revision}, {"endpoints", endpoints}};
     return status.dump();
 }
 
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -53,7 +53,7 @@
     settings m_own;
     request_host &m_host;
     gateway &m_front;
-    boost::asio::io_context m_context { 1 };
+    boost::asio::io_context m_context{1};
     std::thread m_thread;
     http_client m_client;
     store_client m_store;
--- a/src/shell/engine_client.cpp
+++ b/src/shell/engine_client.cpp
@@ -61,15 +61,15 @@
 
 http_call engineRequest(const request_payload &payload, const engine_call &call)
 {
-    nlohmann::json body = { { "id", call.requestId }, { "attempt", call.attempt }, { "prompt", payload.prompt }, { "max_tokens", payload.maxTokens },
-        { "priority", toText(call.rank) } };
+    nlohmann::json body
+        = {{"id", call.requestId}, {"attempt", call.attempt}, {"prompt", payload.prompt}, {"max_tokens", payload.maxTokens}, {"priority", toText(call.rank)}};
     if (call.resumeFrom > 0) {
-        body["resume"] = { { "tokens", call.resumeFrom }, { "text", call.resumeText }, { "kv", call.withTransferredKv } };
+        body["resume"] = {{"tokens", call.resumeFrom}, {"text", call.resumeText}, {"kv", call.withTransferredKv}};
     }
     http_call request;
     request.method = "POST";
     request.target = "/generate";
-    request.headers = { { "Content-Type", "application/json" } };
+    request.headers = {{"Content-Type", "application/json"}};
     request.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     return request;
 }
@@ -79,12 +79,12 @@
     http_call request;
     request.method = payload.method;
     request.target = payload.target;
-    request.headers = { { "X-Request-Id", call.requestId } };
+    request.headers = {{"X-Request-Id", call.requestId}};
     if (!payload.contentType.empty()) {
-        request.headers.push_back({ "Content-Type", payload.contentType });
+        request.headers.push_back({"Content-Type", payload.contentType});
     }
     if (!payload.idempotencyKey.empty()) {
-        request.headers.push_back({ "Idempotency-Key", payload.idempotencyKey });
+        request.headers.push_back({"Idempotency-Key", payload.idempotencyKey});
     }
     request.body = payload.body;
     return request;
@@ -95,7 +95,7 @@
     http_call request;
     request.method = "POST";
     request.target = "/kv/export";
-    request.body = nlohmann::json({ { "id", requestId }, { "attempt", attempt } }).dump();
+    request.body = nlohmann::json({{"id", requestId}, {"attempt", attempt}}).dump();
     return request;
 }
 
@@ -104,7 +104,7 @@
     http_call request;
     request.method = "POST";
     request.target = "/kv/import?id=" + std::string(requestId);
-    request.headers = { { "Content-Type", "application/octet-stream" } };
+    request.headers = {{"Content-Type", "application/octet-stream"}};
     request.body = std::move(blob);
     return request;
 }
--- a/src/shell/gateway.cpp
+++ b/src/shell/gateway.cpp
@@ -58,7 +58,7 @@
 
 http_headers idHeader(const std::string &id)
 {
-    return { { "X-Request-Id", id } };
+    return {{"X-Request-Id", id}};
 }
 
 std::string dumpJson(const json &value)
@@ -142,14 +142,14 @@
 
 std::string wholeAnswer(const request_session &session)
 {
-    json choice = { { "index", 0 }, { "finish_reason", "stop" } };
+    json choice = {{"index", 0}, {"finish_reason", "stop"}};
     if (session.payload().chat) {
-        choice["message"] = { { "role", "assistant" }, { "content", session.text() } };
+        choice["message"] = {{"role", "assistant"}, {"content", session.text()}};
     } else {
         choice["text"] = session.text();
     }
-    const json body = { { "id", session.facts().id }, { "object", session.payload().chat ? "chat.completion" : "text_completion" },
-        { "model", session.facts().promised.route }, { "choices", json::array({ choice }) }, { "usage", { { "completion_tokens", session.readable() } } } };
+    const json body = {{"id", session.facts().id}, {"object", session.payload().chat ? "chat.completion" : "text_completion"},
+        {"model", session.facts().promised.route}, {"choices", json::array({choice})}, {"usage", {{"completion_tokens", session.readable()}}}};
     return dumpJson(body);
 }
 
@@ -195,7 +195,7 @@
 std::string gateway::newRequestId()
 {
     const std::uint64_t number = m_requests.fetch_add(1) + 1;
-    std::array<char, 17> salt {};
+    std::array<char, 17> salt{};
     std::snprintf(salt.data(), salt.size(), "%08x", static_cast<unsigned>(mixBits(m_start ^ (number << 1U))));
     return m_instance + "." + std::to_string(number) + "." + salt.data();
 }
@@ -212,7 +212,7 @@
     if (found == accounts.end()) {
         throw error(error_kind::UnknownAccount);
     }
-    return { found->second.account, found->second.load };
+    return {found->second.account, found->second.load};
 }
 
 request_facts gateway::facts(const caller &who, const contract &promised, service_kind kind)
@@ -363,9 +363,9 @@
         co_await exchange.respond(200, "application/json", wholeAnswer(*session), idHeader(id));
     } else {
         http_headers extra = idHeader(id);
-        extra.push_back({ "Cache-Control", "no-store" });
+        extra.push_back({"Cache-Control", "no-store"});
         if (session->replayed()) {
-            extra.push_back({ "X-Replayed", "1" });
+            extra.push_back({"X-Replayed", "1"});
         }
         co_await exchange.respond(session->status(), session->contentType(), session->text(), extra);
     }
--- a/src/shell/gateway.h
+++ b/src/shell/gateway.h
@@ -46,9 +46,9 @@
     gateway(request_host &host, std::string instanceName);
 
     rcu_cell<front_table> front;
-    std::atomic<bool> stopping { false }; // no new work; what is open goes on
-    http_handler operatorCalls;           // answers /operator/...; set before the first request
-    remote_requests *peers = nullptr;     // null: none
+    std::atomic<bool> stopping{false}; // no new work; what is open goes on
+    http_handler operatorCalls;        // answers /operator/...; set before the first request
+    remote_requests *peers = nullptr;  // null: none
 
     boost::asio::awaitable<void> handle(http_exchange &exchange);
 
@@ -78,7 +78,7 @@
     request_host &m_host;
     std::string m_instance;
     std::uint64_t m_start; // makes request ids unique over restarts
-    std::atomic<std::uint64_t> m_requests { 0 };
+    std::atomic<std::uint64_t> m_requests{0};
 };
 
 } // namespace chicoryrouter
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -25,7 +25,7 @@
 struct kept_connection
 {
     std::unique_ptr<beast::tcp_stream> stream;
-    time_point dropAt {};
+    time_point dropAt{};
 };
 
 using address_key = std::pair<std::string, std::uint16_t>;
@@ -69,7 +69,7 @@
 
     std::unique_ptr<beast::tcp_stream> takeKept(const address &where)
     {
-        auto &list = kept[{ where.ip, where.port }];
+        auto &list = kept[{where.ip, where.port}];
         while (!list.empty()) {
             kept_connection last = std::move(list.back());
             list.pop_back();
@@ -82,10 +82,10 @@
 
     void keep(const address &where, std::unique_ptr<beast::tcp_stream> stream)
     {
-        auto &list = kept[{ where.ip, where.port }];
+        auto &list = kept[{where.ip, where.port}];
         if (list.size() < mostKeptPerAddress) {
             stream->expires_never();
-            list.push_back({ std::move(stream), systemNow() + keptFor });
+            list.push_back({std::move(stream), systemNow() + keptFor});
         }
     }
 
@@ -117,7 +117,7 @@
 
 http::request<http::string_body> makeMessage(const address &where, http_call &call)
 {
-    http::request<http::string_body> message { http::string_to_verb(call.method), call.target, 11 };
+    http::request<http::string_body> message{http::string_to_verb(call.method), call.target, 11};
     message.set(http::field::host, where.ip + ":" + std::to_string(where.port));
     for (const http_header &item : call.headers) {
         message.set(item.name, item.value);
@@ -132,7 +132,7 @@
 {
     http_headers headers;
     for (const auto &field : fields) {
-        headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+        headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
     return headers;
 }
@@ -236,7 +236,7 @@
     http_response response;
     response.status = stream->status;
     response.headers = stream->headers;
-    std::array<char, 16384> buffer {};
+    std::array<char, 16384> buffer{};
     while (true) {
         const std::size_t got = co_await stream->readSome(buffer.data(), buffer.size());
         if (got == 0) {
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -66,7 +66,7 @@
 {
     std::mutex lock;
     std::set<connection *> open;
-    std::atomic<bool> closing { false };
+    std::atomic<bool> closing{false};
 };
 
 class connection : public http_exchange, public std::enable_shared_from_this<connection>
@@ -110,7 +110,7 @@
 
     asio::awaitable<void> respond(int status, std::string contentType, std::string body, http_headers extra) override
     {
-        http::response<http::string_body> response { http::status(status), m_version };
+        http::response<http::string_body> response{http::status(status), m_version};
         setHeaders(response, contentType, extra);
         response.keep_alive(m_keepAlive && !m_all->closing);
         response.body() = std::move(body);
@@ -125,7 +125,7 @@
 
     asio::awaitable<bool> startStream(int status, std::string contentType, http_headers extra) override
     {
-        http::response<http::empty_body> response { http::status(status), m_version };
+        http::response<http::empty_body> response{http::status(status), m_version};
         setHeaders(response, contentType, extra);
         response.set(http::field::cache_control, "no-store");
         response.keep_alive(m_keepAlive && !m_all->closing);
@@ -233,7 +233,7 @@
         request.path = std::string(target.substr(0, mark));
         request.query = mark == std::string_view::npos ? std::string() : std::string(target.substr(mark + 1));
         for (const auto &field : message) {
-            request.headers.push_back({ std::string(field.name_string()), std::string(field.value()) });
+            request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
         }
         request.body = std::move(message.body());
     }
@@ -266,7 +266,7 @@
         beast::error_code code;
         m_stream.socket().shutdown(tcp::socket::shutdown_send, code);
         m_stream.expires_after(std::chrono::seconds(1));
-        std::array<char, 4096> scratch {};
+        std::array<char, 4096> scratch{};
         std::size_t total = 0;
         while (!code && total < m_limits.maxBodyBytes) {
             total += co_await m_stream.async_read_some(asio::buffer(scratch), into(code));
--- a/src/shell/log.cpp
+++ b/src/shell/log.cpp
@@ -18,7 +18,7 @@
 
     constexpr std::size_t mostQueuedLines = 65536;
     constexpr std::array<std::string_view, static_cast<std::size_t>(log_part::Count)> prefixes
-        = { "[route] ", "[request] ", "[config] ", "[member] ", "[move] ", "[place] ", "[load] ", "[claim] ", "[peer] ", "[daemon] " };
+        = {"[route] ", "[request] ", "[config] ", "[member] ", "[move] ", "[place] ", "[load] ", "[claim] ", "[peer] ", "[daemon] "};
 
     struct log_line
     {
@@ -162,7 +162,7 @@
         if (!logs(level)) {
             return;
         }
-        writer().push({ level, std::string(prefixes.at(static_cast<std::size_t>(part))) + std::move(text) });
+        writer().push({level, std::string(prefixes.at(static_cast<std::size_t>(part))) + std::move(text)});
     }
 
     unsigned long droppedLogLines()
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 
-constexpr std::array<double, 3> quantiles = { 0.5, 0.95, 0.99 };
+constexpr std::array<double, 3> quantiles = {0.5, 0.95, 0.99};
 using latency_accumulator = acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::extended_p_square_quantile>>;
 
 latency_accumulator makeAccumulator()
--- a/src/shell/metrics.h
+++ b/src/shell/metrics.h
@@ -34,12 +34,12 @@
 private:
     struct latencies;
 
-    std::atomic<std::uint64_t> m_answers { 0 };
-    std::atomic<std::uint64_t> m_attempts { 0 };
-    std::atomic<std::uint64_t> m_tokens { 0 };
-    std::atomic<std::uint64_t> m_recomputed { 0 };
-    std::atomic<std::uint64_t> m_moved { 0 };
-    std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(error_kind::Count)> m_failures {};
+    std::atomic<std::uint64_t> m_answers{0};
+    std::atomic<std::uint64_t> m_attempts{0};
+    std::atomic<std::uint64_t> m_tokens{0};
+    std::atomic<std::uint64_t> m_recomputed{0};
+    std::atomic<std::uint64_t> m_moved{0};
+    std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(error_kind::Count)> m_failures{};
     std::unique_ptr<latencies> m_latencies;
 };
 
--- a/src/shell/platform_client.cpp
+++ b/src/shell/platform_client.cpp
@@ -18,7 +18,7 @@
     record.cls = value.at("class") == "on_demand" ? instance_class::OnDemand : instance_class::Reclaimable;
     record.service = value.at("service");
     record.version = value.at("version");
-    record.where = { value.at("ip"), value.at("port") };
+    record.where = {value.at("ip"), value.at("port")};
     record.leaving = value.at("leaving");
     if (record.leaving) {
         record.leaveBy = time_point(duration(value.at("leave_by_us").get<std::int64_t>()));
@@ -52,7 +52,7 @@
             list.endpoints.push_back(readInstance(item));
         }
         for (const json &item : value.at("entries")) {
-            list.members.push_back({ item.at("instance"), item.at("failure_domain"), { item.at("ip"), item.at("port") } });
+            list.members.push_back({item.at("instance"), item.at("failure_domain"), {item.at("ip"), item.at("port")}});
         }
         return list;
     } catch (const json::exception &) {
@@ -67,7 +67,7 @@
         if (value.at("id") != endpointId) {
             return std::nullopt; // another process took over its address
         }
-        return load_report { endpointId, value.at("epoch"), value.at("sequence"), value.at("completed"), value.at("running"), value.at("queued") };
+        return load_report{endpointId, value.at("epoch"), value.at("sequence"), value.at("completed"), value.at("running"), value.at("queued")};
     } catch (const json::exception &) {
         return std::nullopt;
     }
--- a/src/shell/request_host.cpp
+++ b/src/shell/request_host.cpp
@@ -107,7 +107,7 @@
     std::vector<stream_cost> streams;
     for (const auto &session : open()) {
         if (session->servedByKey() == key) {
-            streams.push_back({ session->facts().id, session->recomputeTokens(), move_method::Resume });
+            streams.push_back({session->facts().id, session->recomputeTokens(), move_method::Resume});
         }
     }
     planStreamMoves(streams, notice.leaveBy, systemNow());
--- a/src/shell/request_host.h
+++ b/src/shell/request_host.h
@@ -81,7 +81,7 @@
     std::map<std::string, std::unique_ptr<retry_budget>> m_budgets;
     std::map<std::string, std::shared_ptr<request_session>> m_sessions; // open, or over and still held for callers
     std::map<std::uint64_t, std::weak_ptr<request_session>> m_waiting;  // by ticket
-    std::atomic<std::uint64_t> m_tickets { 0 };
+    std::atomic<std::uint64_t> m_tickets{0};
 };
 
 } // namespace chicoryrouter
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -261,7 +261,7 @@
     if (next == step::Replay) {
         m_status = m_claim->holder().status;
         m_contentType = m_claim->holder().contentType;
-        m_tokens = { m_claim->holder().answer };
+        m_tokens = {m_claim->holder().answer};
         m_replayed = true;
         note(log_part::Claim, "answered by the earlier call " + m_claim->holder().requestId);
         perform(m_machine.onReplayed(systemNow()));
@@ -366,7 +366,7 @@
     for (std::uint32_t i = 0; i < action.resumeFrom; ++i) {
         already += m_tokens[i];
     }
-    engine_call call { facts().id, number, facts().promised.rank, action.resumeFrom, already, action.withTransferredKv };
+    engine_call call{facts().id, number, facts().promised.rank, action.resumeFrom, already, action.withTransferredKv};
     attempt_reach reach = attempt_reach::MayHaveRun;
     error_kind kind = error_kind::EndpointFailed;
     try {
@@ -399,13 +399,13 @@
 {
     const std::shared_ptr<http_stream> stream = open->stream;
     engine_event_reader reader;
-    std::array<char, 16384> buffer {};
+    std::array<char, 16384> buffer{};
     while (true) {
         const std::size_t got = co_await stream->readSome(buffer.data(), buffer.size());
         if (got == 0) {
             co_return false;
         }
-        reader.feed({ buffer.data(), got });
+        reader.feed({buffer.data(), got});
         while (std::optional<engine_event> event = reader.next()) {
             if (open->cancelled) {
                 co_return true;
@@ -454,7 +454,7 @@
 {
     const auto self = shared_from_this();
     const std::uint32_t number = action.attempt;
-    const engine_call call { facts().id, number, facts().promised.rank, 0, {}, false };
+    const engine_call call{facts().id, number, facts().promised.rank, 0, {}, false};
     const bool fresh = !facts().promised.repeatable; // a kept connection's silent end could not be told from a lost order
     attempt_reach reach = attempt_reach::MayHaveRun;
     error_kind kind = error_kind::EndpointFailed;
@@ -466,7 +466,7 @@
             = co_await m_thread.client.open(open->where->where, plainRequest(m_payload, call), facts().deadline, fresh, onSending);
         open->stream = std::move(stream);
         std::string body;
-        std::array<char, 16384> buffer {};
+        std::array<char, 16384> buffer{};
         while (const std::size_t got = co_await open->stream->readSome(buffer.data(), buffer.size())) {
             body.append(buffer.data(), got);
             if (body.size() > maxPlainAnswerBytes) {
@@ -483,7 +483,7 @@
         const bool worthRetry = answer.status >= 500 && facts().promised.repeatable;
         if (!crossed && !notRun && !worthRetry) {
             m_open.erase(number);
-            if (takeToken(number, { facts().id, number, 0, std::move(body), false })) {
+            if (takeToken(number, {facts().id, number, 0, std::move(body), false})) {
                 m_status = answer.status;
                 m_contentType = std::string(findHeader(answer.headers, "Content-Type"));
             }
@@ -529,7 +529,7 @@
     action.where->load->giveBack();
     if (action.sent && m_host.onOutcome) {
         const request_facts &facts = m_machine.facts();
-        m_host.onOutcome({ action.where->id, facts.promised.service, action.where->version, facts.promised.route, action.failed, action.firstToken });
+        m_host.onOutcome({action.where->id, facts.promised.service, action.where->version, facts.promised.route, action.failed, action.firstToken});
     }
     m_host.serve(m_machine.facts().promised.service, m_thread.random);
 }
--- a/src/shell/request_session.h
+++ b/src/shell/request_session.h
@@ -26,7 +26,7 @@
     std::string account;
     std::string route;
     std::string service;
-    time_point arrival {};
+    time_point arrival{};
     time_point deadline = noDeadline;
     request_payload payload; // sent with the first copy only
     bool withPayload = true;
@@ -127,9 +127,9 @@
     int m_status = 200;
     std::string m_contentType = "application/json";
     std::string m_history; // bounded by maxHistoryBytes
-    std::atomic<std::uint64_t> m_servedByKey { 0 };
-    std::atomic<std::uint32_t> m_tokenCount { 0 };
-    std::atomic<bool> m_overFlag { false };
+    std::atomic<std::uint64_t> m_servedByKey{0};
+    std::atomic<std::uint32_t> m_tokenCount{0};
+    std::atomic<bool> m_overFlag{false};
 };
 
 } // namespace chicoryrouter
--- a/src/shell/store_client.cpp
+++ b/src/shell/store_client.cpp
@@ -54,7 +54,7 @@
         reply.value = std::move(response.body);
         co_return reply;
     } catch (const http_failure &) {
-        co_return store_reply {};
+        co_return store_reply{};
     }
 }
 
--- a/src/shell/store_client.h
+++ b/src/shell/store_client.h
@@ -12,9 +12,9 @@
 // Calls counted by kind, because the service is paid and limited by call. Shared by all clients of a daemon.
 struct store_counters
 {
-    std::atomic<std::uint64_t> reads { 0 };
-    std::atomic<std::uint64_t> writes { 0 };
-    std::atomic<std::uint64_t> watches { 0 };
+    std::atomic<std::uint64_t> reads{0};
+    std::atomic<std::uint64_t> writes{0};
+    std::atomic<std::uint64_t> watches{0};
 };
 
 class store_client
--- a/src/shell/worker_pool.h
+++ b/src/shell/worker_pool.h
@@ -28,13 +28,13 @@
 private:
     struct worker
     {
-        boost::asio::io_context context { 1 };
-        boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard { context.get_executor() };
+        boost::asio::io_context context{1};
+        boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard{context.get_executor()};
         std::thread thread;
     };
 
     std::vector<std::unique_ptr<worker>> m_workers;
-    std::atomic<std::size_t> m_turn { 0 };
+    std::atomic<std::size_t> m_turn{0};
 };
 
 } // namespace chicoryrouter
--- a/src/standin/deployment.cpp
+++ b/src/standin/deployment.cpp
@@ -56,15 +56,15 @@
     , m_store(std::make_unique<store_standin>(m_workers))
     , m_platform(std::make_unique<platform_standin>(m_workers))
 {
-    m_store->put(std::string(configurationKey), encodeEnvelope({ m_revision, deploymentDocument(m_options) }));
+    m_store->put(std::string(configurationKey), encodeEnvelope({m_revision, deploymentDocument(m_options)}));
     for (const std::string &domain : m_options.failureDomains) {
         for (unsigned i = 0; i < m_options.enginesPerDomain; ++i) {
             const std::string id = "engine-" + std::to_string(m_engines.size() + 1);
-            m_engines.push_back(&m_platform->addEngine({ id, domain, instance_class::Reclaimable, "writer", "v1", {} }, m_options.engine));
+            m_engines.push_back(&m_platform->addEngine({id, domain, instance_class::Reclaimable, "writer", "v1", {}}, m_options.engine));
         }
         for (unsigned i = 0; i < m_options.plainPerDomain; ++i) {
             const std::string id = "shop-" + std::to_string(m_plain.size() + 1);
-            m_plain.push_back(&m_platform->addPlain({ id, domain, instance_class::OnDemand, "shop", "v1", {} }));
+            m_plain.push_back(&m_platform->addPlain({id, domain, instance_class::OnDemand, "shop", "v1", {}}));
         }
     }
     for (unsigned i = 0; i < m_options.daemons; ++i) {
@@ -83,8 +83,8 @@
     settings own;
     own.instance = "entry-" + std::to_string(m_daemons.size() + 1);
     own.failureDomain = m_options.failureDomains[m_daemons.size() % m_options.failureDomains.size()];
-    own.gateway = { "127.0.0.1", anyPort };
-    own.peer = { "127.0.0.1", anyPort };
+    own.gateway = {"127.0.0.1", anyPort};
+    own.peer = {"127.0.0.1", anyPort};
     own.keyValue = m_store->where();
     own.instanceList = m_platform->where();
     own.cloud = m_platform->where();
@@ -94,13 +94,13 @@
     own.pollInterval = m_options.pollInterval;
     own.gossipInterval = m_options.gossipInterval;
     m_daemons.push_back(std::make_unique<daemon>(own));
-    m_platform->addEntry({ own.instance, own.failureDomain, m_daemons.back()->peer() });
+    m_platform->addEntry({own.instance, own.failureDomain, m_daemons.back()->peer()});
     return *m_daemons.back();
 }
 
 void deployment::replaceDocument(const std::string &yaml)
 {
-    m_store->put(std::string(configurationKey), encodeEnvelope({ ++m_revision, yaml }));
+    m_store->put(std::string(configurationKey), encodeEnvelope({++m_revision, yaml}));
 }
 
 bool deployment::waitUntil(const std::function<bool()> &condition, duration within)
@@ -137,7 +137,7 @@
     call.method = "POST";
     call.target = "/v1/completions";
     call.headers = bearer(demoToken);
-    call.body = nlohmann::json({ { "model", route }, { "prompt", prompt }, { "max_tokens", tokens }, { "stream", stream } }).dump();
+    call.body = nlohmann::json({{"model", route}, {"prompt", prompt}, {"max_tokens", tokens}, {"stream", stream}}).dump();
     return sync_client().call(at(daemonIndex).gateway(), std::move(call));
 }
 
@@ -148,7 +148,7 @@
     call.target = path;
     call.headers = bearer(demoToken);
     if (!key.empty()) {
-        call.headers.push_back({ "Idempotency-Key", key });
+        call.headers.push_back({"Idempotency-Key", key});
     }
     call.body = body;
     return sync_client().call(at(daemonIndex).gateway(), std::move(call));
--- a/src/standin/deployment.h
+++ b/src/standin/deployment.h
@@ -16,7 +16,7 @@
     unsigned daemons = 2;
     unsigned threadsPerDaemon = 2;
     unsigned standinThreads = 2;
-    std::vector<std::string> failureDomains = { "fd-1", "fd-2" };
+    std::vector<std::string> failureDomains = {"fd-1", "fd-2"};
     unsigned enginesPerDomain = 1;
     unsigned plainPerDomain = 1;
     engine_options engine;
--- a/src/standin/endpoint_standin.cpp
+++ b/src/standin/endpoint_standin.cpp
@@ -22,7 +22,7 @@
 
 asio::awaitable<void> pause(const http_exchange &exchange, duration span)
 {
-    if (span > duration {}) {
+    if (span > duration{}) {
         asio::steady_timer timer(exchange.executor(), span);
         co_await timer.async_wait(asio::use_awaitable);
     }
@@ -30,12 +30,12 @@
 
 http_headers echoedId(const http_request &request)
 {
-    return { { "X-Request-Id", std::string(request.header("X-Request-Id")) } };
+    return {{"X-Request-Id", std::string(request.header("X-Request-Id"))}};
 }
 
 http_headers notRun()
 {
-    return { { "X-Not-Run", "1" } };
+    return {{"X-Not-Run", "1"}};
 }
 
 // Counts one stream in for as long as it lives.
@@ -74,13 +74,13 @@
 engine_standin::engine_standin(worker_pool &workers, std::string id, engine_options options, std::uint16_t port)
     : m_id(std::move(id))
     , m_options(options)
-    , m_server(workers, { "127.0.0.1", port }, [this](http_exchange &exchange) { return handle(exchange); }, { 16 * 1024, 64 * 1024 * 1024 })
+    , m_server(workers, {"127.0.0.1", port}, [this](http_exchange &exchange) { return handle(exchange); }, {16 * 1024, 64 * 1024 * 1024})
 {
 }
 
 address engine_standin::where() const
 {
-    return { "127.0.0.1", m_server.port() };
+    return {"127.0.0.1", m_server.port()};
 }
 
 void engine_standin::turnCold()
@@ -123,8 +123,8 @@
 
 std::string engine_standin::loadText()
 {
-    return json({ { "id", m_id }, { "epoch", m_epoch.load() }, { "sequence", ++m_sequence }, { "completed", m_completed.load() },
-                    { "running", m_running.load() }, { "queued", m_queued.load() } })
+    return json({{"id", m_id}, {"epoch", m_epoch.load()}, {"sequence", ++m_sequence}, {"completed", m_completed.load()}, {"running", m_running.load()},
+                    {"queued", m_queued.load()}})
         .dump();
 }
 
@@ -239,13 +239,13 @@
 
 plain_standin::plain_standin(worker_pool &workers, std::string id, std::uint16_t port)
     : m_id(std::move(id))
-    , m_server(workers, { "127.0.0.1", port }, [this](http_exchange &exchange) { return handle(exchange); })
+    , m_server(workers, {"127.0.0.1", port}, [this](http_exchange &exchange) { return handle(exchange); })
 {
 }
 
 address plain_standin::where() const
 {
-    return { "127.0.0.1", m_server.port() };
+    return {"127.0.0.1", m_server.port()};
 }
 
 int plain_standin::mostRunsOfOneKey()
@@ -260,13 +260,12 @@
 
 std::string plain_standin::loadText() const
 {
-    return json({ { "id", m_id }, { "epoch", 1 }, { "sequence", 1 + m_calls }, { "completed", m_calls.load() }, { "running", 0 }, { "queued", 0 } }).dump();
+    return json({{"id", m_id}, {"epoch", 1}, {"sequence", 1 + m_calls}, {"completed", m_calls.load()}, {"running", 0}, {"queued", 0}}).dump();
 }
 
 std::string plain_standin::answerText(const http_request &request, bool isOrder) const
 {
-    const json answer
-        = isOrder ? json({ { "order", m_orders.load() }, { "at", m_id } }) : json({ { "item", request.path }, { "in_stock", 42 }, { "at", m_id } });
+    const json answer = isOrder ? json({{"order", m_orders.load()}, {"at", m_id}}) : json({{"item", request.path}, {"in_stock", 42}, {"at", m_id}});
     return answer.dump();
 }
 
--- a/src/standin/endpoint_standin.h
+++ b/src/standin/endpoint_standin.h
@@ -30,15 +30,15 @@
 
 struct engine_faults
 {
-    std::atomic<bool> down { false };           // closes every connection without an answer
-    std::atomic<bool> garbage { false };        // answers nonsense
-    std::atomic<bool> silent { false };         // accepts and never answers
-    std::atomic<int> cutAfter { -1 };           // closes each stream after so many tokens; negative: never
-    std::atomic<int> failPercent { 0 };         // of the requests fail at once
-    std::atomic<int> slowFactor { 1 };          // times all delays
-    std::atomic<bool> refuse { false };         // refuses with proof that nothing was run
-    std::atomic<bool> ignoresFencing { false }; // obeys orders with old fencing numbers too
-    std::atomic<bool> crossed { false };        // sends a token of another request between its own
+    std::atomic<bool> down{false};           // closes every connection without an answer
+    std::atomic<bool> garbage{false};        // answers nonsense
+    std::atomic<bool> silent{false};         // accepts and never answers
+    std::atomic<int> cutAfter{-1};           // closes each stream after so many tokens; negative: never
+    std::atomic<int> failPercent{0};         // of the requests fail at once
+    std::atomic<int> slowFactor{1};          // times all delays
+    std::atomic<bool> refuse{false};         // refuses with proof that nothing was run
+    std::atomic<bool> ignoresFencing{false}; // obeys orders with old fencing numbers too
+    std::atomic<bool> crossed{false};        // sends a token of another request between its own
 };
 
 class engine_standin
@@ -69,22 +69,22 @@
     std::set<std::string> m_imported;           // request ids whose KV cache arrived
     std::map<std::string, std::string> m_state; // orders carried out
     std::uint64_t m_fencing = 0;                // highest seen
-    std::atomic<std::uint64_t> m_epoch { 1 };
-    std::atomic<std::uint64_t> m_sequence { 0 };
-    std::atomic<std::uint64_t> m_completed { 0 };
-    std::atomic<std::uint64_t> m_started { 0 };
-    std::atomic<std::uint64_t> m_recomputed { 0 };
-    std::atomic<std::uint32_t> m_running { 0 };
-    std::atomic<std::uint32_t> m_queued { 0 };
+    std::atomic<std::uint64_t> m_epoch{1};
+    std::atomic<std::uint64_t> m_sequence{0};
+    std::atomic<std::uint64_t> m_completed{0};
+    std::atomic<std::uint64_t> m_started{0};
+    std::atomic<std::uint64_t> m_recomputed{0};
+    std::atomic<std::uint32_t> m_running{0};
+    std::atomic<std::uint32_t> m_queued{0};
     http_server m_server;
 };
 
 struct plain_faults
 {
-    std::atomic<bool> down { false };
-    std::atomic<bool> refuse { false };          // 503 with proof that nothing was run
-    std::atomic<bool> cutAfterRunning { false }; // runs the call, then closes without an answer
-    std::atomic<std::int64_t> slowMillis { 0 };
+    std::atomic<bool> down{false};
+    std::atomic<bool> refuse{false};          // 503 with proof that nothing was run
+    std::atomic<bool> cutAfterRunning{false}; // runs the call, then closes without an answer
+    std::atomic<std::int64_t> slowMillis{0};
 };
 
 class plain_standin
@@ -107,8 +107,8 @@
     std::string m_id;
     std::mutex m_lock;
     std::map<std::string, int> m_runsByKey;
-    std::atomic<std::uint64_t> m_orders { 0 };
-    std::atomic<std::uint64_t> m_calls { 0 };
+    std::atomic<std::uint64_t> m_orders{0};
+    std::atomic<std::uint64_t> m_calls{0};
     http_server m_server;
 };
 
--- a/src/standin/platform_standin.cpp
+++ b/src/standin/platform_standin.cpp
@@ -19,13 +19,13 @@
 
 platform_standin::platform_standin(worker_pool &workers, std::uint16_t port)
     : m_workers(workers)
-    , m_server(workers, { "127.0.0.1", port }, [this](http_exchange &exchange) { return handle(exchange); })
+    , m_server(workers, {"127.0.0.1", port}, [this](http_exchange &exchange) { return handle(exchange); })
 {
 }
 
 address platform_standin::where() const
 {
-    return { "127.0.0.1", m_server.port() };
+    return {"127.0.0.1", m_server.port()};
 }
 
 void platform_standin::add(const instance_record &facts, const std::string &token, duration readyAfter)
@@ -48,7 +48,7 @@
         const std::lock_guard guard(m_lock);
         m_engines[facts.id] = std::move(engine);
     }
-    add(placed, "", duration {});
+    add(placed, "", duration{});
     return result;
 }
 
@@ -62,7 +62,7 @@
         const std::lock_guard guard(m_lock);
         m_plain[facts.id] = std::move(plain);
     }
-    add(placed, "", duration {});
+    add(placed, "", duration{});
     return result;
 }
 
@@ -118,9 +118,8 @@
             continue;
         }
         const bool leaving = shown >= item.noticedAt;
-        json value
-            = { { "id", item.facts.id }, { "failure_domain", item.facts.failureDomain }, { "class", toText(item.facts.cls) }, { "service", item.facts.service },
-                  { "version", item.facts.version }, { "ip", item.facts.where.ip }, { "port", item.facts.where.port }, { "leaving", leaving } };
+        json value = {{"id", item.facts.id}, {"failure_domain", item.facts.failureDomain}, {"class", toText(item.facts.cls)}, {"service", item.facts.service},
+            {"version", item.facts.version}, {"ip", item.facts.where.ip}, {"port", item.facts.where.port}, {"leaving", leaving}};
         if (leaving) {
             value["leave_by_us"] = item.facts.leaveBy.time_since_epoch().count();
         }
@@ -130,9 +129,9 @@
         instances.push_back(std::move(value));
     }
     for (const entry_record &entry : m_entries) {
-        entries.push_back({ { "instance", entry.instance }, { "failure_domain", entry.failureDomain }, { "ip", entry.peer.ip }, { "port", entry.peer.port } });
+        entries.push_back({{"instance", entry.instance}, {"failure_domain", entry.failureDomain}, {"ip", entry.peer.ip}, {"port", entry.peer.port}});
     }
-    return json({ { "instances", instances }, { "entries", entries } }).dump();
+    return json({{"instances", instances}, {"entries", entries}}).dump();
 }
 
 asio::awaitable<void> platform_standin::handle(http_exchange &exchange)
@@ -171,7 +170,7 @@
         facts.version = body.at("version");
         auto engine = std::make_unique<engine_standin>(m_workers, id);
         facts.where = engine->where();
-        duration readyAfter {};
+        duration readyAfter{};
         {
             const std::lock_guard guard(m_lock);
             m_engines[id] = std::move(engine);
@@ -186,7 +185,7 @@
         exchange.abandon();
         co_return;
     }
-    const std::string answer = json({ { "id", id } }).dump();
+    const std::string answer = json({{"id", id}}).dump();
     co_await exchange.respond(200, "application/json", answer);
 }
 
--- a/src/standin/platform_standin.h
+++ b/src/standin/platform_standin.h
@@ -11,10 +11,10 @@
 
 struct platform_faults
 {
-    std::atomic<std::int64_t> listLagMillis { 0 }; // the instance list shows the past
-    std::atomic<int> refuseStarts { 0 };           // so many starts are refused
-    std::atomic<int> loseReplies { 0 };            // so many starts take effect but their replies are lost
-    std::atomic<bool> down { false };
+    std::atomic<std::int64_t> listLagMillis{0}; // the instance list shows the past
+    std::atomic<int> refuseStarts{0};           // so many starts are refused
+    std::atomic<int> loseReplies{0};            // so many starts take effect but their replies are lost
+    std::atomic<bool> down{false};
 };
 
 struct entry_record
@@ -44,7 +44,7 @@
     struct listed
     {
         instance_record facts;
-        time_point from {};                // shown from then on
+        time_point from{};                 // shown from then on
         time_point until = noDeadline;     // gone from then on
         time_point noticedAt = noDeadline; // leaving from then on
         std::string token;                 // of the start that made it
@@ -61,8 +61,8 @@
     std::vector<entry_record> m_entries;
     std::map<std::string, std::unique_ptr<engine_standin>> m_engines;
     std::map<std::string, std::unique_ptr<plain_standin>> m_plain;
-    std::atomic<std::size_t> m_starts { 0 };
-    time_point m_weightsFreeAt {}; // the weight store serves one load after the other
+    std::atomic<std::size_t> m_starts{0};
+    time_point m_weightsFreeAt{}; // the weight store serves one load after the other
     http_server m_server;
 };
 
--- a/src/standin/store_standin.cpp
+++ b/src/standin/store_standin.cpp
@@ -22,7 +22,7 @@
 
 http_headers versionHeader(std::uint64_t version)
 {
-    return { { "X-Version", std::to_string(version) } };
+    return {{"X-Version", std::to_string(version)}};
 }
 
 asio::awaitable<void> pause(http_exchange &exchange, duration span)
@@ -34,13 +34,13 @@
 } // namespace
 
 store_standin::store_standin(worker_pool &workers, std::uint16_t port)
-    : m_server(workers, { "127.0.0.1", port }, [this](http_exchange &exchange) { return handle(exchange); })
+    : m_server(workers, {"127.0.0.1", port}, [this](http_exchange &exchange) { return handle(exchange); })
 {
 }
 
 address store_standin::where() const
 {
-    return { "127.0.0.1", m_server.port() };
+    return {"127.0.0.1", m_server.port()};
 }
 
 store_standin::entry *store_standin::live(const std::string &key)
@@ -59,7 +59,7 @@
 std::uint64_t store_standin::put(const std::string &key, std::string value)
 {
     const std::lock_guard guard(m_lock);
-    m_values[key] = { std::move(value), ++m_versions, noDeadline };
+    m_values[key] = {std::move(value), ++m_versions, noDeadline};
     return m_versions;
 }
 
@@ -140,7 +140,7 @@
         } else if (swapped) {
             version = ++m_versions;
             const time_point dropAt = ttl == 0 ? noDeadline : systemNow() + std::chrono::seconds(ttl);
-            m_values[key] = { exchange.request.body, version, dropAt };
+            m_values[key] = {exchange.request.body, version, dropAt};
         }
     }
     if (swapped && faults.loseReplies > 0) {
--- a/src/standin/store_standin.h
+++ b/src/standin/store_standin.h
@@ -14,9 +14,9 @@
 
 struct store_faults
 {
-    std::atomic<bool> down { false };           // answers nothing: connections are closed
-    std::atomic<std::int64_t> slowMillis { 0 }; // added to every answer
-    std::atomic<int> loseReplies { 0 };         // so many writes take effect but their replies are lost
+    std::atomic<bool> down{false};           // answers nothing: connections are closed
+    std::atomic<std::int64_t> slowMillis{0}; // added to every answer
+    std::atomic<int> loseReplies{0};         // so many writes take effect but their replies are lost
 };
 
 class store_standin
@@ -47,7 +47,7 @@
     std::mutex m_lock;
     std::map<std::string, entry> m_values;
     std::uint64_t m_versions = 0;
-    std::atomic<std::uint64_t> m_calls { 0 };
+    std::atomic<std::uint64_t> m_calls{0};
     http_server m_server; // last: it serves from construction on
 };
 
--- a/src/standin/sync_client.cpp
+++ b/src/standin/sync_client.cpp
@@ -24,7 +24,7 @@
 
 http_headers bearer(const std::string &token)
 {
-    return { { "Authorization", "Bearer " + token } };
+    return {{"Authorization", "Bearer " + token}};
 }
 
 std::string streamedText(const std::string &events)
--- a/tests/support/scenario.cpp
+++ b/tests/support/scenario.cpp
@@ -13,16 +13,16 @@
 namespace {
 
 const std::map<std::string, endpoint_fault> faultNames = {
-    { "none", endpoint_fault::None },
-    { "down", endpoint_fault::Down },
-    { "refusing", endpoint_fault::Refusing },
-    { "failing", endpoint_fault::Failing },
-    { "silent", endpoint_fault::Silent },
-    { "cutting", endpoint_fault::Cutting },
-    { "crossed", endpoint_fault::Crossed },
-    { "doubling", endpoint_fault::Doubling },
-    { "gapping", endpoint_fault::Gapping },
-    { "slow", endpoint_fault::Slow },
+    {"none", endpoint_fault::None},
+    {"down", endpoint_fault::Down},
+    {"refusing", endpoint_fault::Refusing},
+    {"failing", endpoint_fault::Failing},
+    {"silent", endpoint_fault::Silent},
+    {"cutting", endpoint_fault::Cutting},
+    {"crossed", endpoint_fault::Crossed},
+    {"doubling", endpoint_fault::Doubling},
+    {"gapping", endpoint_fault::Gapping},
+    {"slow", endpoint_fault::Slow},
 };
 
 class scenario
--- a/tests/support/tables.h
+++ b/tests/support/tables.h
@@ -19,7 +19,7 @@
     result->failureDomain = domain;
     result->load = std::make_shared<endpoint_load>();
     result->load->slots = slots;
-    result->linkDelay = domain == "fd-1" ? duration {} : std::chrono::milliseconds(1);
+    result->linkDelay = domain == "fd-1" ? duration{} : std::chrono::milliseconds(1);
     return result;
 }
 
@@ -29,7 +29,7 @@
     service_table table;
     table.service = "writer";
     table.kind = service_kind::Model;
-    table.groups.push_back({ "v1", wholeShare, {}, {} });
+    table.groups.push_back({"v1", wholeShare, {}, {}});
     for (std::size_t i = 0; i < count; ++i) {
         table.groups[0].local.push_back(makeEndpoint("e" + std::to_string(i), "fd-1", slots));
     }
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -63,7 +63,7 @@
     deployment_options options;
     options.initialConcurrency = 4;
     options.maxConcurrency = 16;
-    options.failureDomains = { "fd-1", "fd-2", "fd-3" };
+    options.failureDomains = {"fd-1", "fd-2", "fd-3"};
     return deploymentDocument(options);
 }
 
@@ -103,7 +103,7 @@
 
 void world::at(time_point moment, std::function<void()> what)
 {
-    m_events.push({ moment, ++m_order, std::move(what) });
+    m_events.push({moment, ++m_order, std::move(what)});
 }
 
 void world::runUntil(time_point moment)
@@ -122,7 +122,7 @@
 void world::addEndpoint(const std::string &id, const std::string &domain, const std::string &service, const std::string &version)
 {
     fake_endpoint fresh;
-    fresh.facts = { id, domain, instance_class::Reclaimable, service, version, { "10.0.0.1", 1 } };
+    fresh.facts = {id, domain, instance_class::Reclaimable, service, version, {"10.0.0.1", 1}};
     fresh.model = service == "writer";
     m_endpoints[id] = fresh;
     publishList();
@@ -149,7 +149,7 @@
                 for (const auto &live : m_live) {
                     const endpoint_ptr where = live->machine->servedBy();
                     if (live->node == i && !live->abandoned && !live->machine->isOver() && where != nullptr && where->id == notice.endpointId) {
-                        streams.push_back({ live->outside->id, live->machine->delivered() + 100, move_method::Resume });
+                        streams.push_back({live->outside->id, live->machine->delivered() + 100, move_method::Resume});
                         byId[live->outside->id] = live;
                     }
                 }
@@ -168,7 +168,7 @@
     std::vector<load_report> reports;
     for (auto &[id, item] : m_endpoints) {
         if (!item.gone) {
-            reports.push_back({ id, item.epoch, ++item.sequence, item.completed, item.running, 0 });
+            reports.push_back({id, item.epoch, ++item.sequence, item.completed, item.running, 0});
         }
     }
     after(linkDelay, [this, reports] {
@@ -411,7 +411,7 @@
     action.where->load->giveBack();
     if (action.sent) {
         const std::string route = live->machine->facts().promised.route;
-        own.endpoints.onOutcome({ action.where->id, live->service, action.where->version, route, action.failed, action.firstToken }, m_now);
+        own.endpoints.onOutcome({action.where->id, live->service, action.where->version, route, action.failed, action.firstToken}, m_now);
     }
     const std::size_t index = live->node;
     after(duration(0), [this, index] { refresh(index); });
@@ -586,7 +586,7 @@
         return {};
     }
     const auto found = store.values.find(key);
-    return found == store.values.end() ? store_reply { store_outcome::NotFound, 0, {} } : found->second;
+    return found == store.values.end() ? store_reply{store_outcome::NotFound, 0, {}} : found->second;
 }
 
 store_reply world::storeSwap(const std::string &key, std::uint64_t expected, const std::string &value, bool erase)
@@ -597,18 +597,18 @@
     const auto found = store.values.find(key);
     const std::uint64_t version = found == store.values.end() ? 0 : found->second.version;
     if (version != expected) {
-        return { store_outcome::Conflict, version, {} };
+        return {store_outcome::Conflict, version, {}};
     }
     if (erase) {
         store.values.erase(key);
     } else {
-        store.values[key] = { store_outcome::Ok, ++store.versions, value };
+        store.values[key] = {store_outcome::Ok, ++store.versions, value};
     }
     if (store.loseReplies > 0) {
         --store.loseReplies;
         return {};
     }
-    return { store_outcome::Ok, store.versions, {} };
+    return {store_outcome::Ok, store.versions, {}};
 }
 
 void world::claimStep(const std::shared_ptr<live_request> &live, claim_machine::step next)
@@ -641,7 +641,7 @@
         break;
     case step::Replay:
         live->outside->replayed = true;
-        live->outside->seen = { 0 };
+        live->outside->seen = {0};
         say(live->outside->id + " replays " + live->claim->holder().requestId);
         perform(live, live->machine->onReplayed(m_now));
         break;
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -19,19 +19,19 @@
 
 namespace chicoryrouter::test {
 
-inline constexpr time_point worldStart { std::chrono::hours(24 * 365 * 50) };
+inline constexpr time_point worldStart{std::chrono::hours(24 * 365 * 50)};
 
 // What a fake endpoint does wrong.
 enum class endpoint_fault {
     None,
-    Down,     // refuses connections: nothing is sent
-    Refusing, // refuses with proof that it did not run
-    Failing,  // runs, then fails
-    Silent,   // takes the request and never answers
-    Cutting,  // a stream breaks after two more tokens; a plain call breaks after it ran
-    Crossed,  // sends tokens of another request and of an older attempt in between
-    Doubling, // sends each token twice
-    Gapping,  // leaves out a token
+    Down,        // refuses connections: nothing is sent
+    Refusing,    // refuses with proof that it did not run
+    Failing,     // runs, then fails
+    Silent,      // takes the request and never answers
+    Cutting,     // a stream breaks after two more tokens; a plain call breaks after it ran
+    Crossed,     // sends tokens of another request and of an older attempt in between
+    Doubling,    // sends each token twice
+    Gapping,     // leaves out a token
     EndingEarly, // says it is done before the last token
     Slow,        // takes twenty times as long
 };
--- a/tests/unit/claims.cpp
+++ b/tests/unit/claims.cpp
@@ -25,12 +25,12 @@
 
 store_reply holding(const claim_record &record)
 {
-    return { store_outcome::Ok, 3, encodeClaim(record) };
+    return {store_outcome::Ok, 3, encodeClaim(record)};
 }
 
-const store_reply lost {};
-const store_reply conflict { store_outcome::Conflict, 3, {} };
-const store_reply absent { store_outcome::NotFound, 0, {} };
+const store_reply lost{};
+const store_reply conflict{store_outcome::Conflict, 3, {}};
+const store_reply absent{store_outcome::NotFound, 0, {}};
 
 struct order_world
 {
@@ -79,7 +79,7 @@
     mine.onCreated(lost, someday);
     cr_assert_eq(mine.onRead(absent, someday + 50ms), step::Wait);
     cr_assert_eq(mine.onRetry(someday + 100ms), step::Create);
-    cr_assert_eq(mine.onCreated({ store_outcome::Ok, 9, {} }, someday + 110ms), step::Won);
+    cr_assert_eq(mine.onCreated({store_outcome::Ok, 9, {}}, someday + 110ms), step::Won);
     cr_assert_eq(mine.version(), 9);
 }
 
@@ -129,7 +129,7 @@
 {
     claim_machine mine(recordOf("a"), someday + 5s);
     mine.onCreated(conflict, someday);
-    cr_assert_eq(mine.onRead({ store_outcome::Ok, 1, "garbage" }, someday), step::Refused);
+    cr_assert_eq(mine.onRead({store_outcome::Ok, 1, "garbage"}, someday), step::Refused);
 }
 
 Test(claims, two_daemons_racing_with_one_key_run_it_once)
--- a/tests/unit/error_table.cpp
+++ b/tests/unit/error_table.cpp
@@ -21,7 +21,7 @@
 Test(error_table, kinds_after_a_byte_may_have_left_never_say_not_run)
 {
     for (const error_kind kind :
-        { error_kind::EndpointFailed, error_kind::EndpointLost, error_kind::EndpointGarbage, error_kind::DeadlinePassed, error_kind::Internal }) {
+        {error_kind::EndpointFailed, error_kind::EndpointLost, error_kind::EndpointGarbage, error_kind::DeadlinePassed, error_kind::Internal}) {
         cr_expect(answerFor(kind).ran == ran_state::Unknown, "%s", std::string(answerFor(kind).name).c_str());
     }
 }
--- a/tests/unit/limits.cpp
+++ b/tests/unit/limits.cpp
@@ -29,7 +29,7 @@
 
 waiting_request waiting(std::uint64_t ticket, const std::string &account, priority rank = priority::Normal, double weight = 1.0)
 {
-    return { ticket, account, weight, rank, someday + 1s, false };
+    return {ticket, account, weight, rank, someday + 1s, false};
 }
 
 fleet fleetOf(std::size_t endpoints)
@@ -38,7 +38,7 @@
     all.setDocument(std::make_shared<revisioned_document>(makeRevisioned(1, test::worldDocument())));
     std::vector<instance_record> list;
     for (std::size_t i = 0; i < endpoints; ++i) {
-        list.push_back({ "e" + std::to_string(i), "fd-1", instance_class::Reclaimable, "writer", "v1", { "10.0.0.1", 1 } });
+        list.push_back({"e" + std::to_string(i), "fd-1", instance_class::Reclaimable, "writer", "v1", {"10.0.0.1", 1}});
     }
     all.onInstanceList(list, someday);
     return all;
@@ -93,9 +93,9 @@
 
 Test(limits, a_fresh_endpoint_starts_small_and_doubles_with_completions)
 {
-    const version_spec version { "v1", 2, 16, true };
+    const version_spec version{"v1", 2, 16, true};
     const auto limitAt = [&](std::uint64_t completed) {
-        return warmLimit(version, { "e", 1, 1, completed, 0, 0 }, 0);
+        return warmLimit(version, {"e", 1, 1, completed, 0, 0}, 0);
     };
     cr_assert_eq(limitAt(0), 2);
     cr_assert_eq(limitAt(3), 2);
@@ -107,22 +107,22 @@
 
 Test(limits, a_queue_at_the_endpoint_lowers_its_limit_to_what_runs)
 {
-    const version_spec version { "v1", 2, 16, true };
-    cr_assert_eq(endpointLimit(version, { "e", 1, 1, 1000, 5, 3 }, 0), 5);
-    cr_assert_eq(endpointLimit(version, { "e", 1, 1, 1000, 0, 3 }, 0), 1);
-    cr_assert_eq(endpointLimit(version, { "e", 1, 1, 1000, 5, 0 }, 0), 16);
+    const version_spec version{"v1", 2, 16, true};
+    cr_assert_eq(endpointLimit(version, {"e", 1, 1, 1000, 5, 3}, 0), 5);
+    cr_assert_eq(endpointLimit(version, {"e", 1, 1, 1000, 0, 3}, 0), 1);
+    cr_assert_eq(endpointLimit(version, {"e", 1, 1, 1000, 5, 0}, 0), 16);
 }
 
 Test(limits, an_endpoint_that_turns_cold_is_noticed_after_three_slow_answers_and_starts_over)
 {
     fleet all = fleetOf(2);
-    all.onLoadReport({ "e0", 1, 1, 1000, 0, 0 });
-    const attempt_outcome usual { "e0", "writer", "v1", "chat", false, 50ms };
+    all.onLoadReport({"e0", 1, 1, 1000, 0, 0});
+    const attempt_outcome usual{"e0", "writer", "v1", "chat", attempt_result::Answered, 50ms};
     for (int i = 0; i < 20; ++i) {
         all.onOutcome(usual, someday);
     }
     cr_assert_eq(all.status()[0].limit, 16);
-    const attempt_outcome slow { "e0", "writer", "v1", "chat", false, 2s };
+    const attempt_outcome slow{"e0", "writer", "v1", "chat", attempt_result::Answered, 2s};
     all.onOutcome(slow, someday);
     all.onOutcome(slow, someday);
     cr_assert_eq(all.status()[0].limit, 16, "two slow answers may be chance");
@@ -133,18 +133,18 @@
 Test(limits, a_new_epoch_in_a_report_starts_over)
 {
     fleet all = fleetOf(1);
-    all.onLoadReport({ "e0", 1, 7, 1000, 0, 0 });
+    all.onLoadReport({"e0", 1, 7, 1000, 0, 0});
     cr_assert_eq(all.status()[0].limit, 16);
-    cr_assert(all.onLoadReport({ "e0", 2, 1, 0, 0, 0 }));
+    cr_assert(all.onLoadReport({"e0", 2, 1, 0, 0, 0}));
     cr_assert_eq(all.status()[0].limit, 4);
-    cr_assert_not(all.onLoadReport({ "e0", 1, 8, 1000, 0, 0 }), "a late report of the old epoch is not taken");
+    cr_assert_not(all.onLoadReport({"e0", 1, 8, 1000, 0, 0}), "a late report of the old epoch is not taken");
     cr_assert_eq(all.status()[0].limit, 4);
 }
 
 Test(limits, a_failing_endpoint_is_set_aside_and_probed_with_one_request)
 {
     fleet all = fleetOf(6);
-    const attempt_outcome bad { "e0", "writer", "v1", "chat", true, {} };
+    const attempt_outcome bad{"e0", "writer", "v1", "chat", attempt_result::Failed, {}};
     for (int i = 0; i < 3; ++i) {
         all.onOutcome(bad, someday);
     }
@@ -159,7 +159,7 @@
     all.onProbeTime(someday + 15s);
     cr_assert_eq(usable(all), 5, "for twice as long");
     all.onProbeTime(someday + 16s);
-    all.onOutcome({ "e0", "writer", "v1", "chat", false, 50ms }, someday + 17s);
+    all.onOutcome({"e0", "writer", "v1", "chat", attempt_result::Answered, 50ms}, someday + 17s);
     cr_assert_gt(all.status()[0].limit, 1);
 }
 
@@ -168,7 +168,7 @@
     fleet all = fleetOf(6);
     for (int e = 0; e < 6; ++e) {
         for (int i = 0; i < 5; ++i) {
-            all.onOutcome({ "e" + std::to_string(e), "writer", "v1", "chat", true, {} }, someday);
+            all.onOutcome({"e" + std::to_string(e), "writer", "v1", "chat", attempt_result::Failed, {}}, someday);
         }
     }
     cr_assert_eq(usable(all), 4);
@@ -192,8 +192,8 @@
     fleet all = fleetOf(2);
     cr_assert_eq(all.onNotice("e0", someday + 10s).size(), 1);
     std::vector<instance_record> late;
-    for (const char *id : { "e0", "e1" }) {
-        late.push_back({ id, "fd-1", instance_class::Reclaimable, "writer", "v1", { "10.0.0.1", 1 } });
+    for (const char *id : {"e0", "e1"}) {
+        late.push_back({id, "fd-1", instance_class::Reclaimable, "writer", "v1", {"10.0.0.1", 1}});
     }
     cr_assert_eq(all.onInstanceList(late, someday).size(), 0);
     cr_assert_eq(usable(all), 1);
@@ -202,9 +202,9 @@
 
 Test(limits, an_account_limit_is_divided_by_demand_and_sums_up)
 {
-    cr_assert(divideByDemand(10, { 0, 0 }) == (std::vector<std::uint32_t> { 5, 5 }));
-    cr_assert(divideByDemand(10, { 3, 1 }) == (std::vector<std::uint32_t> { 7, 3 }));
-    cr_assert(divideByDemand(1, { 1, 5 }) == (std::vector<std::uint32_t> { 0, 1 }));
+    cr_assert(divideByDemand(10, {0, 0}) == (std::vector<std::uint32_t>{5, 5}));
+    cr_assert(divideByDemand(10, {3, 1}) == (std::vector<std::uint32_t>{7, 3}));
+    cr_assert(divideByDemand(1, {1, 5}) == (std::vector<std::uint32_t>{0, 1}));
     seeded_random random(5);
     for (int round = 0; round < 1000; ++round) {
         std::vector<double> demand;
--- a/tests/unit/random_faults.cpp
+++ b/tests/unit/random_faults.cpp
@@ -41,7 +41,7 @@
 
     void build()
     {
-        const char *domains[] = { "fd-1", "fd-2", "fd-3" };
+        const char *domains[] = {"fd-1", "fd-2", "fd-3"};
         const std::size_t engines = 3 + uniformBelow(m_random, 4);
         for (std::size_t i = 0; i < engines; ++i) {
             m_endpoints.push_back("e" + std::to_string(i));
@@ -70,7 +70,7 @@
 
     void ask(std::size_t number)
     {
-        const char *routes[] = { "chat", "write-up", "stock", "orders", "notes" };
+        const char *routes[] = {"chat", "write-up", "stock", "orders", "notes"};
         const std::string route = routes[uniformBelow(m_random, 5)];
         const std::string id = "r" + std::to_string(number);
         // Every third order repeats an earlier key; now and then with another body.
@@ -167,15 +167,15 @@
 
 Test(random_faults, announced_reclaims_lose_nothing_1)
 {
-    checkSeeds(3001, { true, false });
+    checkSeeds(3001, {true, false});
 }
 
 Test(random_faults, announced_reclaims_lose_nothing_2)
 {
-    checkSeeds(4001, { true, false });
+    checkSeeds(4001, {true, false});
 }
 
 Test(random_faults, entry_instances_die_too)
 {
-    checkSeeds(5001, { false, true });
+    checkSeeds(5001, {false, true});
 }
--- a/tests/unit/rcu.cpp
+++ b/tests/unit/rcu.cpp
@@ -18,8 +18,8 @@
         std::uint64_t second = 0;
     };
     rcu_cell<pair> cell;
-    std::atomic<bool> stop { false };
-    std::atomic<int> broken { 0 };
+    std::atomic<bool> stop{false};
+    std::atomic<int> broken{0};
     std::vector<std::thread> readers;
     for (int i = 0; i < 4; ++i) {
         readers.emplace_back([&] {
@@ -32,7 +32,7 @@
         });
     }
     for (std::uint64_t i = 1; i <= 20000; ++i) {
-        cell.publish(std::make_shared<pair>(pair { i, i }));
+        cell.publish(std::make_shared<pair>(pair{i, i}));
     }
     stop = true;
     for (std::thread &reader : readers) {
@@ -58,9 +58,9 @@
     auto table = std::make_shared<routing_table>();
     table->services.push_back(makeTable(4, 3));
     slots.publish(table);
-    std::atomic<int> held { 0 };
-    std::atomic<int> most { 0 };
-    std::atomic<std::uint64_t> tickets { 0 };
+    std::atomic<int> held{0};
+    std::atomic<int> most{0};
+    std::atomic<std::uint64_t> tickets{0};
     std::vector<std::thread> threads;
     for (std::uint64_t t = 0; t < 4; ++t) {
         threads.emplace_back([&, t] {
@@ -115,9 +115,9 @@
     const slot_answer granted = slots.acquire(first, random);
     cr_assert_eq(granted.result, slot_answer::outcome::Granted);
     cr_assert_eq(slots.acquire(second, random).result, slot_answer::outcome::Queued);
-    cr_assert(slots.serveWaiting("writer", time_point {}, random).empty());
+    cr_assert(slots.serveWaiting("writer", time_point{}, random).empty());
     granted.where->load->giveBack();
-    const auto served = slots.serveWaiting("writer", time_point {}, random);
+    const auto served = slots.serveWaiting("writer", time_point{}, random);
     cr_assert_eq(served.size(), 1);
     cr_assert_eq(served[0].ticket, 2);
     cr_assert_not(slots.withdraw("writer", 2));
--- a/tests/unit/routing.cpp
+++ b/tests/unit/routing.cpp
@@ -17,7 +17,7 @@
     seeded_random random(1);
     std::set<std::string> met;
     for (int i = 0; i < 20; ++i) {
-        const route_choice choice = chooseEndpoint(table, { .prefix = 12345 }, {}, random);
+        const route_choice choice = chooseEndpoint(table, {.prefix = 12345}, {}, random);
         cr_assert_not_null(choice.chosen);
         met.insert((*choice.chosen)->id);
         (*choice.chosen)->load->giveBack();
@@ -30,7 +30,7 @@
     const service_table table = makeTable(10, 100);
     seeded_random random(1);
     for (int i = 0; i < 200; ++i) {
-        cr_assert_not_null(chooseEndpoint(table, { .prefix = 12345 }, {}, random).chosen);
+        cr_assert_not_null(chooseEndpoint(table, {.prefix = 12345}, {}, random).chosen);
     }
     for (const endpoint_ptr &item : table.groups[0].local) {
         cr_expect_leq(item->load->inFlight.load(), 200 / 10 * 5 / 4 + 2, "%s holds %u", item->id.c_str(), item->load->inFlight.load());
@@ -43,7 +43,7 @@
     seeded_random random(7);
     int granted = 0;
     for (int i = 0; i < 100; ++i) {
-        granted += chooseEndpoint(table, { .prefix = static_cast<std::uint64_t>(i % 5) }, {}, random).chosen != nullptr ? 1 : 0;
+        granted += chooseEndpoint(table, {.prefix = static_cast<std::uint64_t>(i % 5)}, {}, random).chosen != nullptr ? 1 : 0;
     }
     cr_assert_eq(granted, 12);
 }
@@ -52,7 +52,7 @@
 {
     service_table table = makeTable(2, 100000);
     table.groups[0].share = 950;
-    table.groups.push_back({ "v2", 50, { makeEndpoint("n0", "fd-1", 100000, "v2") }, {} });
+    table.groups.push_back({"v2", 50, {makeEndpoint("n0", "fd-1", 100000, "v2")}, {}});
     seeded_random random(3);
     int fresh = 0;
     for (int i = 0; i < 20000; ++i) {
@@ -65,7 +65,7 @@
 {
     service_table table = makeTable(1, 5);
     table.groups[0].share = 990;
-    table.groups.push_back({ "v2", 10, { makeEndpoint("n0", "fd-1", 1000, "v2") }, {} });
+    table.groups.push_back({"v2", 10, {makeEndpoint("n0", "fd-1", 1000, "v2")}, {}});
     seeded_random random(3);
     for (int i = 0; i < 300; ++i) {
         chooseEndpoint(table, {}, {}, random);
@@ -115,7 +115,7 @@
 {
     service_table table = makeTable(1, 10);
     table.groups[0].share = 900;
-    table.groups.push_back({ "v2", 100, { makeEndpoint("n0", "fd-1", 10, "v2") }, {} });
+    table.groups.push_back({"v2", 100, {makeEndpoint("n0", "fd-1", 10, "v2")}, {}});
     seeded_random random(3);
     route_query query;
     query.version = "v2";
