--- a/include/chicoryrouter/daemon.h
+++ b/include/chicoryrouter/daemon.h
@@ -29,6 +29,7 @@
     [[nodiscard]] std::uint64_t revisionInForce() const;
     [[nodiscard]] std::size_t openRequests() const;
     [[nodiscard]] std::string statusJson() const;
+    [[nodiscard]] std::string metricsText() const;
 
     void stop();  // takes no new work, finishes or hands over what is open, then closes
     void crash(); // closes everything at once, as a power cut would; for tests and the demo
--- a/include/chicoryrouter/fleet.h
+++ b/include/chicoryrouter/fleet.h
@@ -22,6 +22,7 @@
     std::string service;
     std::string version;
     address where;
+    std::string startToken{}; // of the start that made it; empty: not started by a placer
     bool leaving = false;
     time_point leaveBy = noDeadline; // when it will be gone, if leaving
 };
@@ -59,6 +60,7 @@
     void setDocument(std::shared_ptr<const revisioned_document> inForce);
     void setMembers(std::vector<std::uint64_t> members); // hashes of the live entry instances, self included
     void setShares(std::vector<version_share> shares);   // of open version moves
+    [[nodiscard]] bool hasShares(const std::vector<version_share> &shares) const { return shares == m_shares; }
     std::vector<reclaim_notice> onInstanceList(const std::vector<instance_record> &list, time_point now);
     std::vector<reclaim_notice> onNotice(const std::string &endpointId, time_point leaveBy);
     bool onLoadReport(const load_report &report); // false: older than what is held
--- a/include/chicoryrouter/routing_table.h
+++ b/include/chicoryrouter/routing_table.h
@@ -46,6 +46,8 @@
     std::string version;
     std::uint32_t share = 0;       // thousandths
     std::uint32_t endpointCap = 0; // use only so many endpoints of this version; 0: all of them
+
+    bool operator==(const version_share &) const = default;
 };
 
 // Builds a table. Versions without an entry in `shares` get all traffic when they are the current one and none otherwise.
--- a/src/core/request_machine.cpp
+++ b/src/core/request_machine.cpp
@@ -166,7 +166,7 @@
     if (m_delivered > 0) {
         m_query.version = where->version; // one answer comes from one version while that version may be used
     }
-    if (m_sends > 1 && !withKv) {
+    if ((m_sends > 1 || m_facts.alreadyDelivered > 0) && !withKv) {
         m_recomputed += m_delivered;
     }
     m_attempts.push_back({m_sends, where, now, now + quietLimit(), duration{}, false, false});
@@ -304,6 +304,14 @@
     return fail(error_kind::CallerGone);
 }
 
+request_actions request_machine::onHandedOver(time_point)
+{
+    request_actions actions;
+    closeAll(actions);
+    m_over = true;
+    return actions;
+}
+
 request_actions request_machine::onTimer(time_point now)
 {
     if (m_over) {
@@ -382,10 +390,10 @@
 error_kind request_machine::truthful(error_kind kind) const
 {
     const bool claimsNotRun = answerFor(kind).ran == ran_state::No;
-    if (claimsNotRun && m_ranUnknown) {
+    if (claimsNotRun && (m_ranUnknown || m_facts.wasAccepted)) {
         return error_kind::EndpointFailed;
     }
-    return kind == error_kind::DeadlinePassed && m_sends == 0 ? error_kind::QueueTimeout : kind;
+    return kind == error_kind::DeadlinePassed && !isAccepted() ? error_kind::QueueTimeout : kind;
 }
 
 void request_machine::closeAll(request_actions &actions)
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -1,4 +1,4 @@
-// The control strand's loops.
+// The control strand's loops: configuration, endpoints, gossip, publishing. Version moves and status are in files of their own.
 #include "shell/control.h"
 
 #include "chicoryrouter/hash.h"
@@ -11,34 +11,58 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
-#include <nlohmann/json.hpp>
 
 #include <random>
 
 namespace chicoryrouter {
 
 namespace asio = boost::asio;
-using nlohmann::json;
 
 namespace {
 
 using namespace std::chrono_literals;
 
 constexpr duration tickInterval = 50ms;
-constexpr duration watchFor = 10s;       // one waiting watch
-constexpr duration afterFailure = 500ms; // before asking the platform again
+constexpr duration watchFor = 10s;           // one waiting watch
+constexpr duration roleCheck = 1s;           // whether this daemon is to watch
 constexpr duration callWithin = 2s;
+constexpr duration demandInterval = 1s;
+constexpr std::size_t watchersPerDomain = 2; // of the configuration and of the instance list
+
+member_facts ownFacts(const settings &own)
+{
+    // The start time as first incarnation: a restart under the same name is newer than anything said of its earlier life.
+    const auto start = static_cast<std::uint64_t>(systemNow().time_since_epoch().count());
+    return {own.instance, own.failureDomain, own.peer, start, member_state::Alive};
+}
+
+agreement_options optionsFor(const settings &own)
+{
+    agreement_options options;
+    options.members.answerWithin = own.gossipInterval * 2;
+    options.members.suspectFor = own.gossipInterval * 6;
+    return options;
+}
 
 } // namespace
 
-control::control(const settings &own, request_host &host, gateway &front, std::shared_ptr<store_counters> counters)
+control::control(const settings &own,
+                 request_host &host,
+                 gateway &front,
+                 copy_keeper &copies,
+                 std::shared_ptr<store_counters> stores,
+                 std::shared_ptr<peer_counters> links)
     : m_own(own)
     , m_host(host)
     , m_front(front)
+    , m_copies(copies)
     , m_client(m_context.get_executor())
-    , m_store(m_context.get_executor(), own.keyValue, std::move(counters))
+    , m_store(m_context.get_executor(), own.keyValue, std::move(stores))
+    , m_peers(m_context.get_executor(), own.peerKey, std::move(links))
     , m_random(std::random_device()())
+    , m_agreement(ownFacts(own), optionsFor(own), m_random.next())
     , m_fleet(own.failureDomain, hashBytes(own.instance))
+    , m_placement(own, m_context, m_client, m_store)
 {
 }
 
@@ -52,7 +76,12 @@
     asio::co_spawn(m_context, watchConfiguration(), asio::detached);
     asio::co_spawn(m_context, pollInstances(), asio::detached);
     asio::co_spawn(m_context, pollLoad(), asio::detached);
+    asio::co_spawn(m_context, gossip(), asio::detached);
+    asio::co_spawn(m_context, settleMoves(), asio::detached);
     asio::co_spawn(m_context, tick(), asio::detached);
+    if (m_own.cloud.port != 0) {
+        asio::co_spawn(m_context, m_placement.run(m_agreement, m_fleet, m_host), asio::detached);
+    }
     m_thread = std::thread([this] { m_context.run(); });
 }
 
@@ -64,6 +93,14 @@
     }
 }
 
+void control::leave()
+{
+    asio::post(m_context, [this] {
+        m_agreement.members().leave();
+        m_placement.giveUp();
+    });
+}
+
 asio::awaitable<void> control::pause(duration span)
 {
     asio::steady_timer timer(m_context, span);
@@ -76,39 +113,60 @@
 {
     const std::string key(configurationKey);
     while (true) {
+        // Two watch in each failure domain; the others hear by gossip. One with no document at all asks for itself.
+        const bool none = m_agreement.documents().inForce()->revision == 0;
+        if (!none && !m_agreement.members().isAmongFirst("watch", watchersPerDomain)) {
+            co_await pause(roleCheck);
+            continue;
+        }
         const store_reply reply = co_await m_store.watch(key, m_storeVersion, systemNow() + watchFor);
-        if (reply.outcome == store_outcome::Ok) {
-            m_storeVersion = reply.version;
-            offerDocument(reply.value, "key-value service");
+        if (reply.outcome != store_outcome::Ok) {
+            co_await pause(roleCheck / 2);
+            continue;
+        }
+        m_storeVersion = reply.version;
+        const std::optional<document_envelope> envelope = decodeEnvelope(reply.value);
+        if (envelope) {
+            offerDocument(*envelope, "the key-value service");
         } else {
-            co_await pause(afterFailure);
+            logLine(log_part::Config, log_level::Error, "the key-value service holds something that is no document");
         }
     }
 }
 
-void control::offerDocument(const std::string &bytes, const char *source)
+void control::offerDocument(const document_envelope &envelope, const std::string &source)
 {
-    std::optional<document_envelope> envelope = decodeEnvelope(bytes);
-    if (!envelope) {
-        logLine(log_part::Config, log_level::Error, std::string("the ") + source + " holds no document");
-        return;
-    }
-    const std::uint64_t revision = envelope->revision;
-    switch (m_configuration.offer(revision, std::move(envelope->text))) {
+    const std::string name = "revision " + std::to_string(envelope.revision);
+    switch (m_agreement.offerDocument(envelope.revision, envelope.text)) {
     case adoption::Adopted:
-        logLine(log_part::Config, log_level::Info, "revision " + std::to_string(revision) + " in force, from the " + source);
-        m_fleet.setDocument(m_configuration.inForce());
+        logLine(log_part::Config, log_level::Info, name + " in force, from " + source);
+        m_fleet.setDocument(m_agreement.documents().inForce());
+        refreshMoves();
         publishFront();
         publish();
         break;
     case adoption::Invalid:
-        logLine(log_part::Config, log_level::Error, "revision " + std::to_string(revision) + " refused: " + m_configuration.lastFault());
+        logLine(log_part::Config, log_level::Error, name + " refused: " + m_agreement.documents().lastFault());
         break;
     case adoption::NotNewer:
         break;
     }
 }
 
+asio::awaitable<void> control::pullDocument(std::string from)
+{
+    const member_facts *peer = m_agreement.members().find(from);
+    if (peer == nullptr) {
+        co_return;
+    }
+    const address where = peer->peer;
+    const std::optional<std::string> answer = co_await m_peers.call(where, "/document", "", systemNow() + callWithin);
+    const std::optional<document_envelope> envelope = answer ? decodeEnvelope(*answer) : std::nullopt;
+    if (envelope) {
+        offerDocument(*envelope, from);
+    }
+}
+
 asio::awaitable<std::uint64_t> control::applyDocument(std::string yaml, std::uint64_t expectedRevision)
 {
     const std::string key(configurationKey);
@@ -122,14 +180,14 @@
     if (presentRevision != expectedRevision) {
         throw error(error_kind::StaleRevision, "revision " + std::to_string(presentRevision) + " is in force, not " + std::to_string(expectedRevision));
     }
-    const std::string bytes = encodeEnvelope({expectedRevision + 1, yaml});
+    const document_envelope fresh{expectedRevision + 1, std::move(yaml)};
+    const std::string bytes = encodeEnvelope(fresh);
     store_reply reply = co_await m_store.compareAndSwap(key, held.version, bytes, duration{}, systemNow() + callWithin);
     if (reply.outcome == store_outcome::Unavailable) {
         // The write may have taken effect: read back before saying anything.
         reply = co_await m_store.get(key, systemNow() + callWithin);
-        if (reply.outcome == store_outcome::Ok && reply.value != bytes) {
-            reply.outcome = store_outcome::Conflict;
-        }
+        const bool another = reply.outcome == store_outcome::Ok && reply.value != bytes;
+        reply.outcome = another ? store_outcome::Conflict : reply.outcome;
     }
     if (reply.outcome == store_outcome::Conflict) {
         throw error(error_kind::StaleRevision, "another operator was faster");
@@ -137,32 +195,74 @@
     if (reply.outcome != store_outcome::Ok) {
         throw error(error_kind::PlatformUnavailable, "it is not known whether the change was taken; ask for the revision in force");
     }
-    offerDocument(bytes, "operator");
-    co_return expectedRevision + 1;
+    offerDocument(fresh, "an operator");
+    co_return fresh.revision;
 }
 
 // ---- Endpoints -------------------------------------------------------------------------------------------------------------------------
 
+// Two daemons of each failure domain ask the platform; the others ask those two, and the platform only when neither answers.
+asio::awaitable<std::optional<instance_list>> control::currentInstances()
+{
+    if (!m_agreement.members().isAmongFirst("list", watchersPerDomain)) {
+        for (const member_facts &peer : m_agreement.members().living()) {
+            const bool helps = peer.instance != m_own.instance && peer.failureDomain == m_own.failureDomain && peer.state == member_state::Alive;
+            if (!helps) {
+                continue;
+            }
+            const std::string known = std::to_string(hashBytes(m_listText));
+            const std::optional<std::string> answer = co_await m_peers.call(peer.peer, "/instances", known, systemNow() + callWithin);
+            if (answer) {
+                m_listText = answer->empty() ? m_listText : *answer;
+                co_return decodeInstanceList(m_listText);
+            }
+        }
+    }
+    const std::optional<std::string> text = co_await fetchInstanceText(m_client, m_own.instanceList, systemNow() + callWithin);
+    if (!text) {
+        co_return std::nullopt;
+    }
+    m_listText = *text;
+    co_return decodeInstanceList(*text);
+}
+
 asio::awaitable<void> control::pollInstances()
 {
     while (true) {
-        const std::optional<instance_list> list = co_await fetchInstanceList(m_client, m_own.instanceList, systemNow() + callWithin);
+        const std::optional<instance_list> list = co_await currentInstances();
         if (list) {
-            for (const reclaim_notice &notice : m_fleet.onInstanceList(list->endpoints, systemNow())) {
-                logLine(log_part::Load, log_level::Info, notice.endpointId + " is on notice");
-                publish(); // no new work there before its streams look for another place
-                m_host.moveStreams(notice);
-            }
+            onInstances(*list);
         }
         co_await pause(m_own.pollInterval);
     }
 }
 
+void control::onInstances(const instance_list &list)
+{
+    std::vector<member_facts> members;
+    for (const listed_member &item : list.members) {
+        members.push_back({item.instance, item.failureDomain, item.peer, 0, member_state::Alive});
+    }
+    m_agreement.members().onListed(members, systemNow());
+    refreshMembers();
+    m_placement.onInstances(list);
+    const std::vector<reclaim_notice> notices = m_fleet.onInstanceList(list.endpoints, systemNow());
+    if (!notices.empty()) {
+        publish(); // no new work there before its streams look for another place
+    }
+    for (const reclaim_notice &notice : notices) {
+        logLine(log_part::Load, log_level::Info, notice.endpointId + " is on notice");
+        m_host.moveStreams(notice);
+    }
+}
+
 asio::awaitable<void> control::pollLoad()
 {
     while (true) {
         for (const endpoint_status &status : m_fleet.status()) {
-            asio::co_spawn(m_context, fetchLoad(status.known), asio::detached);
+            if (m_agreement.pollsEndpoint(status.known->key)) {
+                asio::co_spawn(m_context, fetchLoad(status.known), asio::detached);
+            }
         }
         co_await pause(m_own.pollInterval);
     }
@@ -171,14 +271,24 @@
 asio::awaitable<void> control::fetchLoad(endpoint_ptr from)
 {
     const std::optional<load_report> report = co_await fetchLoadReport(m_client, from, systemNow() + callWithin);
-    if (report) {
-        m_fleet.onLoadReport(*report);
+    if (report && m_agreement.onLoadReport(*report)) {
+        takeReports({*report});
+    }
+}
+
+void control::takeReports(const std::vector<load_report> &reports)
+{
+    for (const load_report &report : reports) {
+        m_fleet.onLoadReport(report);
     }
 }
 
 void control::onOutcome(const attempt_outcome &outcome)
 {
-    asio::post(m_context, [this, outcome] { m_fleet.onOutcome(outcome, systemNow()); });
+    asio::post(m_context, [this, outcome] {
+        m_fleet.onOutcome(outcome, systemNow());
+        m_agreement.onOutcome(outcome, systemNow());
+    });
 }
 
 asio::awaitable<void> control::tick()
@@ -186,6 +296,9 @@
     while (true) {
         co_await pause(tickInterval);
         m_fleet.onProbeTime(systemNow());
+        measureDemand();
+        refreshMembers();
+        refreshMoves();
         if (m_fleet.isDirty()) {
             publish();
         }
@@ -195,6 +308,112 @@
     }
 }
 
+// ---- Gossip ----------------------------------------------------------------------------------------------------------------------------
+
+asio::awaitable<void> control::gossip()
+{
+    while (true) {
+        co_await pause(m_own.gossipInterval);
+        for (probe &what : m_agreement.onTick(systemNow())) {
+            asio::co_spawn(m_context, runProbe(std::move(what)), asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> control::runProbe(probe what)
+{
+    const time_point deadline = systemNow() + m_own.gossipInterval * 2;
+    bool answered = false;
+    if (what.through.empty()) {
+        answered = co_await exchange(what.where, what.target);
+    } else {
+        const std::string question = what.target + "\n" + what.where.ip + "\n" + std::to_string(what.where.port);
+        const std::optional<std::string> answer = co_await m_peers.call(what.throughWhere, "/relay", question, deadline);
+        answered = answer && *answer == "answered";
+    }
+    if (answered) {
+        m_agreement.members().onAnswered(what.target, systemNow());
+    } else if (what.through.empty()) {
+        m_agreement.members().onUnanswered(what.target, systemNow());
+    }
+}
+
+// One exchange of gossip; true when `instance` itself answered.
+asio::awaitable<bool> control::exchange(address where, std::string instance)
+{
+    std::string message = m_agreement.compose(instance, systemNow());
+    const std::optional<std::string> answer = co_await m_peers.call(where, "/gossip", std::move(message), systemNow() + m_own.gossipInterval * 2);
+    if (!answer) {
+        co_return false;
+    }
+    const gossip_result result = m_agreement.receive(*answer, systemNow());
+    takeReports(result.loads);
+    if (result.hasNewerDocument) {
+        asio::co_spawn(m_context, pullDocument(result.from), asio::detached);
+    }
+    co_return result.understood && result.from == instance;
+}
+
+asio::awaitable<std::optional<std::string>> control::onPeerCall(std::string path, std::string body)
+{
+    if (path == "/gossip") {
+        const gossip_result result = m_agreement.receive(body, systemNow());
+        takeReports(result.loads);
+        if (result.hasNewerDocument) {
+            asio::co_spawn(m_context, pullDocument(result.from), asio::detached);
+        }
+        co_return result.understood ? std::optional(m_agreement.compose(result.from, systemNow())) : std::nullopt;
+    }
+    if (path == "/relay") {
+        const auto first = body.find('\n');
+        const auto second = body.find('\n', first + 1);
+        if (first == std::string::npos || second == std::string::npos) {
+            co_return std::nullopt;
+        }
+        const address where{body.substr(first + 1, second - first - 1), static_cast<std::uint16_t>(std::atoi(body.c_str() + second + 1))};
+        const bool answered = co_await exchange(where, body.substr(0, first));
+        co_return std::string(answered ? "answered" : "silent");
+    }
+    if (path == "/document") {
+        co_return encodeEnvelope(m_agreement.documentForPeers());
+    }
+    if (path == "/instances") {
+        const bool same = body == std::to_string(hashBytes(m_listText));
+        if (m_listText.empty()) {
+            co_return std::nullopt;
+        }
+        co_return same ? std::string() : m_listText;
+    }
+    co_return std::nullopt;
+}
+
+void control::refreshMembers()
+{
+    const std::vector<std::uint64_t> sharers = m_agreement.members().sharers(systemNow());
+    m_fleet.setMembers(sharers);
+    if (m_agreement.members().changes() == m_membersSeen) {
+        return;
+    }
+    m_membersSeen = m_agreement.members().changes();
+    auto view = std::make_shared<peer_view>();
+    view->self = m_own.instance;
+    view->ownDomain = m_own.failureDomain;
+    std::vector<std::string> gone;
+    std::string line;
+    for (const member_facts &item : m_agreement.members().all()) {
+        line += " " + item.instance + " " + std::string(toText(item.state));
+        if (item.state == member_state::Dead) {
+            gone.push_back(item.instance);
+        } else if (item.instance != m_own.instance) {
+            view->living.push_back(item);
+        }
+    }
+    m_copies.view.publish(std::move(view));
+    logLine(log_part::Member, log_level::Info, "members:" + line);
+    refreshAccounts();
+    m_copies.takeOverFrom(gone);
+}
+
 // ---- Publishing ------------------------------------------------------------------------------------------------------------------------
 
 void control::publish()
@@ -208,38 +427,57 @@
 void control::publishFront()
 {
     auto table = std::make_shared<front_table>();
-    table->inForce = m_configuration.inForce();
+    table->inForce = m_agreement.documents().inForce();
     for (const client_account &account : table->inForce->content.accounts) {
         auto &load = m_accounts[account.name];
         if (load == nullptr) {
             load = std::make_shared<account_load>();
         }
-        load->limit = account.maxInFlight;
         for (const std::string &hash : account.tokenHashes) {
             table->accounts[hash] = {account, load};
         }
     }
+    refreshAccounts();
     m_front.front.publish(std::move(table));
 }
 
-std::string control::statusJson()
+void control::refreshAccounts()
 {
-    return asio::co_spawn(
-        m_context, [this]() -> asio::awaitable<std::string> { co_return composeStatus(); }, asio::use_future)
-        .get();
+    for (const client_account &account : m_agreement.documents().inForce()->content.accounts) {
+        const auto found = m_accounts.find(account.name);
+        if (found != m_accounts.end()) {
+            found->second->limit = m_agreement.accountPart(account);
+        }
+    }
 }
 
-std::string control::composeStatus() const
+void control::measureDemand()
 {
-    json endpoints = json::array();
-    for (const endpoint_status &status : m_fleet.status()) {
-        const endpoint &known = *status.known;
-        endpoints.push_back({{"id", known.id}, {"service", known.service}, {"version", known.version}, {"failure_domain", known.failureDomain},
-            {"use", toText(known.use)}, {"limit", status.limit}, {"slots", known.load->slots.load()}, {"in_flight", known.load->inFlight.load()}});
+    const time_point now = systemNow();
+    if (now < m_demandFrom + demandInterval) {
+        return;
     }
-    const json status
-        = {{"instance", m_own.instance}, {"failure_domain", m_own.failureDomain}, {"revision", m_configuration.inForce()->revision}, {"endpoints", endpoints}};
-    return status.dump();
+    const double seconds = std::chrono::duration<double>(now - m_demandFrom).count();
+    std::vector<account_demand> demand;
+    for (const auto &[name, load] : m_accounts) {
+        const std::uint64_t asked = load->asked;
+        std::uint64_t &before = m_askedBefore[name];
+        const double perSecond = static_cast<double>(asked - before) / seconds;
+        if (m_demandFrom != time_point{} && perSecond > 0.0) {
+            demand.push_back({name, perSecond});
+        }
+        before = asked;
+    }
+    m_demandFrom = now;
+    m_agreement.setDemand(std::move(demand));
+    refreshAccounts();
+}
+
+std::string control::statusJson()
+{
+    return asio::co_spawn(
+               m_context, [this]() -> asio::awaitable<std::string> { co_return composeStatus(); }, asio::use_future)
+        .get();
 }
 
 } // namespace chicoryrouter
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -2,13 +2,13 @@
 // publishes the tables that request threads read. Everything here runs on one thread; functions marked "any thread" post to it.
 #pragma once
 
-#include "chicoryrouter/configuration.h"
-#include "chicoryrouter/fleet.h"
+#include "chicoryrouter/agreement.h"
 #include "chicoryrouter/settings.h"
+#include "shell/copy_keeper.h"
 #include "shell/gateway.h"
-#include "shell/http.h"
+#include "shell/peer_link.h"
+#include "shell/placement_loop.h"
 #include "shell/platform_client.h"
-#include "shell/request_host.h"
 #include "shell/store_client.h"
 
 #include <boost/asio/io_context.hpp>
@@ -23,45 +23,73 @@
 class control
 {
 public:
-    control(const settings &own, request_host &host, gateway &front, std::shared_ptr<store_counters> counters);
+    control(const settings &own,
+            request_host &host,
+            gateway &front,
+            copy_keeper &copies,
+            std::shared_ptr<store_counters> stores,
+            std::shared_ptr<peer_counters> links);
     ~control();
 
     void start();
-    void stop(); // any thread; joins
+    void stop();                                    // any thread; joins
+    void leave();                                   // any thread: peers learn that this instance leaves
 
     void onOutcome(const attempt_outcome &outcome); // any thread
     [[nodiscard]] std::string statusJson();         // any thread but the control strand; waits for it
     [[nodiscard]] boost::asio::io_context &context() { return m_context; }
     [[nodiscard]] std::shared_ptr<const revisioned_document> inForce() const { return m_front.front.share()->inForce; } // any thread
 
-    // Operators' change: adopted here at once when the key-value service took it. On the control strand.
-    boost::asio::awaitable<std::uint64_t> applyDocument(std::string yaml, std::uint64_t expectedRevision);
+    // ---- On the control strand
+    boost::asio::awaitable<std::uint64_t> applyDocument(std::string yaml, std::uint64_t expectedRevision); // throws error
+    boost::asio::awaitable<std::optional<std::string>> onPeerCall(std::string path, std::string body);
+    [[nodiscard]] std::string composeStatus() const;
 
 private:
     boost::asio::awaitable<void> watchConfiguration();
     boost::asio::awaitable<void> pollInstances();
     boost::asio::awaitable<void> pollLoad();
     boost::asio::awaitable<void> tick();
+    boost::asio::awaitable<void> gossip();
+    boost::asio::awaitable<void> settleMoves();
     boost::asio::awaitable<void> pause(duration span);
     boost::asio::awaitable<void> fetchLoad(endpoint_ptr from);
+    boost::asio::awaitable<void> runProbe(probe what);
+    boost::asio::awaitable<bool> exchange(address where, std::string instance);
+    boost::asio::awaitable<void> pullDocument(std::string from);
+    boost::asio::awaitable<bool> settleMove(std::string service);
+    boost::asio::awaitable<std::optional<instance_list>> currentInstances();
 
-    void offerDocument(const std::string &bytes, const char *source);
+    void onInstances(const instance_list &list);
+    void takeReports(const std::vector<load_report> &reports);
+    void offerDocument(const document_envelope &envelope, const std::string &source);
+    void refreshMembers();
+    void refreshMoves();
+    void refreshAccounts();
+    void measureDemand();
     void publish();
     void publishFront();
-    std::string composeStatus() const;
 
     settings m_own;
     request_host &m_host;
     gateway &m_front;
+    copy_keeper &m_copies;
     boost::asio::io_context m_context{1};
     std::thread m_thread;
     http_client m_client;
     store_client m_store;
+    peer_client m_peers;
     seeded_random m_random;
-    configuration m_configuration;
+    agreement m_agreement;
     fleet m_fleet;
+    placement_loop m_placement;
     std::map<std::string, std::shared_ptr<account_load>> m_accounts; // by name; kept over documents, so counts stay right
+    std::map<std::string, std::uint64_t> m_askedBefore;              // by account, for the demand per second
+    time_point m_demandFrom{};                                       // since when m_askedBefore counts
+    std::map<std::string, move_state> m_announced;                   // by service: the last state logged
+    std::string m_listText;                                          // the newest instance list, for peers that do not poll it
     std::uint64_t m_storeVersion = 0;                                // of the configuration key when last read
+    std::uint64_t m_membersSeen = UINT64_MAX;                        // membership changes already acted on
 };
 
 } // namespace chicoryrouter
--- /dev/null
+++ b/src/shell/control_moves.cpp
@@ -0,0 +1,128 @@
+// The control strand's part in version moves: shares into the fleet, verdicts into the key-value service, one log line per change.
+#include "chicoryrouter/hash.h"
+#include "shell/clock.h"
+#include "shell/control.h"
+#include "shell/log.h"
+
+#include <boost/asio/use_awaitable.hpp>
+
+#include <algorithm>
+
+namespace chicoryrouter {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration settleInterval = 500ms;
+constexpr duration verdictPoll = 5s;    // how often an open move's verdict is looked for
+constexpr duration storeWithin = 1s;
+
+std::string describe(const version_mover &mover)
+{
+    const version_move &facts = mover.facts();
+    std::string line = facts.service + " " + facts.from + " to " + facts.to + " " + std::string(toText(mover.state()));
+    if (mover.state() == move_state::Moving) {
+        line += ", share " + std::to_string(mover.share()) + " in 1000";
+    }
+    return line + (mover.reason().empty() ? "" : ": " + mover.reason());
+}
+
+} // namespace
+
+void control::refreshMoves()
+{
+    if (m_agreement.moves().empty() && m_announced.empty()) {
+        return;
+    }
+    const auto around = [this](const version_move &move) {
+        move_surroundings result;
+        const service *owner = m_agreement.documents().inForce()->content.findService(move.service);
+        for (const version_spec &version : owner->versions) {
+            result.newMaxConcurrency = version.name == move.to ? version.maxConcurrency : result.newMaxConcurrency;
+        }
+        for (const endpoint_status &status : m_fleet.status()) {
+            const bool ours = status.known->service == move.service && status.known->use == endpoint_use::Usable;
+            result.openRequests += ours ? status.report.running + status.report.queued : 0;
+            result.newEndpoints += ours && status.known->version == move.to ? 1 : 0;
+        }
+        return result;
+    };
+    m_agreement.updateMoves(around, systemNow());
+    std::map<std::string, move_state> states;
+    bool changed = false;
+    for (const auto &[service, mover] : m_agreement.moves()) {
+        const auto before = m_announced.find(service);
+        if (before == m_announced.end() || before->second != mover.state()) {
+            changed = true;
+            logLine(log_part::Move, log_level::Info, describe(mover));
+        }
+        states[service] = mover.state();
+    }
+    changed = changed || states.size() != m_announced.size();
+    m_announced = std::move(states);
+    const std::vector<version_share> shares = m_agreement.shares();
+    if (changed || !m_fleet.hasShares(shares)) {
+        m_fleet.setShares(shares);
+        publish();
+    }
+}
+
+asio::awaitable<void> control::settleMoves()
+{
+    std::map<std::string, time_point> lookAt;
+    while (true) {
+        co_await pause(settleInterval);
+        std::vector<std::string> services;
+        for (const auto &[service, mover] : m_agreement.moves()) {
+            const bool over = mover.state() == move_state::Done || mover.state() == move_state::TakenBack;
+            const bool due = mover.wantedVerdict().has_value() || systemNow() >= lookAt[service];
+            if (!over && due) {
+                services.push_back(service);
+            }
+        }
+        for (const std::string &service : services) {
+            // Every daemon may record a verdict, but one after the other: the first of each failure domain at once, the others when
+            // nothing has come of it. All look for a verdict now and then.
+            const bool leads = m_agreement.members().isAmongFirst("verdict-" + service, 1);
+            if (leads || systemNow() >= lookAt[service]) {
+                lookAt[service] = systemNow() + verdictPoll;
+                co_await settleMove(service);
+            }
+        }
+    }
+}
+
+// Reads the verdict, or records the one that is due. True when there is one now.
+asio::awaitable<bool> control::settleMove(std::string service)
+{
+    const auto found = m_agreement.moves().find(service);
+    if (found == m_agreement.moves().end()) {
+        co_return false;
+    }
+    const std::uint64_t id = found->second.id();
+    const std::optional<move_verdict> wanted = found->second.wantedVerdict();
+    const std::string reason = found->second.reason();
+    const std::string key = verdictKey(id);
+    store_reply reply = co_await m_store.get(key, systemNow() + storeWithin);
+    if (reply.outcome == store_outcome::NotFound && wanted) {
+        const store_reply written = co_await m_store.compareAndSwap(key, 0, encodeVerdict(*wanted, reason), duration{}, systemNow() + storeWithin);
+        if (written.outcome == store_outcome::Ok) {
+            reply = {store_outcome::Ok, written.version, encodeVerdict(*wanted, reason)};
+        } else {
+            reply = co_await m_store.get(key, systemNow() + storeWithin); // another was faster, or the reply was lost
+        }
+    }
+    const std::optional<move_verdict> verdict = reply.outcome == store_outcome::Ok ? decodeVerdict(reply.value) : std::nullopt;
+    const auto again = m_agreement.moves().find(service); // the document may have changed while we waited
+    if (!verdict || again == m_agreement.moves().end() || again->second.id() != id) {
+        co_return false;
+    }
+    again->second.onVerdict(*verdict);
+    refreshMoves();
+    co_return true;
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/shell/copy_keeper.cpp
@@ -0,0 +1,368 @@
+// Copies, handovers and reading at a distance.
+#include "shell/copy_keeper.h"
+
+#include "chicoryrouter/hash.h"
+#include "shell/clock.h"
+#include "shell/worker_pool.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace chicoryrouter {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration copyWithin = 300ms;        // one copy to one peer
+constexpr std::size_t mostPeersTried = 3;
+constexpr duration fetchWait = 2s;            // a peer waits so long for more tokens
+constexpr std::string_view needsAll = "needs-all"; // the receiver lacks what came before
+
+std::string pack(const json &value)
+{
+    const auto packed = json::to_msgpack(value);
+    return {packed.begin(), packed.end()};
+}
+
+json unpack(const std::string &bytes)
+{
+    json value = json::from_msgpack(bytes, true, false);
+    if (value.is_discarded()) {
+        throw error(error_kind::BadRequest, "a peer sent something that is no message");
+    }
+    return value;
+}
+
+} // namespace
+
+std::string encodeSnapshot(const request_snapshot &snapshot)
+{
+    json value = {{"id", snapshot.id},
+                  {"owner", snapshot.owner},
+                  {"account", snapshot.account},
+                  {"route", snapshot.route},
+                  {"arrival", snapshot.arrival.time_since_epoch().count()},
+                  {"first", snapshot.firstToken},
+                  {"tokens", snapshot.tokens},
+                  {"go_on", snapshot.goOn}};
+    if (!snapshot.payload.prompt.empty()) {
+        value["payload"] = {{"prompt", snapshot.payload.prompt}, {"max_tokens", snapshot.payload.maxTokens}, {"chat", snapshot.payload.chat}};
+    }
+    return pack(value);
+}
+
+std::optional<request_snapshot> decodeSnapshot(const std::string &bytes)
+{
+    try {
+        const json value = unpack(bytes);
+        request_snapshot snapshot;
+        snapshot.id = value.at("id");
+        snapshot.owner = value.at("owner");
+        snapshot.account = value.at("account");
+        snapshot.route = value.at("route");
+        snapshot.arrival = time_point(duration(value.at("arrival").get<std::int64_t>()));
+        snapshot.firstToken = value.at("first");
+        snapshot.tokens = value.at("tokens").get<std::vector<std::string>>();
+        snapshot.goOn = value.at("go_on");
+        if (value.contains("payload")) {
+            const json &payload = value["payload"];
+            snapshot.payload.prompt = payload.at("prompt");
+            snapshot.payload.maxTokens = payload.at("max_tokens");
+            snapshot.payload.chat = payload.at("chat");
+            snapshot.payload.stream = true;
+        }
+        return snapshot;
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
+copy_keeper::copy_keeper(request_host &host, gateway &front, worker_pool &workers)
+    : m_host(host)
+    , m_front(front)
+    , m_workers(workers)
+{
+}
+
+// ---- Ours, held elsewhere --------------------------------------------------------------------------------------------------------------
+
+bool copy_keeper::available() const
+{
+    return !candidates("").empty();
+}
+
+// Another failure domain first, so that one reclaim wave does not take both; then by rendezvous, so that copies spread.
+std::vector<member_facts> copy_keeper::candidates(const std::string &requestId) const
+{
+    const peer_view &seen = view.read();
+    std::vector<member_facts> result;
+    for (const member_facts &item : seen.living) {
+        if (item.state == member_state::Alive) {
+            result.push_back(item);
+        }
+    }
+    const std::uint64_t key = hashBytes(requestId);
+    const std::string &own = seen.ownDomain;
+    std::sort(result.begin(), result.end(), [&](const member_facts &a, const member_facts &b) {
+        const bool farA = a.failureDomain != own;
+        const bool farB = b.failureDomain != own;
+        return farA != farB ? farA : rendezvousWeight(key, hashBytes(a.instance)) > rendezvousWeight(key, hashBytes(b.instance));
+    });
+    return result;
+}
+
+request_snapshot copy_keeper::snapshotOf(const request_session &session, std::uint32_t from, std::uint32_t to, bool withPayload) const
+{
+    request_snapshot snapshot;
+    const request_facts &facts = session.facts();
+    snapshot.id = facts.id;
+    snapshot.owner = view.read().self;
+    snapshot.account = facts.account;
+    snapshot.route = facts.promised.route;
+    snapshot.arrival = facts.arrival;
+    snapshot.firstToken = from;
+    for (std::uint32_t i = from; i < to; ++i) {
+        snapshot.tokens.push_back(session.token(i));
+    }
+    if (withPayload) {
+        snapshot.payload = session.payload();
+    }
+    return snapshot;
+}
+
+asio::awaitable<bool> copy_keeper::tellPeer(const member_facts &peer, request_snapshot snapshot)
+{
+    std::string body = encodeSnapshot(snapshot);
+    const time_point deadline = systemNow() + copyWithin;
+    const std::optional<std::string> answer = co_await gateway::ownThread().peers.call(peer.peer, "/copy", std::move(body), deadline);
+    co_return answer && *answer != needsAll;
+}
+
+asio::awaitable<bool> copy_keeper::tell(std::shared_ptr<request_session> session, std::uint32_t from, std::uint32_t to, bool goOn)
+{
+    const std::string id = session->facts().id;
+    std::optional<member_facts> holder;
+    {
+        const std::lock_guard guard(m_lock);
+        const auto found = m_holders.find(id);
+        if (found != m_holders.end()) {
+            holder = found->second;
+        }
+    }
+    if (holder) {
+        request_snapshot more = snapshotOf(*session, from, to, false);
+        more.goOn = goOn;
+        if (co_await tellPeer(*holder, std::move(more))) {
+            co_return true;
+        }
+    }
+    std::size_t tried = 0;
+    for (const member_facts &peer : candidates(id)) {
+        if (++tried > mostPeersTried) {
+            break;
+        }
+        request_snapshot whole = snapshotOf(*session, 0, to, true);
+        whole.goOn = goOn;
+        if (co_await tellPeer(peer, std::move(whole))) {
+            const std::lock_guard guard(m_lock);
+            m_holders[id] = peer;
+            co_return true;
+        }
+    }
+    const std::lock_guard guard(m_lock);
+    m_holders.erase(id);
+    co_return false;
+}
+
+asio::awaitable<bool> copy_keeper::copy(std::shared_ptr<request_session> session, std::uint32_t from, std::uint32_t to)
+{
+    co_return co_await tell(std::move(session), from, to, false);
+}
+
+asio::awaitable<bool> copy_keeper::handOver(std::shared_ptr<request_session> session, std::uint32_t from, std::uint32_t to)
+{
+    co_return co_await tell(std::move(session), from, to, true);
+}
+
+void copy_keeper::drop(const std::string &requestId)
+{
+    std::optional<member_facts> holder;
+    {
+        const std::lock_guard guard(m_lock);
+        const auto found = m_holders.find(requestId);
+        if (found == m_holders.end()) {
+            return;
+        }
+        holder = found->second;
+        m_holders.erase(found);
+    }
+    asio::co_spawn(
+        m_workers.next(),
+        [holder = *holder, requestId]() -> asio::awaitable<void> {
+            const time_point deadline = systemNow() + copyWithin;
+            co_await gateway::ownThread().peers.call(holder.peer, "/drop", requestId, deadline);
+        },
+        asio::detached);
+}
+
+// ---- Others', held here ----------------------------------------------------------------------------------------------------------------
+
+asio::awaitable<std::optional<std::string>> copy_keeper::onCopy(std::string body)
+{
+    std::optional<request_snapshot> snapshot = decodeSnapshot(body);
+    if (!snapshot || m_front.stopping) {
+        co_return std::nullopt;
+    }
+    std::optional<request_snapshot> goOn;
+    {
+        const std::lock_guard guard(m_lock);
+        const auto found = m_held.find(snapshot->id);
+        const bool whole = !snapshot->payload.prompt.empty() && snapshot->firstToken == 0;
+        const bool fits = found != m_held.end() && found->second.tokens.size() >= snapshot->firstToken;
+        if (!whole && !fits) {
+            co_return std::string(needsAll);
+        }
+        if (whole) {
+            m_held[snapshot->id] = *snapshot;
+        } else {
+            std::vector<std::string> &tokens = found->second.tokens;
+            tokens.resize(snapshot->firstToken);
+            tokens.insert(tokens.end(), snapshot->tokens.begin(), snapshot->tokens.end());
+        }
+        if (snapshot->goOn) {
+            goOn = std::move(m_held[snapshot->id]);
+            m_held.erase(snapshot->id);
+        }
+    }
+    if (goOn) {
+        goOnWith(std::move(*goOn));
+    }
+    co_return std::string("held");
+}
+
+asio::awaitable<std::optional<std::string>> copy_keeper::onDrop(std::string body)
+{
+    const std::lock_guard guard(m_lock);
+    m_held.erase(body);
+    co_return std::string();
+}
+
+void copy_keeper::takeOverFrom(const std::vector<std::string> &goneInstances)
+{
+    std::vector<request_snapshot> orphans;
+    {
+        const std::lock_guard guard(m_lock);
+        for (auto item = m_held.begin(); item != m_held.end();) {
+            if (std::find(goneInstances.begin(), goneInstances.end(), item->second.owner) == goneInstances.end()) {
+                ++item;
+                continue;
+            }
+            orphans.push_back(std::move(item->second));
+            item = m_held.erase(item);
+        }
+    }
+    for (request_snapshot &orphan : orphans) {
+        goOnWith(std::move(orphan));
+    }
+}
+
+void copy_keeper::goOnWith(request_snapshot held)
+{
+    asio::post(m_workers.next(), [this, held = std::move(held)]() mutable {
+        const document &content = m_front.front.read().inForce->content;
+        const contract *route = content.findModelRoute(held.route);
+        if (route == nullptr || m_host.find(held.id) != nullptr) {
+            logLine(log_part::Peer, log_level::Warning, held.id + " cannot be taken over: its route is gone, or it runs here already");
+            return;
+        }
+        request_facts facts = makeFacts(held.id, held.account, *route, service_kind::Model, held.arrival);
+        facts.waitUntil = facts.deadline; // accepted long ago: it may wait, it may not be shed
+        facts.wasAccepted = true;
+        facts.prefix = prefixKey(held.payload.prompt);
+        facts.needsCopy = route->mustFinish && available();
+        facts.alreadyDelivered = static_cast<std::uint32_t>(held.tokens.size());
+        logLine(log_part::Peer, log_level::Info, held.id + " taken over from " + held.owner + " at token " + std::to_string(held.tokens.size()));
+        const auto session = std::make_shared<request_session>(m_host, gateway::ownThread(), std::move(facts), std::move(held.payload));
+        session->begin(std::move(held.tokens));
+        session->callerGoneBeforeStart();
+    });
+}
+
+std::size_t copy_keeper::heldCount() const
+{
+    const std::lock_guard guard(m_lock);
+    return m_held.size();
+}
+
+// ---- Reading at a distance -------------------------------------------------------------------------------------------------------------
+
+asio::awaitable<std::optional<std::string>> copy_keeper::onFetch(std::string body)
+{
+    const json wanted = unpack(body);
+    const std::string id = wanted.at("id");
+    const std::string account = wanted.at("account");
+    const std::uint32_t from = wanted.at("from");
+    const time_point deadline = systemNow() + fetchWait;
+    const auto session = m_host.find(id);
+    if (session == nullptr || session->isHandedOver()) {
+        bool held = false;
+        {
+            const std::lock_guard guard(m_lock);
+            const auto found = m_held.find(id);
+            held = found != m_held.end() && found->second.account == account;
+        }
+        const json none = {{"known", held}, {"over", false}, {"failed", false}, {"failure", 0}, {"tokens", json::array()}};
+        co_return pack(none);
+    }
+    const bool known = session->facts().account == account;
+    const auto here = co_await asio::this_coro::executor;
+    co_await asio::dispatch(session->context().get_executor(), asio::use_awaitable);
+    while (known && session->readable() <= from && !session->isOver() && systemNow() < deadline) {
+        co_await session->changedOrAt(deadline);
+    }
+    json part = {{"known", known}, {"over", session->isOver()}, {"failed", session->failed()}, {"failure", static_cast<int>(session->failure())}, {"tokens", json::array()}};
+    for (std::uint32_t i = from; known && i < session->readable(); ++i) {
+        part["tokens"].push_back(session->token(i));
+    }
+    co_await asio::dispatch(here, asio::use_awaitable);
+    co_return pack(part);
+}
+
+asio::awaitable<remote_requests::part> copy_keeper::fetch(std::string requestId, std::string account, std::uint32_t from, time_point deadline)
+{
+    const std::string question = pack({{"id", requestId}, {"account", account}, {"from", from}});
+    part best;
+    for (const member_facts &peer : candidates(requestId)) {
+        const std::optional<std::string> answer = co_await gateway::ownThread().peers.call(peer.peer, "/fetch", question, deadline);
+        if (!answer) {
+            continue;
+        }
+        const json value = unpack(*answer);
+        if (!value.at("known").get<bool>()) {
+            continue;
+        }
+        best.known = true;
+        best.over = value.at("over");
+        best.failed = value.at("failed");
+        best.failure = static_cast<error_kind>(value.at("failure").get<int>());
+        best.tokens = value.at("tokens").get<std::vector<std::string>>();
+        if (best.over || !best.tokens.empty()) {
+            co_return best;
+        }
+    }
+    co_return best;
+}
+
+} // namespace chicoryrouter
--- a/src/shell/daemon.cpp
+++ b/src/shell/daemon.cpp
@@ -3,11 +3,17 @@
 
 #include "shell/clock.h"
 #include "shell/control.h"
+#include "shell/copy_keeper.h"
 #include "shell/gateway.h"
 #include "shell/log.h"
+#include "shell/operator_api.h"
+#include "shell/peer_link.h"
 #include "shell/worker_pool.h"
 
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
 
 #include <future>
 #include <random>
@@ -19,18 +25,25 @@
 {
     explicit parts(const settings &settings)
         : own(settings)
-        , counters(std::make_shared<store_counters>())
-        , front(host, settings.instance)
-        , steering(settings, host, front, counters)
+        , stores(std::make_shared<store_counters>())
+        , links(std::make_shared<peer_counters>())
         , workers(settings.threads)
+        , front(host, settings.instance)
+        , copies(host, front, workers)
     {
-        host.onOutcome = [this](const attempt_outcome &outcome) {
-            steering.onOutcome(outcome);
-        };
+        host.copier = &copies;
+        front.peers = &copies;
         bindThreads();
+        peerServer = std::make_unique<peer_server>(workers, own.peer, own.peerKey, [this](std::string path, std::string body) { return onPeerCall(std::move(path), std::move(body)); }, links);
+        own.peer.port = peerServer->port();
+        steering = std::make_unique<control>(own, host, front, copies, stores, links);
+        operators = std::make_unique<operator_api>(own, *steering, host, front);
+        host.onOutcome = [this](const attempt_outcome &outcome) { steering->onOutcome(outcome); };
+        front.operatorCalls = [this](http_exchange &exchange) { return operators->handle(exchange); };
+        front.gauges = [this](metrics &counts) { setGauges(counts); };
         server = std::make_unique<http_server>(workers, own.gateway, [this](http_exchange &exchange) { return front.handle(exchange); });
         own.gateway.port = server->port();
-        steering.start();
+        steering->start();
     }
 
     void bindThreads()
@@ -38,7 +51,7 @@
         std::random_device seeds;
         for (std::size_t i = 0; i < workers.size(); ++i) {
             boost::asio::io_context &context = workers.at(i);
-            threads.push_back(std::make_unique<request_thread>(context, own.keyValue, counters, seeds()));
+            threads.push_back(std::make_unique<request_thread>(context, own.keyValue, stores, own.peerKey, links, seeds()));
             std::promise<void> bound;
             boost::asio::post(context, [this, i, &bound] {
                 gateway::bindThread(threads[i].get());
@@ -48,13 +61,65 @@
         }
     }
 
+    // Calls about requests stay on the request thread; those about the agreement go to the control strand.
+    boost::asio::awaitable<std::optional<std::string>> onPeerCall(std::string path, std::string body)
+    {
+        if (path == "/copy") {
+            return copies.onCopy(std::move(body));
+        }
+        if (path == "/drop") {
+            return copies.onDrop(std::move(body));
+        }
+        if (path == "/fetch") {
+            return copies.onFetch(std::move(body));
+        }
+        return askControl(std::move(path), std::move(body));
+    }
+
+    boost::asio::awaitable<std::optional<std::string>> askControl(std::string path, std::string body)
+    {
+        if (steering == nullptr) {
+            co_return std::nullopt; // still starting
+        }
+        co_return co_await boost::asio::co_spawn(steering->context(), steering->onPeerCall(std::move(path), std::move(body)), boost::asio::use_awaitable);
+    }
+
+    void setGauges(metrics &counts) const
+    {
+        counts.setGauge("store_reads_total", static_cast<double>(stores->reads));
+        counts.setGauge("store_writes_total", static_cast<double>(stores->writes));
+        counts.setGauge("store_watches_total", static_cast<double>(stores->watches));
+        counts.setGauge("peer_bytes_sent_total", static_cast<double>(links->bytesSent));
+        counts.setGauge("peer_bytes_received_total", static_cast<double>(links->bytesReceived));
+        counts.setGauge("peer_calls_total", static_cast<double>(links->calls));
+        counts.setGauge("peer_calls_refused_total", static_cast<double>(links->refused));
+        counts.setGauge("revision_in_force", static_cast<double>(steering->inForce()->revision));
+        counts.setGauge("log_lines_dropped_total", static_cast<double>(droppedLogLines()));
+    }
+
+    // Asks peers to go on with what is open; callers keep reading through us while we last.
+    void handOverOpen()
+    {
+        std::vector<std::future<bool>> asked;
+        for (const auto &session : host.open()) {
+            asked.push_back(boost::asio::co_spawn(session->context(), session->handOver(), boost::asio::use_future));
+        }
+        for (std::future<bool> &answer : asked) {
+            answer.wait();
+        }
+    }
+
     settings own;
-    std::shared_ptr<store_counters> counters;
+    std::shared_ptr<store_counters> stores;
+    std::shared_ptr<peer_counters> links;
     request_host host;
-    chicoryrouter::gateway front;
-    control steering;
     worker_pool workers;
     std::vector<std::unique_ptr<request_thread>> threads; // after `workers`: their connections end before the contexts do
+    chicoryrouter::gateway front;
+    copy_keeper copies;
+    std::unique_ptr<peer_server> peerServer;
+    std::unique_ptr<control> steering;
+    std::unique_ptr<operator_api> operators;
     std::unique_ptr<http_server> server;
 };
 
@@ -86,7 +151,7 @@
 
 std::uint64_t daemon::revisionInForce() const
 {
-    return m_parts->steering.inForce()->revision;
+    return m_parts->steering->inForce()->revision;
 }
 
 std::size_t daemon::openRequests() const
@@ -96,19 +161,31 @@
 
 std::string daemon::statusJson() const
 {
-    return m_parts->steering.statusJson();
+    return m_parts->steering->statusJson();
+}
+
+std::string daemon::metricsText() const
+{
+    m_parts->setGauges(m_parts->host.counts);
+    return m_parts->host.counts.text();
 }
 
 void daemon::stop()
 {
     using namespace std::chrono_literals;
-    m_parts->front.stopping = true;
+    const auto waitForEnd = [this](time_point until) {
+        while (m_parts->front.callersServed > 0 && systemNow() < until) {
+            std::this_thread::sleep_for(10ms);
+        }
+    };
     const time_point giveUpAt = systemNow() + m_parts->own.stopWithin;
-    while (openRequests() > 0 && systemNow() < giveUpAt) {
-        std::this_thread::sleep_for(10ms);
-    }
-    std::this_thread::sleep_for(50ms); // last bytes leave
-    logLine(log_part::Daemon, log_level::Info, m_parts->own.instance + " stops with " + std::to_string(openRequests()) + " requests open");
+    m_parts->front.stopping = true;
+    m_parts->steering->leave();
+    // Half of the time for requests to end by themselves, the rest for those that peers go on with to reach their callers through us.
+    waitForEnd(systemNow() + m_parts->own.stopWithin / 2);
+    m_parts->handOverOpen();
+    waitForEnd(giveUpAt);
+    logLine(log_part::Daemon, log_level::Info, m_parts->own.instance + " stops with " + std::to_string(m_parts->front.callersServed) + " callers still reading");
     crash();
 }
 
@@ -118,9 +195,11 @@
         return;
     }
     m_parts->server->abortAll();
-    m_parts->steering.stop();
+    m_parts->peerServer->close();
+    m_parts->steering->stop();
     m_parts->workers.stop();
     m_parts->host.clear();
+    m_parts->server.reset();
 }
 
 } // namespace chicoryrouter
--- a/src/shell/gateway.cpp
+++ b/src/shell/gateway.cpp
@@ -6,6 +6,7 @@
 #include "shell/request_session.h"
 
 #include <boost/asio/dispatch.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
@@ -25,10 +26,29 @@
 constexpr std::uint32_t usualTokens = 256;
 constexpr std::size_t maxKeyBytes = 200;
 constexpr duration peerFetchWithin = std::chrono::seconds(5);
+constexpr duration handoverWithin = std::chrono::seconds(15); // nobody holds the request for so long: it is lost
+constexpr duration fetchPause = std::chrono::milliseconds(50);
 constexpr std::string_view attachPath = "/v1/requests/";
 
 thread_local request_thread *boundThread = nullptr;
 
+// Counts a caller in for as long as it is being answered.
+class served_caller
+{
+public:
+    explicit served_caller(std::atomic<std::size_t> &count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+    ~served_caller() { --m_count; }
+    served_caller(const served_caller &) = delete;
+    served_caller &operator=(const served_caller &) = delete;
+
+private:
+    std::atomic<std::size_t> &m_count;
+};
+
 // Gives the account's place back whichever way the answer ends.
 class account_place
 {
@@ -140,16 +160,16 @@
     return "event: error\ndata: " + errorBody(kind, id, "") + "\n\n";
 }
 
-std::string wholeAnswer(const request_session &session)
+std::string wholeAnswer(const request_session &session, const std::string &text, std::uint32_t tokens)
 {
     json choice = {{"index", 0}, {"finish_reason", "stop"}};
     if (session.payload().chat) {
-        choice["message"] = {{"role", "assistant"}, {"content", session.text()}};
+        choice["message"] = {{"role", "assistant"}, {"content", text}};
     } else {
-        choice["text"] = session.text();
+        choice["text"] = text;
     }
     const json body = {{"id", session.facts().id}, {"object", session.payload().chat ? "chat.completion" : "text_completion"},
-        {"model", session.facts().promised.route}, {"choices", json::array({choice})}, {"usage", {{"completion_tokens", session.readable()}}}};
+        {"model", session.facts().promised.route}, {"choices", json::array({choice})}, {"usage", {{"completion_tokens", tokens}}}};
     return dumpJson(body);
 }
 
@@ -226,6 +246,7 @@
 asio::awaitable<void> gateway::handle(http_exchange &exchange)
 {
     const http_request &request = exchange.request;
+    const served_caller served(callersServed);
     if (request.path == "/healthz") {
         co_await exchange.respond(200, "text/plain", "ok\n");
     } else if (request.path == "/readyz") {
@@ -233,6 +254,9 @@
         co_await exchange.respond(ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
     } else if (request.path == "/metrics") {
         m_host.counts.setGauge("open_requests", static_cast<double>(m_host.openCount()));
+        if (gauges) {
+            gauges(m_host.counts);
+        }
         co_await exchange.respond(200, "text/plain; version=0.0.4", m_host.counts.text());
     } else if (request.path.rfind("/operator/", 0) == 0 && operatorCalls) {
         co_await operatorCalls(exchange);
@@ -331,11 +355,15 @@
             batch += eventText(*session, next, head);
         }
         const bool last = session->isOver();
-        if (last) {
+        if (last && !session->isHandedOver()) {
             batch += session->failed() ? errorEvent(id, session->failure()) : "data: [DONE]\n\n";
         }
         open = co_await exchange.writeChunk(batch);
         session->readerAt(next);
+        if (last && session->isHandedOver()) {
+            co_await followAtPeer(exchange, id, session->facts().account, next);
+            co_return;
+        }
         if (last) {
             break;
         }
@@ -356,11 +384,15 @@
         session->readerAt(session->readable());
         co_await session->changed();
     }
+    if (session->isHandedOver()) {
+        co_await answerFromPeer(exchange, session);
+        co_return;
+    }
     const std::string id = session->facts().id;
     if (session->failed()) {
         co_await exchange.respond(answerFor(session->failure()).httpStatus, "application/json", errorBody(session->failure(), id, ""), idHeader(id));
     } else if (session->facts().kind == service_kind::Model) {
-        co_await exchange.respond(200, "application/json", wholeAnswer(*session), idHeader(id));
+        co_await exchange.respond(200, "application/json", wholeAnswer(*session, session->text(), session->readable()), idHeader(id));
     } else {
         http_headers extra = idHeader(id);
         extra.push_back({"Cache-Control", "no-store"});
@@ -424,35 +456,74 @@
 
 asio::awaitable<void> gateway::attachToPeer(http_exchange &exchange, std::string id, std::string account, std::uint32_t from)
 {
-    std::uint32_t next = from;
-    bool started = false;
-    while (true) {
+    const remote_requests::part first = co_await peers->fetch(id, account, from, systemNow() + peerFetchWithin);
+    if (!first.known) {
+        throw error(error_kind::UnknownRequest);
+    }
+    co_await exchange.startStream(200, "text/event-stream", idHeader(id));
+    co_await followAtPeer(exchange, id, account, from);
+}
+
+// Goes on with an event stream whose request is worked on elsewhere. While nobody says that he has it, it may be changing hands.
+asio::awaitable<void> gateway::followAtPeer(http_exchange &exchange, std::string id, std::string account, std::uint32_t next)
+{
+    time_point giveUpAt = systemNow() + handoverWithin;
+    while (systemNow() < giveUpAt) {
         const remote_requests::part part = co_await peers->fetch(id, account, next, systemNow() + peerFetchWithin);
-        if (!part.known) {
-            if (started) {
-                exchange.abandon();
-                co_return;
-            }
-            throw error(error_kind::UnknownRequest);
-        }
-        if (!started) {
-            started = true;
-            co_await exchange.startStream(200, "text/event-stream", idHeader(id));
-        }
+        giveUpAt = part.known ? systemNow() + handoverWithin : giveUpAt;
         std::string batch;
         for (const std::string &token : part.tokens) {
-            batch += "id: " + std::to_string(next++) + "\ndata: " + R"({"id":")" + id + R"(","choices":[{"index":0,"text":)" + dumpJson(token)
-                + R"(,"delta":{"content":)" + dumpJson(token) + "}}]}\n\n";
+            const std::string text = dumpJson(token);
+            batch += "id: " + std::to_string(next++) + "\ndata: " + R"({"id":")" + id + R"(","choices":[{"index":0,"text":)" + text + R"(,"delta":{"content":)"
+                + text + "}}]}\n\n";
         }
         if (part.over) {
             batch += part.failed ? errorEvent(id, part.failure) : "data: [DONE]\n\n";
         }
         const bool open = co_await exchange.writeChunk(batch);
-        if (part.over || !open) {
-            break;
+        if (!open) {
+            co_return;
+        }
+        if (part.over) {
+            co_await exchange.endStream();
+            co_return;
+        }
+        if (part.tokens.empty()) {
+            asio::steady_timer pause(exchange.executor(), fetchPause);
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+    }
+    exchange.abandon(); // the caller sees a cut stream and attaches again
+}
+
+// The whole answer of a request that was handed over: what we have and what the peer adds.
+asio::awaitable<void> gateway::answerFromPeer(http_exchange &exchange, const std::shared_ptr<request_session> &session)
+{
+    const std::string id = session->facts().id;
+    std::uint32_t next = session->readable();
+    std::string text = session->text(next);
+    time_point giveUpAt = systemNow() + handoverWithin;
+    while (systemNow() < giveUpAt) {
+        const remote_requests::part part = co_await peers->fetch(id, session->facts().account, next, systemNow() + peerFetchWithin);
+        giveUpAt = part.known ? systemNow() + handoverWithin : giveUpAt;
+        for (const std::string &token : part.tokens) {
+            text += token;
+            ++next;
+        }
+        if (part.over && part.failed) {
+            co_await exchange.respond(answerFor(part.failure).httpStatus, "application/json", errorBody(part.failure, id, ""), idHeader(id));
+            co_return;
+        }
+        if (part.over) {
+            co_await exchange.respond(200, "application/json", wholeAnswer(*session, text, next), idHeader(id));
+            co_return;
+        }
+        if (part.tokens.empty()) {
+            asio::steady_timer pause(exchange.executor(), fetchPause);
+            co_await pause.async_wait(asio::use_awaitable);
         }
     }
-    co_await exchange.endStream();
+    throw error(error_kind::Internal, "the request was handed over and its holder does not answer");
 }
 
 } // namespace chicoryrouter
--- a/src/shell/gateway.h
+++ b/src/shell/gateway.h
@@ -47,6 +47,8 @@
 
     rcu_cell<front_table> front;
     std::atomic<bool> stopping{false}; // no new work; what is open goes on
+    std::atomic<std::size_t> callersServed{0}; // callers being answered right now
+    std::function<void(metrics &)> gauges;     // called before metrics are shown; may stay empty
     http_handler operatorCalls;        // answers /operator/...; set before the first request
     remote_requests *peers = nullptr;  // null: none
 
@@ -66,6 +68,8 @@
     boost::asio::awaitable<void> handlePlain(http_exchange &exchange);
     boost::asio::awaitable<void> handleAttach(http_exchange &exchange);
     boost::asio::awaitable<void> attachToPeer(http_exchange &exchange, std::string id, std::string account, std::uint32_t from);
+    boost::asio::awaitable<void> followAtPeer(http_exchange &exchange, std::string id, std::string account, std::uint32_t next);
+    boost::asio::awaitable<void> answerFromPeer(http_exchange &exchange, const std::shared_ptr<request_session> &session);
     boost::asio::awaitable<void> answer(http_exchange &exchange, const std::shared_ptr<request_session> &session, std::uint32_t from);
     boost::asio::awaitable<void> answerStream(http_exchange &exchange, const std::shared_ptr<request_session> &session, std::uint32_t from);
     boost::asio::awaitable<void> answerWhole(http_exchange &exchange, const std::shared_ptr<request_session> &session);
--- /dev/null
+++ b/src/shell/operator_api.h
@@ -0,0 +1,31 @@
+// Operators' calls under /operator/, and the console page. Every call but the page itself needs the operators' token.
+#pragma once
+
+#include "chicoryrouter/settings.h"
+#include "shell/control.h"
+#include "shell/gateway.h"
+#include "shell/http.h"
+
+namespace chicoryrouter {
+
+class operator_api
+{
+public:
+    operator_api(const settings &own, control &steering, request_host &host, gateway &front);
+
+    boost::asio::awaitable<void> handle(http_exchange &exchange);
+
+private:
+    boost::asio::awaitable<void> getDocument(http_exchange &exchange);
+    boost::asio::awaitable<void> putDocument(http_exchange &exchange);
+    boost::asio::awaitable<void> checkDocument(http_exchange &exchange);
+    boost::asio::awaitable<void> explain(http_exchange &exchange, std::string requestId);
+    void authorize(const http_request &request) const;
+
+    settings m_own;
+    control &m_control;
+    request_host &m_host;
+    gateway &m_front;
+};
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/shell/placement_loop.cpp
@@ -0,0 +1,251 @@
+// One planning step per service and second.
+#include "shell/placement_loop.h"
+
+#include "shell/clock.h"
+#include "shell/log.h"
+#include "shell/request_session.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace chicoryrouter {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration planInterval = 1s;
+constexpr duration callWithin = 2s;
+
+std::string describe(const placement_plan &plan)
+{
+    std::string text;
+    for (const placement_share &item : plan.shares) {
+        text += " " + std::to_string(item.count) + " " + std::string(toText(item.cls)) + " in " + item.failureDomain + ",";
+    }
+    return "plan:" + text + " at " + std::to_string(plan.perHour) + " an hour" + (plan.bearsLoss ? "" : "; it does not bear the loss of a failure domain");
+}
+
+bool samePlan(const placement_plan &a, const placement_plan &b)
+{
+    return a.shares == b.shares;
+}
+
+} // namespace
+
+placement_loop::placement_loop(const settings &own, asio::io_context &context, http_client &client, store_client &store)
+    : m_own(own)
+    , m_context(context)
+    , m_client(client)
+    , m_store(store)
+{
+}
+
+void placement_loop::onInstances(const instance_list &list)
+{
+    m_list = list;
+}
+
+void placement_loop::giveUp()
+{
+    for (auto &[service, state] : m_services) {
+        state.held.giveUp();
+    }
+}
+
+asio::awaitable<void> placement_loop::run(agreement &agreed, fleet &endpoints, request_host &host)
+{
+    while (true) {
+        asio::steady_timer timer(m_context, planInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+        const auto inForce = agreed.documents().inForce();
+        for (const placement_bounds &bounds : inForce->content.placement) {
+            const bool mayHold = agreed.members().isAmongFirst("lease-" + bounds.service, 1);
+            service_state &state = m_services.try_emplace(bounds.service, bounds.service, m_own.instance).first->second;
+            if (!mayHold && !state.held.isHeld(systemNow())) {
+                continue;
+            }
+            co_await tendLease(state, bounds.service);
+            if (!state.held.mayOrder(systemNow()) || !co_await loadRecords(state, bounds.service)) {
+                continue;
+            }
+            const placement_plan plan = planFor(state, agreed, endpoints, host, bounds);
+            if (!samePlan(plan, state.plan)) {
+                logLine(log_part::Place, log_level::Info, bounds.service + " " + describe(plan));
+            }
+            state.plan = plan;
+            const std::string version = inForce->content.findService(bounds.service)->currentVersion;
+            const placement_step step = state.starts.next(plan, runningOf(bounds.service, version), version, state.held.fencing(), systemNow());
+            if (step.what != placement_step::kind::None) {
+                co_await takeStep(state, bounds.service, step);
+            }
+        }
+    }
+}
+
+asio::awaitable<void> placement_loop::tendLease(service_state &state, std::string service)
+{
+    const std::string key = leaseKey(service);
+    const bool heldBefore = state.held.isHeld(systemNow());
+    lease::step step = state.held.onTick(systemNow());
+    if (step == lease::step::Read) {
+        const store_reply reply = co_await m_store.get(key, systemNow() + callWithin);
+        step = state.held.onRead(reply, systemNow());
+    }
+    if (step == lease::step::Swap) {
+        const store_reply reply =
+            co_await m_store.compareAndSwap(key, state.held.expectedVersion(), state.held.wanted(), duration{}, systemNow() + callWithin);
+        state.held.onSwapped(reply, systemNow());
+    }
+    const bool heldNow = state.held.isHeld(systemNow());
+    if (heldNow != heldBefore) {
+        logLine(log_part::Place, log_level::Info, service + " lease " + (heldNow ? "taken, fencing " + std::to_string(state.held.fencing()) : "lost"));
+    }
+}
+
+asio::awaitable<bool> placement_loop::loadRecords(service_state &state, std::string service)
+{
+    if (state.loadedFor == state.held.fencing()) {
+        co_return true;
+    }
+    const store_reply reply = co_await m_store.get(startsKey(service), systemNow() + callWithin);
+    if (reply.outcome != store_outcome::Ok && reply.outcome != store_outcome::NotFound) {
+        co_return false;
+    }
+    state.recordsVersion = reply.version;
+    state.starts.load(reply.outcome == store_outcome::Ok ? decodeStarts(reply.value).value_or(std::vector<start_record>{}) : std::vector<start_record>{});
+    state.loadedFor = state.held.fencing();
+    co_return true;
+}
+
+asio::awaitable<bool> placement_loop::storeRecords(service_state &state, std::string service)
+{
+    const std::string text = encodeStarts(state.starts.records());
+    const std::string key = startsKey(service);
+    store_reply reply = co_await m_store.compareAndSwap(key, state.recordsVersion, text, duration{}, systemNow() + callWithin);
+    if (reply.outcome == store_outcome::Unavailable) {
+        reply = co_await m_store.get(key, systemNow() + callWithin);
+        if (reply.outcome == store_outcome::Ok && reply.value != text) {
+            state.recordsVersion = reply.version; // not taken: written again next time
+            co_return false;
+        }
+    }
+    if (reply.outcome == store_outcome::Conflict) {
+        state.loadedFor = 0; // another holder wrote: read before anything else
+    }
+    if (reply.outcome != store_outcome::Ok) {
+        co_return false;
+    }
+    state.recordsVersion = reply.version;
+    co_return true;
+}
+
+placement_plan placement_loop::planFor(service_state &state, const agreement &agreed, const fleet &endpoints, const request_host &host, const placement_bounds &bounds)
+{
+    const document &content = agreed.documents().inForce()->content;
+    const service *owner = content.findService(bounds.service);
+    double open = 0.0;
+    for (const endpoint_status &status : endpoints.status()) {
+        open += status.known->service == bounds.service ? status.report.running + status.report.queued : 0;
+    }
+    // What part of the work is prompt is taken from this daemon's own requests; a balancer spreads them evenly.
+    double prompt = 0.0;
+    double all = 0.0;
+    for (const auto &session : host.open()) {
+        if (session->facts().promised.service == bounds.service) {
+            all += 1.0;
+            prompt += session->facts().promised.rank == priority::Long ? 0.0 : 1.0;
+        }
+    }
+    const double promptPart = all > 0.0 ? prompt / all : 1.0;
+    const std::uint32_t concurrency = owner->versions.front().maxConcurrency;
+    placement_demand demand;
+    demand.least = bounds.minEndpoints;
+    demand.most = bounds.maxEndpoints;
+    demand.endpoints = state.demand.observe(endpointsFor(open, concurrency), systemNow());
+    demand.promptEndpoints = std::min(state.promptDemand.observe(endpointsFor(open * promptPart, concurrency), systemNow()), bounds.maxEndpoints);
+    std::vector<placement_offer> offers;
+    for (const instance_price &price : content.prices) {
+        const failure_domain *domain = content.findFailureDomain(price.failureDomain);
+        const bool usable = domain != nullptr && !domain->out && !state.starts.isHeldBack(price.failureDomain, price.cls, systemNow());
+        if (usable) {
+            offers.push_back({price.failureDomain, price.cls, price.perHour});
+        }
+    }
+    return planPlacement(demand, offers);
+}
+
+std::vector<running_endpoint> placement_loop::runningOf(const std::string &service, const std::string &version) const
+{
+    std::vector<running_endpoint> running;
+    for (const instance_record &item : m_list.endpoints) {
+        if (item.service == service && item.version == version) {
+            running.push_back({item.id, item.failureDomain, item.cls, item.version, item.startToken, item.leaving});
+        }
+    }
+    return running;
+}
+
+asio::awaitable<void> placement_loop::takeStep(service_state &state, std::string service, placement_step step)
+{
+    if (step.what == placement_step::kind::Record) {
+        const bool stored = co_await storeRecords(state, service);
+        state.starts.onRecorded(stored);
+        co_return;
+    }
+    http_call call;
+    call.method = "POST";
+    if (step.what == placement_step::kind::Stop) {
+        logLine(log_part::Place, log_level::Info, service + " stops " + step.stopId + ": " + step.reason);
+        call.target = "/cloud/stop?id=" + step.stopId;
+    } else {
+        const std::string cls(toText(step.start.cls));
+        logLine(log_part::Place, log_level::Info, service + " starts " + step.start.token + ", " + cls + " in " + step.start.failureDomain + ": " + step.reason);
+        call.target = "/cloud/start";
+        call.body = json({{"token", step.start.token},
+                          {"service", service},
+                          {"version", step.start.version},
+                          {"class", cls},
+                          {"failure_domain", step.start.failureDomain},
+                          {"fencing", state.held.fencing()}})
+                        .dump();
+    }
+    bool answered = false;
+    bool accepted = false;
+    try {
+        const http_response response = co_await m_client.call(m_own.cloud, std::move(call), systemNow() + callWithin);
+        answered = true;
+        accepted = response.status == 200;
+    } catch (const http_failure &) {
+        answered = false;
+    }
+    if (step.what == placement_step::kind::Start) {
+        state.starts.onStarted(step.start.token, accepted, answered, systemNow());
+        if (answered && !accepted) {
+            logLine(log_part::Place, log_level::Warning, service + " start refused in " + step.start.failureDomain + "; going elsewhere for a while");
+        }
+    }
+}
+
+std::string placement_loop::statusJson() const
+{
+    json list = json::array();
+    for (const auto &[service, state] : m_services) {
+        list.push_back({{"service", service},
+                        {"holder", state.held.holder()},
+                        {"held_here", state.held.isHeld(systemNow())},
+                        {"planned", state.plan.total()},
+                        {"per_hour", state.plan.perHour},
+                        {"bears_loss", state.plan.bearsLoss},
+                        {"starts_open", state.starts.records().size()}});
+    }
+    return list.dump();
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/shell/placement_loop.h
@@ -0,0 +1,63 @@
+// Placement as a loop on the control strand: takes each service's lease, plans, records and asks the cloud.
+#pragma once
+
+#include "chicoryrouter/agreement.h"
+#include "chicoryrouter/fleet.h"
+#include "chicoryrouter/lease.h"
+#include "chicoryrouter/placement.h"
+#include "chicoryrouter/settings.h"
+#include "shell/platform_client.h"
+#include "shell/request_host.h"
+#include "shell/store_client.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <string>
+
+namespace chicoryrouter {
+
+class placement_loop
+{
+public:
+    placement_loop(const settings &own, boost::asio::io_context &context, http_client &client, store_client &store);
+
+    boost::asio::awaitable<void> run(agreement &agreed, fleet &endpoints, request_host &host); // until the context stops
+    void onInstances(const instance_list &list);
+    void giveUp();                                                       // a planned stop: frees the leases
+    [[nodiscard]] std::string statusJson() const;
+
+private:
+    struct service_state
+    {
+        service_state(const std::string &service, const std::string &self)
+            : held(self, {})
+            , starts(service)
+        {
+        }
+
+        lease held;
+        placer starts;
+        demand_meter demand;
+        demand_meter promptDemand;
+        std::uint64_t loadedFor = 0;      // fencing number of the term for which the records were read
+        std::uint64_t recordsVersion = 0; // of the records in the key-value service
+        placement_plan plan;
+    };
+
+    boost::asio::awaitable<void> tendLease(service_state &state, std::string service);
+    boost::asio::awaitable<bool> loadRecords(service_state &state, std::string service);
+    boost::asio::awaitable<void> takeStep(service_state &state, std::string service, placement_step step);
+    boost::asio::awaitable<bool> storeRecords(service_state &state, std::string service);
+    placement_plan planFor(service_state &state, const agreement &agreed, const fleet &endpoints, const request_host &host, const placement_bounds &bounds);
+    std::vector<running_endpoint> runningOf(const std::string &service, const std::string &version) const;
+
+    settings m_own;
+    boost::asio::io_context &m_context;
+    http_client &m_client;
+    store_client &m_store;
+    std::map<std::string, service_state> m_services;
+    instance_list m_list;
+};
+
+} // namespace chicoryrouter
--- a/src/shell/platform_client.cpp
+++ b/src/shell/platform_client.cpp
@@ -20,6 +20,7 @@
     record.version = value.at("version");
     record.where = {value.at("ip"), value.at("port")};
     record.leaving = value.at("leaving");
+    record.startToken = value.value("token", "");
     if (record.leaving) {
         record.leaveBy = time_point(duration(value.at("leave_by_us").get<std::int64_t>()));
     }
@@ -73,10 +74,9 @@
     }
 }
 
-asio::awaitable<std::optional<instance_list>> fetchInstanceList(http_client &client, address where, time_point deadline)
+asio::awaitable<std::optional<std::string>> fetchInstanceText(http_client &client, address where, time_point deadline)
 {
-    const std::optional<std::string> text = co_await fetchText(client, std::move(where), "/instances", deadline);
-    co_return text ? decodeInstanceList(*text) : std::nullopt;
+    co_return co_await fetchText(client, std::move(where), "/instances", deadline);
 }
 
 asio::awaitable<std::optional<load_report>> fetchLoadReport(http_client &client, endpoint_ptr from, time_point deadline)
--- a/src/shell/request_host.h
+++ b/src/shell/request_host.h
@@ -6,6 +6,7 @@
 #include "chicoryrouter/retry_budget.h"
 #include "shell/http.h"
 #include "shell/metrics.h"
+#include "shell/peer_link.h"
 #include "shell/store_client.h"
 
 #include <boost/asio/io_context.hpp>
@@ -20,15 +21,20 @@
 namespace chicoryrouter {
 
 class request_session;
-struct request_snapshot;
 
 // A request thread's own tools. Used on that thread only.
 struct request_thread
 {
-    request_thread(boost::asio::io_context &io, const address &keyValue, std::shared_ptr<store_counters> counters, std::uint64_t seed)
+    request_thread(boost::asio::io_context &io,
+                   const address &keyValue,
+                   std::shared_ptr<store_counters> counters,
+                   const std::string &peerKey,
+                   std::shared_ptr<peer_counters> links,
+                   std::uint64_t seed)
         : context(io)
         , client(io.get_executor())
         , store(io.get_executor(), keyValue, std::move(counters))
+        , peers(io.get_executor(), peerKey, std::move(links))
         , random(seed)
     {
     }
@@ -36,17 +42,21 @@
     boost::asio::io_context &context;
     http_client client;
     store_client store;
+    peer_client peers;
     seeded_random random;
 };
 
-// Copies a request that must finish to a peer, and keeps the copy current. The peer link implements it.
+// Copies a request that must finish to a peer, keeps the copy current, and hands requests over. copy_keeper implements it.
 class request_copier
 {
 public:
     virtual ~request_copier() = default;
-    [[nodiscard]] virtual bool available() const = 0;                                // any thread: there is a peer to copy to
-    virtual boost::asio::awaitable<bool> copy(const request_snapshot &snapshot) = 0; // true: a peer holds it
-    virtual void drop(const std::string &requestId) = 0;                             // any thread: the request is over
+    [[nodiscard]] virtual bool available() const = 0; // any thread: there is a peer to copy to
+
+    // On the session's thread. True: a peer holds the request with its first `to` tokens, of which it was told those from `from` on.
+    virtual boost::asio::awaitable<bool> copy(std::shared_ptr<request_session> session, std::uint32_t from, std::uint32_t to) = 0;
+    virtual boost::asio::awaitable<bool> handOver(std::shared_ptr<request_session> session, std::uint32_t from, std::uint32_t to) = 0; // and goes on with it
+    virtual void drop(const std::string &requestId) = 0; // any thread: the request is over
 };
 
 // Shared by all threads of a daemon.
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -49,8 +49,7 @@
 void request_session::begin(std::vector<std::string> already)
 {
     m_tokens = std::move(already);
-    m_copied = static_cast<std::uint32_t>(m_tokens.size());
-    m_tokenCount = m_copied;
+    m_tokenCount = static_cast<std::uint32_t>(m_tokens.size());
     m_host.add(shared_from_this());
     perform(m_machine.start(systemNow()));
 }
@@ -62,11 +61,11 @@
     return m_protected ? std::min<std::uint32_t>(m_copied, static_cast<std::uint32_t>(m_tokens.size())) : static_cast<std::uint32_t>(m_tokens.size());
 }
 
-std::string request_session::text() const
+std::string request_session::text(std::uint32_t tokens) const
 {
     std::string whole;
-    for (const std::string &part : m_tokens) {
-        whole += part;
+    for (std::uint32_t i = 0; i < m_tokens.size() && i < tokens; ++i) {
+        whole += m_tokens[i];
     }
     return whole;
 }
@@ -77,6 +76,18 @@
     co_await m_wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+asio::awaitable<void> request_session::changedOrAt(time_point deadline)
+{
+    const auto self = shared_from_this();
+    asio::steady_timer limit(m_thread.context, steadyAt(deadline));
+    limit.async_wait([self](const boost::system::error_code &code) {
+        if (!code) {
+            self->m_wake.cancel(); // wakes the other readers too; they look and wait again
+        }
+    });
+    co_await changed();
+}
+
 void request_session::notifyReaders()
 {
     m_wake.cancel();
@@ -191,32 +202,43 @@
     m_copying = true;
     bool more = true;
     while (more) {
-        request_snapshot snapshot;
-        const request_facts &facts = m_machine.facts();
-        snapshot.id = facts.id;
-        snapshot.account = facts.account;
-        snapshot.route = facts.promised.route;
-        snapshot.service = facts.promised.service;
-        snapshot.arrival = facts.arrival;
-        snapshot.deadline = facts.deadline;
-        snapshot.payload = m_payload;
-        snapshot.firstToken = m_copied;
-        snapshot.tokens.assign(m_tokens.begin() + m_copied, m_tokens.end());
         const auto upTo = static_cast<std::uint32_t>(m_tokens.size());
-        const bool held = co_await m_host.copier->copy(snapshot);
-        m_protected = held;
+        m_protected = co_await m_host.copier->copy(self, m_copied, upTo);
         m_copied = upTo;
         if (first) {
             first = false;
-            note(log_part::Peer, held ? "copied to a peer" : "no peer to copy to");
+            note(log_part::Peer, m_protected ? "copied to a peer" : "no peer to copy to");
             perform(m_machine.onCopied(systemNow()));
         }
         notifyReaders();
-        more = m_tokens.size() > m_copied;
+        more = m_tokens.size() > m_copied && !m_handedOver;
     }
     m_copying = false;
 }
 
+asio::awaitable<bool> request_session::handOver()
+{
+    const auto self = shared_from_this();
+    if (m_machine.isOver() || facts().kind != service_kind::Model || m_host.copier == nullptr) {
+        co_return m_machine.isOver();
+    }
+    m_handedOver = true; // from here on no token is shown that the peer does not have
+    m_protected = true;
+    const auto upTo = static_cast<std::uint32_t>(m_tokens.size());
+    const bool taken = co_await m_host.copier->handOver(self, m_copied, upTo);
+    if (!taken || m_machine.isOver()) {
+        m_handedOver = false;
+        m_protected = taken && m_protected;
+        notifyReaders();
+        co_return m_machine.isOver();
+    }
+    m_copied = upTo;
+    note(log_part::Peer, "handed over at token " + std::to_string(upTo));
+    perform(m_machine.onHandedOver(systemNow()));
+    notifyReaders();
+    co_return true;
+}
+
 void request_session::perform(const make_claim &)
 {
     asio::co_spawn(m_thread.context, runClaim(), asio::detached);
@@ -425,7 +447,7 @@
             }
         }
         notifyReaders();
-        if (m_protected && !m_copying && m_tokens.size() > m_copied) {
+        if (m_protected && !m_copying && !m_handedOver && m_tokens.size() > m_copied) {
             asio::co_spawn(m_thread.context, copyLoop(false), asio::detached);
         }
         co_await waitForReader();
@@ -527,9 +549,11 @@
 void request_session::perform(const release_slot &action)
 {
     action.where->load->giveBack();
-    if (action.sent && m_host.onOutcome) {
+    if (action.result != attempt_result::Unused && m_host.onOutcome) {
         const request_facts &facts = m_machine.facts();
-        m_host.onOutcome({action.where->id, facts.promised.service, action.where->version, facts.promised.route, action.failed, action.firstToken});
+        const bool answeredBadly = action.result == attempt_result::Answered && m_status >= 500;
+        const attempt_result result = answeredBadly ? attempt_result::Failed : action.result;
+        m_host.onOutcome({action.where->id, facts.promised.service, action.where->version, facts.promised.route, result, action.firstToken});
     }
     m_host.serve(m_machine.facts().promised.service, m_thread.random);
 }
@@ -564,7 +588,7 @@
     if (m_claimWon) {
         asio::co_spawn(m_thread.context, settleClaim(), asio::detached);
     }
-    if (m_protected && m_host.copier != nullptr) {
+    if (m_protected && !m_handedOver && m_host.copier != nullptr) {
         m_copied = static_cast<std::uint32_t>(m_tokens.size()); // whole: nothing is left that a copy could save
         m_host.copier->drop(facts().id);
     }
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -409,10 +409,8 @@
 {
     node &own = *m_nodes[live->node];
     action.where->load->giveBack();
-    if (action.sent) {
-        const std::string route = live->machine->facts().promised.route;
-        own.endpoints.onOutcome({action.where->id, live->service, action.where->version, route, action.failed, action.firstToken}, m_now);
-    }
+    const std::string route = live->machine->facts().promised.route;
+    own.endpoints.onOutcome({action.where->id, live->service, action.where->version, route, action.result, action.firstToken}, m_now);
     const std::size_t index = live->node;
     after(duration(0), [this, index] { refresh(index); });
 }
@@ -722,6 +720,8 @@
         heirs->copied = live->copied;
         request_facts facts = live->machine->facts();
         facts.alreadyDelivered = live->copied;
+        facts.wasAccepted = true;
+        facts.waitUntil = facts.deadline;
         heirs->machine = std::make_unique<request_machine>(facts, m_nodes[heir]->budgets[live->service]);
         // The caller re-attaches with the number of the last token it has, and is given what the copy holds beyond it.
         for (auto index = static_cast<std::uint32_t>(live->outside->seen.size()); index < live->copied; ++index) {
