--- a/include/chicoryrouter/request_machine.h
+++ b/include/chicoryrouter/request_machine.h
@@ -46,7 +46,7 @@
     time_point deadline = noDeadline;   // latest moment of the last byte
     bool needsClaim = false;            // came with an Idempotency-Key on a route that may not repeat
     bool needsCopy = false;             // must finish, and there is a peer to copy it to
-    bool wasAccepted = false; // by the daemon it was taken over from: it may not be shed any more
+    bool wasAccepted = false;           // by the daemon it was taken over from: it may not be shed any more
     std::uint32_t alreadyDelivered = 0; // tokens delivered before it was handed over to this daemon
 };
 
@@ -155,7 +155,7 @@
     request_actions onNotice(std::string_view endpointId, time_point leaveBy, move_method method, time_point now);
     request_actions onTransferred(bool arrived, time_point now);
     request_actions onCallerGone(time_point now); // a must-finish request goes on
-    request_actions onHandedOver(time_point now);                // another daemon goes on with it: ends here without an answer
+    request_actions onHandedOver(time_point now); // another daemon goes on with it: ends here without an answer
     request_actions onTimer(time_point now);
 
     [[nodiscard]] time_point nextDeadline() const;
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -23,9 +23,10 @@
 using namespace std::chrono_literals;
 
 constexpr duration tickInterval = 50ms;
-constexpr duration watchFor = 10s;           // one waiting watch
-constexpr duration roleCheck = 1s;           // whether this daemon is to watch
+constexpr duration watchFor = 10s; // one waiting watch
+constexpr duration roleCheck = 1s; // whether this daemon is to watch
 constexpr duration callWithin = 2s;
+constexpr duration readyWithoutList = 5s;
 constexpr duration demandInterval = 1s;
 constexpr std::size_t watchersPerDomain = 2; // of the configuration and of the instance list
 
@@ -46,12 +47,8 @@
 
 } // namespace
 
-control::control(const settings &own,
-                 request_host &host,
-                 gateway &front,
-                 copy_keeper &copies,
-                 std::shared_ptr<store_counters> stores,
-                 std::shared_ptr<peer_counters> links)
+control::control(
+    const settings &own, request_host &host, gateway &front, copy_keeper &copies, std::shared_ptr<store_counters> stores, std::shared_ptr<peer_counters> links)
     : m_own(own)
     , m_host(host)
     , m_front(front)
@@ -228,11 +225,14 @@
 
 asio::awaitable<void> control::pollInstances()
 {
+    const time_point started = systemNow();
     while (true) {
         const std::optional<instance_list> list = co_await currentInstances();
         if (list) {
             onInstances(*list);
         }
+        // Without its peers a daemon could not copy what must finish; but it does not wait for a platform that is down.
+        m_front.peersKnown = m_front.peersKnown || list || systemNow() >= started + readyWithoutList;
         co_await pause(m_own.pollInterval);
     }
 }
@@ -351,7 +351,7 @@
     if (result.hasNewerDocument) {
         asio::co_spawn(m_context, pullDocument(result.from), asio::detached);
     }
-    co_return result.understood && result.from == instance;
+    co_return result.understood &&result.from == instance;
 }
 
 asio::awaitable<std::optional<std::string>> control::onPeerCall(std::string path, std::string body)
@@ -476,7 +476,7 @@
 std::string control::statusJson()
 {
     return asio::co_spawn(
-               m_context, [this]() -> asio::awaitable<std::string> { co_return composeStatus(); }, asio::use_future)
+        m_context, [this]() -> asio::awaitable<std::string> { co_return composeStatus(); }, asio::use_future)
         .get();
 }
 
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -24,16 +24,16 @@
 {
 public:
     control(const settings &own,
-            request_host &host,
-            gateway &front,
-            copy_keeper &copies,
-            std::shared_ptr<store_counters> stores,
-            std::shared_ptr<peer_counters> links);
+        request_host &host,
+        gateway &front,
+        copy_keeper &copies,
+        std::shared_ptr<store_counters> stores,
+        std::shared_ptr<peer_counters> links);
     ~control();
 
     void start();
-    void stop();                                    // any thread; joins
-    void leave();                                   // any thread: peers learn that this instance leaves
+    void stop();  // any thread; joins
+    void leave(); // any thread: peers learn that this instance leaves
 
     void onOutcome(const attempt_outcome &outcome); // any thread
     [[nodiscard]] std::string statusJson();         // any thread but the control strand; waits for it
--- a/src/shell/control_moves.cpp
+++ b/src/shell/control_moves.cpp
@@ -17,7 +17,7 @@
 using namespace std::chrono_literals;
 
 constexpr duration settleInterval = 500ms;
-constexpr duration verdictPoll = 5s;    // how often an open move's verdict is looked for
+constexpr duration verdictPoll = 5s; // how often an open move's verdict is looked for
 constexpr duration storeWithin = 1s;
 
 std::string describe(const version_mover &mover)
--- a/src/shell/copy_keeper.cpp
+++ b/src/shell/copy_keeper.cpp
@@ -25,9 +25,9 @@
 
 using namespace std::chrono_literals;
 
-constexpr duration copyWithin = 300ms;        // one copy to one peer
+constexpr duration copyWithin = 300ms; // one copy to one peer
 constexpr std::size_t mostPeersTried = 3;
-constexpr duration fetchWait = 2s;            // a peer waits so long for more tokens
+constexpr duration fetchWait = 2s;                 // a peer waits so long for more tokens
 constexpr std::string_view needsAll = "needs-all"; // the receiver lacks what came before
 
 std::string pack(const json &value)
@@ -49,14 +49,8 @@
 
 std::string encodeSnapshot(const request_snapshot &snapshot)
 {
-    json value = {{"id", snapshot.id},
-                  {"owner", snapshot.owner},
-                  {"account", snapshot.account},
-                  {"route", snapshot.route},
-                  {"arrival", snapshot.arrival.time_since_epoch().count()},
-                  {"first", snapshot.firstToken},
-                  {"tokens", snapshot.tokens},
-                  {"go_on", snapshot.goOn}};
+    json value = {{"id", snapshot.id}, {"owner", snapshot.owner}, {"account", snapshot.account}, {"route", snapshot.route},
+        {"arrival", snapshot.arrival.time_since_epoch().count()}, {"first", snapshot.firstToken}, {"tokens", snapshot.tokens}, {"go_on", snapshot.goOn}};
     if (!snapshot.payload.prompt.empty()) {
         value["payload"] = {{"prompt", snapshot.payload.prompt}, {"max_tokens", snapshot.payload.maxTokens}, {"chat", snapshot.payload.chat}};
     }
@@ -147,7 +141,7 @@
     std::string body = encodeSnapshot(snapshot);
     const time_point deadline = systemNow() + copyWithin;
     const std::optional<std::string> answer = co_await gateway::ownThread().peers.call(peer.peer, "/copy", std::move(body), deadline);
-    co_return answer && *answer != needsAll;
+    co_return answer &&*answer != needsAll;
 }
 
 asio::awaitable<bool> copy_keeper::tell(std::shared_ptr<request_session> session, std::uint32_t from, std::uint32_t to, bool goOn)
@@ -332,7 +326,8 @@
     while (known && session->readable() <= from && !session->isOver() && systemNow() < deadline) {
         co_await session->changedOrAt(deadline);
     }
-    json part = {{"known", known}, {"over", session->isOver()}, {"failed", session->failed()}, {"failure", static_cast<int>(session->failure())}, {"tokens", json::array()}};
+    json part = {{"known", known}, {"over", session->isOver()}, {"failed", session->failed()}, {"failure", static_cast<int>(session->failure())},
+        {"tokens", json::array()}};
     for (std::uint32_t i = from; known && i < session->readable(); ++i) {
         part["tokens"].push_back(session->token(i));
     }
--- a/src/shell/copy_keeper.h
+++ b/src/shell/copy_keeper.h
@@ -30,14 +30,14 @@
 struct request_snapshot
 {
     std::string id;
-    std::string owner;                  // instance that works on it
+    std::string owner; // instance that works on it
     std::string account;
     std::string route;
     time_point arrival{};
-    request_payload payload;            // empty prompt: the receiver has it already
-    std::uint32_t firstToken = 0;       // index of tokens.front()
+    request_payload payload;      // empty prompt: the receiver has it already
+    std::uint32_t firstToken = 0; // index of tokens.front()
     std::vector<std::string> tokens;
-    bool goOn = false;                  // the receiver is to work on it from now on
+    bool goOn = false; // the receiver is to work on it from now on
 };
 
 std::string encodeSnapshot(const request_snapshot &snapshot);
--- a/src/shell/daemon.cpp
+++ b/src/shell/daemon.cpp
@@ -34,13 +34,20 @@
         host.copier = &copies;
         front.peers = &copies;
         bindThreads();
-        peerServer = std::make_unique<peer_server>(workers, own.peer, own.peerKey, [this](std::string path, std::string body) { return onPeerCall(std::move(path), std::move(body)); }, links);
+        peerServer = std::make_unique<peer_server>(
+            workers, own.peer, own.peerKey, [this](std::string path, std::string body) { return onPeerCall(std::move(path), std::move(body)); }, links);
         own.peer.port = peerServer->port();
         steering = std::make_unique<control>(own, host, front, copies, stores, links);
         operators = std::make_unique<operator_api>(own, *steering, host, front);
-        host.onOutcome = [this](const attempt_outcome &outcome) { steering->onOutcome(outcome); };
-        front.operatorCalls = [this](http_exchange &exchange) { return operators->handle(exchange); };
-        front.gauges = [this](metrics &counts) { setGauges(counts); };
+        host.onOutcome = [this](const attempt_outcome &outcome) {
+            steering->onOutcome(outcome);
+        };
+        front.operatorCalls = [this](http_exchange &exchange) {
+            return operators->handle(exchange);
+        };
+        front.gauges = [this](metrics &counts) {
+            setGauges(counts);
+        };
         server = std::make_unique<http_server>(workers, own.gateway, [this](http_exchange &exchange) { return front.handle(exchange); });
         own.gateway.port = server->port();
         steering->start();
@@ -146,7 +153,7 @@
 
 bool daemon::isReady() const
 {
-    return revisionInForce() > 0 && !m_parts->front.stopping;
+    return m_parts->front.isReady();
 }
 
 std::uint64_t daemon::revisionInForce() const
@@ -185,7 +192,8 @@
     waitForEnd(systemNow() + m_parts->own.stopWithin / 2);
     m_parts->handOverOpen();
     waitForEnd(giveUpAt);
-    logLine(log_part::Daemon, log_level::Info, m_parts->own.instance + " stops with " + std::to_string(m_parts->front.callersServed) + " callers still reading");
+    logLine(
+        log_part::Daemon, log_level::Info, m_parts->own.instance + " stops with " + std::to_string(m_parts->front.callersServed) + " callers still reading");
     crash();
 }
 
--- a/src/shell/gateway.cpp
+++ b/src/shell/gateway.cpp
@@ -209,7 +209,7 @@
 
 bool gateway::isReady() const
 {
-    return !stopping && front.read().inForce->revision > 0;
+    return !stopping && peersKnown && front.read().inForce->revision > 0;
 }
 
 std::string gateway::newRequestId()
--- a/src/shell/gateway.h
+++ b/src/shell/gateway.h
@@ -46,13 +46,15 @@
     gateway(request_host &host, std::string instanceName);
 
     rcu_cell<front_table> front;
-    std::atomic<bool> stopping{false}; // no new work; what is open goes on
+    std::atomic<bool> stopping{false};         // no new work; what is open goes on
+    std::atomic<bool> peersKnown{false};       // an instance list was seen, or none came for a while: not ready before
     std::atomic<std::size_t> callersServed{0}; // callers being answered right now
     std::function<void(metrics &)> gauges;     // called before metrics are shown; may stay empty
-    http_handler operatorCalls;        // answers /operator/...; set before the first request
-    remote_requests *peers = nullptr;  // null: none
+    http_handler operatorCalls;                // answers /operator/...; set before the first request
+    remote_requests *peers = nullptr;          // null: none
 
     boost::asio::awaitable<void> handle(http_exchange &exchange);
+    [[nodiscard]] bool isReady() const;                      // holds a document, knows its peers, and takes new work
 
     static void bindThread(request_thread *own); // once on each request thread, before it serves
     static request_thread &ownThread();
@@ -76,7 +78,6 @@
 
     caller authenticate(const http_request &request) const;
     request_facts facts(const caller &who, const contract &promised, service_kind kind);
-    [[nodiscard]] bool isReady() const;
     std::string newRequestId();
 
     request_host &m_host;
--- a/src/shell/operator_api.cpp
+++ b/src/shell/operator_api.cpp
@@ -88,8 +88,7 @@
 {
     const std::uint64_t expected = expectedRevision(exchange.request);
     std::string yaml = exchange.request.body;
-    const std::uint64_t revision =
-        co_await asio::co_spawn(m_control.context(), m_control.applyDocument(std::move(yaml), expected), asio::use_awaitable);
+    const std::uint64_t revision = co_await asio::co_spawn(m_control.context(), m_control.applyDocument(std::move(yaml), expected), asio::use_awaitable);
     const std::string answer = json({{"revision", revision}}).dump();
     co_await exchange.respond(200, "application/json", answer);
 }
@@ -112,7 +111,8 @@
     const auto here = exchange.executor();
     std::string history = co_await asio::co_spawn(
         session->context(), [session]() -> asio::awaitable<std::string> { co_return session->explain(); }, asio::use_awaitable);
-    const std::string answer = json({{"request_id", requestId}, {"route", session->facts().promised.route}, {"account", session->facts().account}, {"decisions", history}}).dump();
+    const std::string answer
+        = json({{"request_id", requestId}, {"route", session->facts().promised.route}, {"account", session->facts().account}, {"decisions", history}}).dump();
     co_await exchange.respond(200, "application/json", answer);
 }
 
--- a/src/shell/placement_loop.cpp
+++ b/src/shell/placement_loop.cpp
@@ -99,8 +99,7 @@
         step = state.held.onRead(reply, systemNow());
     }
     if (step == lease::step::Swap) {
-        const store_reply reply =
-            co_await m_store.compareAndSwap(key, state.held.expectedVersion(), state.held.wanted(), duration{}, systemNow() + callWithin);
+        const store_reply reply = co_await m_store.compareAndSwap(key, state.held.expectedVersion(), state.held.wanted(), duration{}, systemNow() + callWithin);
         state.held.onSwapped(reply, systemNow());
     }
     const bool heldNow = state.held.isHeld(systemNow());
@@ -146,7 +145,8 @@
     co_return true;
 }
 
-placement_plan placement_loop::planFor(service_state &state, const agreement &agreed, const fleet &endpoints, const request_host &host, const placement_bounds &bounds)
+placement_plan placement_loop::planFor(
+    service_state &state, const agreement &agreed, const fleet &endpoints, const request_host &host, const placement_bounds &bounds)
 {
     const document &content = agreed.documents().inForce()->content;
     const service *owner = content.findService(bounds.service);
@@ -206,14 +206,11 @@
         call.target = "/cloud/stop?id=" + step.stopId;
     } else {
         const std::string cls(toText(step.start.cls));
-        logLine(log_part::Place, log_level::Info, service + " starts " + step.start.token + ", " + cls + " in " + step.start.failureDomain + ": " + step.reason);
+        logLine(
+            log_part::Place, log_level::Info, service + " starts " + step.start.token + ", " + cls + " in " + step.start.failureDomain + ": " + step.reason);
         call.target = "/cloud/start";
-        call.body = json({{"token", step.start.token},
-                          {"service", service},
-                          {"version", step.start.version},
-                          {"class", cls},
-                          {"failure_domain", step.start.failureDomain},
-                          {"fencing", state.held.fencing()}})
+        call.body = json({{"token", step.start.token}, {"service", service}, {"version", step.start.version}, {"class", cls},
+                             {"failure_domain", step.start.failureDomain}, {"fencing", state.held.fencing()}})
                         .dump();
     }
     bool answered = false;
@@ -237,13 +234,8 @@
 {
     json list = json::array();
     for (const auto &[service, state] : m_services) {
-        list.push_back({{"service", service},
-                        {"holder", state.held.holder()},
-                        {"held_here", state.held.isHeld(systemNow())},
-                        {"planned", state.plan.total()},
-                        {"per_hour", state.plan.perHour},
-                        {"bears_loss", state.plan.bearsLoss},
-                        {"starts_open", state.starts.records().size()}});
+        list.push_back({{"service", service}, {"holder", state.held.holder()}, {"held_here", state.held.isHeld(systemNow())}, {"planned", state.plan.total()},
+            {"per_hour", state.plan.perHour}, {"bears_loss", state.plan.bearsLoss}, {"starts_open", state.starts.records().size()}});
     }
     return list.dump();
 }
--- a/src/shell/request_host.h
+++ b/src/shell/request_host.h
@@ -26,11 +26,11 @@
 struct request_thread
 {
     request_thread(boost::asio::io_context &io,
-                   const address &keyValue,
-                   std::shared_ptr<store_counters> counters,
-                   const std::string &peerKey,
-                   std::shared_ptr<peer_counters> links,
-                   std::uint64_t seed)
+        const address &keyValue,
+        std::shared_ptr<store_counters> counters,
+        const std::string &peerKey,
+        std::shared_ptr<peer_counters> links,
+        std::uint64_t seed)
         : context(io)
         , client(io.get_executor())
         , store(io.get_executor(), keyValue, std::move(counters))
--- a/src/shell/request_session.h
+++ b/src/shell/request_session.h
@@ -34,14 +34,14 @@
     [[nodiscard]] error_kind failure() const { return m_failure; }
     [[nodiscard]] int status() const { return m_status; } // of a plain service's answer
     [[nodiscard]] const std::string &contentType() const { return m_contentType; }
-    [[nodiscard]] std::string text(std::uint32_t tokens = UINT32_MAX) const;                    // the whole answer
-    [[nodiscard]] bool replayed() const { return m_replayed; } // the answer is an earlier call's with the same key
-    boost::asio::awaitable<void> changed();                    // until there is more to read or it is over
-    void readerAt(std::uint32_t index);                        // for back-pressure: the newest reader has written up to here
-    boost::asio::awaitable<void> changedOrAt(time_point deadline); // the same, but no longer than `deadline`
+    [[nodiscard]] std::string text(std::uint32_t tokens = UINT32_MAX) const; // the whole answer
+    [[nodiscard]] bool replayed() const { return m_replayed; }               // the answer is an earlier call's with the same key
+    boost::asio::awaitable<void> changed();                                  // until there is more to read or it is over
+    void readerAt(std::uint32_t index);                                      // for back-pressure: the newest reader has written up to here
+    boost::asio::awaitable<void> changedOrAt(time_point deadline);           // the same, but no longer than `deadline`
     void callerGone();
     void callerGoneBeforeStart() { m_readers = false; } // taken over: callers come back later, if at all
-    boost::asio::awaitable<bool> handOver(); // a peer goes on in our place; false: it stays here
+    boost::asio::awaitable<bool> handOver();            // a peer goes on in our place; false: it stays here
     [[nodiscard]] bool isHandedOver() const { return m_handedOver && m_machine.isOver(); }
     void callerBack() { m_readers = true; }
 
@@ -107,7 +107,7 @@
     bool m_claimWon = false;
     std::uint32_t m_copied = 0;   // tokens a peer holds
     bool m_copying = false;       // copyLoop() runs
-    bool m_handedOver = false;   // a peer goes on with it, or is being asked to
+    bool m_handedOver = false;    // a peer goes on with it, or is being asked to
     bool m_protected = false;     // a peer holds this request; callers see only copied tokens
     std::uint32_t m_readUpTo = 0; // what the newest reader has written
     bool m_readers = true;        // somebody reads; without readers there is no back-pressure
--- a/src/shell/worker_pool.cpp
+++ b/src/shell/worker_pool.cpp
@@ -29,6 +29,10 @@
 
 void worker_pool::stop()
 {
+    if (m_stopped) {
+        return;
+    }
+    m_stopped = true;
     for (const auto &item : m_workers) {
         item->context.stop();
     }
@@ -37,6 +41,9 @@
             item->thread.join();
         }
     }
+    for (const auto &item : m_workers) {
+        item->context.abandon();
+    }
 }
 
 } // namespace chicoryrouter
--- a/src/shell/worker_pool.h
+++ b/src/shell/worker_pool.h
@@ -26,14 +26,27 @@
     void stop(); // abandons what is open and joins; call when nothing more is to be served
 
 private:
+    // Pending operations on one context may own objects of another, so all are dropped while all contexts still exist.
+    class worker_context : public boost::asio::io_context
+    {
+    public:
+        worker_context()
+            : io_context(1)
+        {
+        }
+
+        void abandon() { shutdown(); }
+    };
+
     struct worker
     {
-        boost::asio::io_context context{1};
+        worker_context context;
         boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard{context.get_executor()};
         std::thread thread;
     };
 
     std::vector<std::unique_ptr<worker>> m_workers;
+    bool m_stopped = false;
     std::atomic<std::size_t> m_turn{0};
 };
 
--- a/src/standin/deployment.cpp
+++ b/src/standin/deployment.cpp
@@ -93,6 +93,7 @@
     own.threads = m_options.threadsPerDaemon;
     own.pollInterval = m_options.pollInterval;
     own.gossipInterval = m_options.gossipInterval;
+    own.stopWithin = m_options.stopWithin;
     m_daemons.push_back(std::make_unique<daemon>(own));
     m_platform->addEntry({own.instance, own.failureDomain, m_daemons.back()->peer()});
     return *m_daemons.back();
@@ -122,7 +123,8 @@
         [&] {
             for (const auto &item : m_daemons) {
                 const auto status = nlohmann::json::parse(item->statusJson());
-                if (!item->isReady() || status["endpoints"].size() < endpoints) {
+                const bool knowsAll = status["endpoints"].size() >= endpoints && status["members"].size() >= m_daemons.size();
+                if (!item->isReady() || !knowsAll) {
                     return false;
                 }
             }
--- a/src/standin/sync_client.cpp
+++ b/src/standin/sync_client.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/use_future.hpp>
 #include <nlohmann/json.hpp>
 
+#include <array>
+
 namespace chicoryrouter {
 
 namespace asio = boost::asio;
@@ -22,6 +24,37 @@
     return result.get();
 }
 
+sync_client::partial_response sync_client::callUntilCut(const address &where, http_call request, std::size_t stopAfter, duration within)
+{
+    http_client client(m_context.get_executor());
+    partial_response result;
+    auto running = asio::co_spawn(
+        m_context,
+        [&]() -> asio::awaitable<void> {
+            const auto stream = co_await client.open(where, request, systemNow() + within, true, nullptr);
+            result.response.status = stream->status;
+            result.response.headers = stream->headers;
+            std::array<char, 4096> buffer{};
+            while (result.response.body.size() < stopAfter) {
+                const std::size_t got = co_await stream->readSome(buffer.data(), buffer.size());
+                result.response.body.append(buffer.data(), got);
+                result.whole = got == 0;
+                if (result.whole) {
+                    break;
+                }
+            }
+        },
+        asio::use_future);
+    m_context.restart();
+    m_context.run();
+    try {
+        running.get();
+    } catch (const http_failure &) {
+        result.whole = false;
+    }
+    return result;
+}
+
 http_headers bearer(const std::string &token)
 {
     return {{"Authorization", "Bearer " + token}};
@@ -34,7 +67,11 @@
     std::size_t at = 0;
     while ((at = events.find(prefix, at)) != std::string::npos) {
         at += prefix.size();
-        const auto value = nlohmann::json::parse(events.substr(at, events.find('\n', at) - at), nullptr, false);
+        const std::size_t end = events.find("\n\n", at);
+        if (end == std::string::npos) {
+            break; // cut within this event
+        }
+        const auto value = nlohmann::json::parse(events.substr(at, end - at), nullptr, false);
         if (!value.is_object() || !value.contains("choices")) {
             continue;
         }
@@ -45,6 +82,15 @@
     return text;
 }
 
+std::size_t streamedTokens(const std::string &events)
+{
+    std::size_t count = 0;
+    for (std::size_t at = events.find("id: "); at != std::string::npos; at = events.find("id: ", at + 1)) {
+        count += events.find("\n\n", at) != std::string::npos ? 1 : 0;
+    }
+    return count;
+}
+
 bool streamEnded(const std::string &events)
 {
     return events.size() >= 8 && events.find("data: [DONE]") != std::string::npos;
