--- a/src/core/document.cpp
+++ b/src/core/document.cpp
@@ -85,7 +85,8 @@
     }
     valijson::ValidationResults::Error fault;
     while (results.popError(fault)) {
-        faults.add(pointerOf(fault.context), fault.description);
+        const bool wrongType = fault.description.find("'type' constraint") != std::string::npos;
+        faults.add(pointerOf(fault.context), fault.description + (wrongType ? " Names and hashes that look like numbers need quotes." : ""));
     }
     faults.throwIfAny();
 }
--- a/src/core/gossip_codec.cpp
+++ b/src/core/gossip_codec.cpp
@@ -22,16 +22,37 @@
     return json::array({item.endpointId, item.epoch, item.sequence, item.completed, item.running, item.queued});
 }
 
-json toJson(const evidence_cell &item)
+// Most buckets are empty: each other one is its index, one byte, and its count, four bytes with the lowest first.
+json::binary_t packLatency(const evidence_counts &counts)
 {
-    json latency = json::array(); // pairs of bucket and count; most buckets are empty
+    std::vector<std::uint8_t> bytes;
     for (std::size_t i = 0; i < latencyBuckets; ++i) {
-        if (item.counts.latency[i] != 0) {
-            latency.push_back(i);
-            latency.push_back(item.counts.latency[i]);
+        if (counts.latency[i] == 0) {
+            continue;
+        }
+        bytes.push_back(static_cast<std::uint8_t>(i));
+        for (unsigned shift = 0; shift < 32; shift += 8) {
+            bytes.push_back(static_cast<std::uint8_t>(counts.latency[i] >> shift));
         }
     }
-    return json::array({item.origin, item.key.move, item.key.version, item.key.route, item.counts.answered, item.counts.failed, latency});
+    return bytes;
+}
+
+void unpackLatency(const json::binary_t &bytes, evidence_counts &counts)
+{
+    constexpr std::size_t entryBytes = 5;
+    for (std::size_t at = 0; at + entryBytes <= bytes.size(); at += entryBytes) {
+        std::uint32_t count = 0;
+        for (std::size_t i = 0; i < 4; ++i) {
+            count |= static_cast<std::uint32_t>(bytes[at + 1 + i]) << (8 * i);
+        }
+        counts.latency.at(bytes[at]) = count;
+    }
+}
+
+json toJson(const evidence_cell &item)
+{
+    return json::array({item.origin, item.key.move, item.key.version, item.key.route, item.counts.answered, item.counts.failed, packLatency(item.counts)});
 }
 
 json toJson(const move_mark &item)
@@ -84,10 +105,7 @@
     item.key = {value.at(1), value.at(2), value.at(3)};
     item.counts.answered = value.at(4);
     item.counts.failed = value.at(5);
-    const json &latency = value.at(6);
-    for (std::size_t i = 0; i + 1 < latency.size(); i += 2) {
-        item.counts.latency.at(latency[i].get<std::size_t>()) = latency[i + 1];
-    }
+    unpackLatency(value.at(6).get_binary(), item.counts);
 }
 
 void read(const json &value, move_mark &item)
--- a/src/shell/gateway.h
+++ b/src/shell/gateway.h
@@ -54,7 +54,7 @@
     remote_requests *peers = nullptr;          // null: none
 
     boost::asio::awaitable<void> handle(http_exchange &exchange);
-    [[nodiscard]] bool isReady() const;                      // holds a document, knows its peers, and takes new work
+    [[nodiscard]] bool isReady() const; // holds a document, knows its peers, and takes new work
 
     static void bindThread(request_thread *own); // once on each request thread, before it serves
     static request_thread &ownThread();
