Routing: keys beside endpoints, mean load by sample, reported load in the bound; benchmarks

Change: rank by keys in one array; estimate the mean load from 16 endpoints; hold an endpoint's own reported load, averaged over elapsed time as the related paper does, against the mean. Conclusion: prefix first, bounded by own and reported load.

--- a/bench/benchmarks.h
+++ b/bench/benchmarks.h
@@ -3,6 +3,13 @@
 
 namespace chicoryrouter::bench {
 
-void moves(); // version moves over many seeded runs, both deployments
+void routing(); // cost of a decision; strategies compared
+void moves();   // version moves over many seeded runs, both deployments
+void slopes();  // control cost against daemons, endpoints, routes, accounts
+
+void streams();    // streamed tokens through one daemon
+void plain();      // plain requests beside a bare pass-through
+void firsttoken(); // added time to the first token
+void hundred();    // a hundred real daemons at once
 
 } // namespace chicoryrouter::bench
--- a/include/chicoryrouter/endpoint.h
+++ b/include/chicoryrouter/endpoint.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace chicoryrouter {
 
@@ -36,6 +37,7 @@
     std::atomic<std::uint32_t> inFlight{0};         // requests this daemon has open there
     std::atomic<std::uint32_t> slots{0};            // this daemon's share of what the endpoint bears
     std::atomic<std::uint32_t> firstTokenMicros{0}; // moving average of observed times to the first token, in microseconds; 0: not measured
+    std::atomic<std::uint32_t> reportedPermille{0}; // moving average of reported load over what it runs at once, over all daemons; 0: not measured
 
     bool tryTake();  // takes one slot; false when all are taken
     void giveBack(); // returns one slot; asserts that one was taken
@@ -58,6 +60,28 @@
 
 using endpoint_ptr = std::shared_ptr<const endpoint>;
 
+// Endpoints in a row, with their keys beside them: ranking by key reads one line of memory, not one object per endpoint.
+class endpoint_list
+{
+public:
+    void push_back(endpoint_ptr item)
+    {
+        m_keys.push_back(item->key);
+        m_items.push_back(std::move(item));
+    }
+
+    [[nodiscard]] std::size_t size() const { return m_items.size(); }
+    [[nodiscard]] bool empty() const { return m_items.empty(); }
+    const endpoint_ptr &operator[](std::size_t index) const { return m_items[index]; }
+    [[nodiscard]] std::uint64_t key(std::size_t index) const { return m_keys[index]; }
+    [[nodiscard]] auto begin() const { return m_items.begin(); }
+    [[nodiscard]] auto end() const { return m_items.end(); }
+
+private:
+    std::vector<endpoint_ptr> m_items;
+    std::vector<std::uint64_t> m_keys; // m_keys[i] == m_items[i]->key
+};
+
 std::string_view toText(endpoint_use use);
 
 } // namespace chicoryrouter
--- a/include/chicoryrouter/fleet.h
+++ b/include/chicoryrouter/fleet.h
@@ -63,7 +63,7 @@
     [[nodiscard]] bool hasShares(const std::vector<version_share> &shares) const { return shares == m_shares; }
     std::vector<reclaim_notice> onInstanceList(const std::vector<instance_record> &list, time_point now);
     std::vector<reclaim_notice> onNotice(const std::string &endpointId, time_point leaveBy);
-    bool onLoadReport(const load_report &report); // false: older than what is held
+    bool onLoadReport(const load_report &report, time_point now); // false: older than what is held
     void onOutcome(const attempt_outcome &outcome, time_point now);
     void onProbeTime(time_point now); // brings back what was set aside long enough
 
@@ -79,6 +79,7 @@
         bool listed = true; // in the newest instance list
         bool leaving = false;
         load_report report;
+        time_point reportedAt{};     // when `report` came
         std::uint64_t coldSince = 0; // completed count at which it was last found cold
         cold_detector cold;
         std::uint32_t failuresInRow = 0;
@@ -88,6 +89,7 @@
     };
 
     void judge(known_endpoint &item) const;
+    void averageReportedLoad(known_endpoint &item, time_point now);
     void setAsideIfAllowed(known_endpoint &item, time_point now);
     void observeFirstToken(known_endpoint &item, duration firstToken);
     [[nodiscard]] const version_spec *versionOf(const endpoint &facts) const;
--- a/include/chicoryrouter/routing_table.h
+++ b/include/chicoryrouter/routing_table.h
@@ -18,9 +18,9 @@
 struct version_group
 {
     std::string version;
-    std::uint32_t share = 0;          // thousandths of the service's traffic; the groups of a service sum up to wholeShare
-    std::vector<endpoint_ptr> local;  // in this daemon's failure domain
-    std::vector<endpoint_ptr> remote; // in others
+    std::uint32_t share = 0; // thousandths of the service's traffic; the groups of a service sum up to wholeShare
+    endpoint_list local;     // in this daemon's failure domain
+    endpoint_list remote;    // in others
 };
 
 struct service_table
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -4,6 +4,7 @@
 #include "chicoryrouter/hash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace chicoryrouter {
@@ -18,6 +19,7 @@
 constexpr duration longestProbeAfter = 60s;
 constexpr duration sameRegionDelay = 1ms;
 constexpr duration otherRegionDelay = 30ms;
+constexpr double reportedHalfLifeSeconds = 2.0;
 constexpr std::int64_t averageShift = 8; // one observation moves an average by 1/8
 
 duration average(duration held, duration fresh)
@@ -96,7 +98,7 @@
     return {{endpointId, leaveBy}};
 }
 
-bool fleet::onLoadReport(const load_report &report)
+bool fleet::onLoadReport(const load_report &report, time_point now)
 {
     const auto found = m_endpoints.find(report.endpointId);
     if (found == m_endpoints.end()) {
@@ -113,10 +115,28 @@
     }
     const std::uint32_t before = limitOf(item);
     item.report = report;
+    averageReportedLoad(item, now);
+    item.reportedAt = now;
     m_dirty = m_dirty || limitOf(item) != before;
     return true;
 }
 
+// Weighted by elapsed time, so that a report that was missed counts by the right amount.
+void fleet::averageReportedLoad(known_endpoint &item, time_point now)
+{
+    const version_spec *version = versionOf(item.facts);
+    if (version == nullptr) {
+        return;
+    }
+    const double sample = std::min(1.0, static_cast<double>(item.report.running + item.report.queued) / version->maxConcurrency);
+    auto &held = item.facts.load->reportedPermille;
+    const bool first = item.reportedAt == time_point{};
+    const double elapsed = std::chrono::duration<double>(now - item.reportedAt).count();
+    const double weight = first ? 1.0 : 1.0 - std::exp2(-elapsed / reportedHalfLifeSeconds);
+    const double before = held.load(std::memory_order_relaxed);
+    held.store(static_cast<std::uint32_t>(before + weight * (sample * 1000.0 - before)), std::memory_order_relaxed);
+}
+
 void fleet::observeFirstToken(known_endpoint &item, duration firstToken)
 {
     if (firstToken == duration{}) {
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -9,15 +9,16 @@
 namespace {
 
 constexpr std::uint32_t unmeasuredFirstTokenMicros = 200'000; // assumed until an endpoint has answered once
+constexpr std::size_t meanSample = 16;                        // endpoints looked at for the mean load
+constexpr std::uint32_t busyPermille = 500;                   // below this reported load an endpoint is never too busy for a prefix
 constexpr int mostLooks = 3;                                  // another thread may take the last slot between look and take
 constexpr std::uint32_t crossingLoadPercent = 50;             // below this load the own domain is never worth leaving
 
-using endpoint_list = std::vector<endpoint_ptr>;
-
 struct mean_load
 {
     std::uint64_t open = 0;
     std::uint64_t slots = 0;
+    std::uint64_t reported = 0; // thousandths, of one endpoint
 };
 
 std::uint32_t openAt(const endpoint &candidate)
@@ -40,36 +41,51 @@
     return openAt(candidate) < slotsAt(candidate) && !isExcluded(candidate, query);
 }
 
-mean_load loadOf(const endpoint_list &list)
+std::uint32_t reportedAt(const endpoint &candidate)
+{
+    return candidate.load->reportedPermille.load(std::memory_order_relaxed);
+}
+
+// Estimated from a few spread over the list, so that a decision's cost hardly grows with the list.
+mean_load loadOf(const endpoint_list &list, seeded_random &random)
 {
-    mean_load total;
-    for (const endpoint_ptr &candidate : list) {
-        total.open += openAt(*candidate);
-        total.slots += slotsAt(*candidate);
+    mean_load mean;
+    const std::size_t looks = std::min(list.size(), meanSample);
+    const std::size_t stride = std::max<std::size_t>(list.size() / std::max<std::size_t>(looks, 1), 1);
+    const std::size_t start = list.empty() ? 0 : uniformBelow(random, list.size());
+    for (std::size_t i = 0; i < looks; ++i) {
+        const endpoint &candidate = *list[(start + i * stride) % list.size()];
+        mean.open += openAt(candidate);
+        mean.slots += slotsAt(candidate);
+        mean.reported += reportedAt(candidate);
     }
-    return total;
+    mean.reported /= std::max<std::size_t>(looks, 1);
+    return mean;
 }
 
-// Load is compared as a fraction of each endpoint's own slots, so that small endpoints are not mistaken for idle ones.
-// One request more than the bound is always allowed; otherwise nothing could start at a group of idle endpoints.
+// Load is compared as a fraction of each endpoint's own slots, so that small endpoints are not mistaken for idle ones. One request more
+// than the bound is always allowed; otherwise nothing could start at a group of idle endpoints. Own counters show this daemon's part
+// only: what the endpoint reports of its whole load is held against the mean too, once it is busy.
 bool withinBound(const endpoint &candidate, const mean_load &mean, double bound)
 {
     const double allowed = bound * static_cast<double>(mean.open + 1) * slotsAt(candidate) / static_cast<double>(mean.slots);
-    return openAt(candidate) < static_cast<std::uint32_t>(allowed) + 1;
+    const bool ownFits = openAt(candidate) < static_cast<std::uint32_t>(allowed) + 1;
+    const std::uint32_t reported = reportedAt(candidate);
+    return ownFits && (reported < busyPermille || reported <= bound * static_cast<double>(mean.reported));
 }
 
-const endpoint_ptr *byPrefix(const endpoint_list &list, const route_query &query, const router_options &options)
+const endpoint_ptr *byPrefix(const endpoint_list &list, const route_query &query, const router_options &options, seeded_random &random)
 {
-    const mean_load mean = loadOf(list);
+    const mean_load mean = loadOf(list, random);
     if (mean.slots == 0) {
         return nullptr;
     }
     const endpoint_ptr *best = nullptr;
     std::uint64_t bestWeight = 0;
-    for (const endpoint_ptr &candidate : list) {
-        const std::uint64_t weight = rendezvousWeight(query.prefix, candidate->key);
-        if (weight > bestWeight && hasFreeSlot(*candidate, query) && withinBound(*candidate, mean, options.loadBound)) {
-            best = &candidate;
+    for (std::size_t i = 0; i < list.size(); ++i) {
+        const std::uint64_t weight = rendezvousWeight(query.prefix, list.key(i));
+        if (weight > bestWeight && hasFreeSlot(*list[i], query) && withinBound(*list[i], mean, options.loadBound)) {
+            best = &list[i];
             bestWeight = weight;
         }
     }
@@ -113,7 +129,7 @@
 route_choice chooseIn(const endpoint_list &list, const route_query &query, const router_options &options, seeded_random &random)
 {
     if (query.prefix != 0) {
-        if (const endpoint_ptr *best = byPrefix(list, query, options)) {
+        if (const endpoint_ptr *best = byPrefix(list, query, options, random)) {
             return {best, route_reason::Prefix};
         }
     }
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -279,7 +279,7 @@
 void control::takeReports(const std::vector<load_report> &reports)
 {
     for (const load_report &report : reports) {
-        m_fleet.onLoadReport(report);
+        m_fleet.onLoadReport(report, systemNow());
     }
 }
 
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -174,7 +174,7 @@
     after(linkDelay, [this, reports] {
         for (const auto &item : m_nodes) {
             for (const load_report &report : reports) {
-                item->endpoints.onLoadReport(report);
+                item->endpoints.onLoadReport(report, m_now);
             }
         }
     });
--- a/tests/unit/limits.cpp
+++ b/tests/unit/limits.cpp
@@ -116,7 +116,7 @@
 Test(limits, an_endpoint_that_turns_cold_is_noticed_after_three_slow_answers_and_starts_over)
 {
     fleet all = fleetOf(2);
-    all.onLoadReport({"e0", 1, 1, 1000, 0, 0});
+    all.onLoadReport({"e0", 1, 1, 1000, 0, 0}, someday);
     const attempt_outcome usual{"e0", "writer", "v1", "chat", attempt_result::Answered, 50ms};
     for (int i = 0; i < 20; ++i) {
         all.onOutcome(usual, someday);
@@ -133,11 +133,11 @@
 Test(limits, a_new_epoch_in_a_report_starts_over)
 {
     fleet all = fleetOf(1);
-    all.onLoadReport({"e0", 1, 7, 1000, 0, 0});
+    all.onLoadReport({"e0", 1, 7, 1000, 0, 0}, someday);
     cr_assert_eq(all.status()[0].limit, 16);
-    cr_assert(all.onLoadReport({"e0", 2, 1, 0, 0, 0}));
+    cr_assert(all.onLoadReport({"e0", 2, 1, 0, 0, 0}, someday));
     cr_assert_eq(all.status()[0].limit, 4);
-    cr_assert_not(all.onLoadReport({"e0", 1, 8, 1000, 0, 0}), "a late report of the old epoch is not taken");
+    cr_assert_not(all.onLoadReport({"e0", 1, 8, 1000, 0, 0}, someday), "a late report of the old epoch is not taken");
     cr_assert_eq(all.status()[0].limit, 4);
 }
 
--- a/tests/unit/routing.cpp
+++ b/tests/unit/routing.cpp
@@ -37,6 +37,20 @@
     }
 }
 
+Test(routing, an_endpoint_that_reports_more_than_its_share_gets_no_prefix_traffic)
+{
+    const service_table table = makeTable(10, 100);
+    seeded_random random(1);
+    const endpoint_ptr usual = *chooseEndpoint(table, {.prefix = 12345}, {}, random).chosen;
+    for (const endpoint_ptr &item : table.groups[0].local) {
+        item->load->reportedPermille = 400;
+    }
+    usual->load->reportedPermille = 900; // other daemons keep it busy; this one alone would not know
+    for (int i = 0; i < 20; ++i) {
+        cr_assert_neq((*chooseEndpoint(table, {.prefix = 12345}, {}, random).chosen)->id, usual->id);
+    }
+}
+
 Test(routing, slots_are_never_exceeded)
 {
     const service_table table = makeTable(3, 4);
@@ -52,7 +66,8 @@
 {
     service_table table = makeTable(2, 100000);
     table.groups[0].share = 950;
-    table.groups.push_back({"v2", 50, {makeEndpoint("n0", "fd-1", 100000, "v2")}, {}});
+    table.groups.push_back({"v2", 50, {}, {}});
+    table.groups[1].local.push_back(makeEndpoint("n0", "fd-1", 100000, "v2"));
     seeded_random random(3);
     int fresh = 0;
     for (int i = 0; i < 20000; ++i) {
@@ -65,7 +80,8 @@
 {
     service_table table = makeTable(1, 5);
     table.groups[0].share = 990;
-    table.groups.push_back({"v2", 10, {makeEndpoint("n0", "fd-1", 1000, "v2")}, {}});
+    table.groups.push_back({"v2", 10, {}, {}});
+    table.groups[1].local.push_back(makeEndpoint("n0", "fd-1", 1000, "v2"));
     seeded_random random(3);
     for (int i = 0; i < 300; ++i) {
         chooseEndpoint(table, {}, {}, random);
@@ -115,7 +131,8 @@
 {
     service_table table = makeTable(1, 10);
     table.groups[0].share = 900;
-    table.groups.push_back({"v2", 100, {makeEndpoint("n0", "fd-1", 10, "v2")}, {}});
+    table.groups.push_back({"v2", 100, {}, {}});
+    table.groups[1].local.push_back(makeEndpoint("n0", "fd-1", 10, "v2"));
     seeded_random random(3);
     route_query query;
     query.version = "v2";
