--- a/src/programs/chicoryctl.cpp
+++ b/src/programs/chicoryctl.cpp
@@ -1,47 +1,384 @@
-// The operators' command line.
+// The operators' command line: documents from version control in, state out.
 #include "programs/program.h"
 
 #include "chicoryrouter/document.h"
 #include "chicoryrouter/error.h"
+#include "chicoryrouter/units.h"
+#include "shell/clock.h"
+#include "standin/sync_client.h"
 
+#include <nlohmann/json.hpp>
+#include <yaml-cpp/yaml.h>
+
+#include <charconv>
+#include <cstdlib>
 #include <fstream>
+#include <functional>
+#include <iomanip>
 #include <iostream>
+#include <map>
 #include <sstream>
+#include <thread>
+
+DEFINE_string(at, "127.0.0.1:8080", "gateway address of any entry instance, as IP:PORT");
+DEFINE_string(token, "", "operators' token (default: the environment variable CHICORY_OPERATOR_TOKEN)");
+DEFINE_bool(json, false, "print JSON for programs instead of tables for people");
+DEFINE_int64(expect_revision, -1, "apply: the revision that the change is based on");
+DEFINE_bool(yes, false, "apply, failure-domain, move: do it; without this flag only what would change is shown");
+DEFINE_string(done_by, "", "move start: the time by which the move is done or taken back, such as 2026-05-01T08:30:00Z");
 
 namespace {
 
+using namespace chicoryrouter;
+using nlohmann::json;
+using words = std::vector<std::string>;
+
+constexpr const char *usage =
+    "does one of these against a running deployment (--at, --token) or a file:\n"
+    "  validate FILE                        check a document\n"
+    "  schema                               print the published JSON schema\n"
+    "  hash-token                           read a token from standard input, print its hash for a document\n"
+    "  show                                 print the document in force; its revision goes to standard error\n"
+    "  diff FILE                            what FILE would change\n"
+    "  apply FILE --expect_revision=N --yes put FILE in force, if revision N still is\n"
+    "  status                               members, moves, failure domains, endpoints and why each is or is not used\n"
+    "  explain REQUEST_ID                   what was decided for one request, at the entry instance that served it\n"
+    "  failure-domain out|in NAME --yes     take a failure domain out, or bring it back\n"
+    "  move start SERVICE VERSION --done_by=TIME --yes\n"
+    "  move back SERVICE --yes              end a move: all traffic stays with the old version\n"
+    "  watch                                print changes of revision, members and moves until interrupted\n"
+    "Exit code: 0 done, 1 failed (nothing was changed, unless the message says otherwise), 2 wrong use or invalid document.";
+
 std::string readFile(const std::string &path)
 {
     const std::ifstream file(path);
     if (!file) {
-        throw chicoryrouter::error(chicoryrouter::error_kind::BadRequest, path + ": cannot be read");
+        throw error(error_kind::BadRequest, path + ": cannot be read");
     }
     std::ostringstream text;
     text << file.rdbuf();
     return text.str();
 }
 
+address gatewayAddress()
+{
+    const auto colon = FLAGS_at.rfind(':');
+    unsigned port = 0;
+    if (colon != std::string::npos) {
+        std::from_chars(FLAGS_at.data() + colon + 1, FLAGS_at.data() + FLAGS_at.size(), port);
+    }
+    if (port == 0 || port > UINT16_MAX) {
+        throw error(error_kind::BadRequest, "--at: expected an IP number and port such as 10.0.0.1:8080");
+    }
+    return {FLAGS_at.substr(0, colon), static_cast<std::uint16_t>(port)};
+}
+
+// A call to the deployment. An answer that is an error becomes an exception that carries its text.
+http_response call(const std::string &method, const std::string &target, const std::string &body = "")
+{
+    const char *fromEnvironment = std::getenv("CHICORY_OPERATOR_TOKEN");
+    const std::string token = FLAGS_token.empty() && fromEnvironment != nullptr ? fromEnvironment : FLAGS_token;
+    http_call request;
+    request.method = method;
+    request.target = target;
+    request.headers = bearer(token);
+    request.body = body;
+    http_response response = sync_client().call(gatewayAddress(), std::move(request), std::chrono::seconds(10));
+    if (response.status != 200) {
+        const json answer = json::parse(response.body, nullptr, false);
+        const json fault = answer.is_object() ? answer.value("error", json::object()) : json::object();
+        const std::string text = fault.value("kind", "unknown answer") + ": " + fault.value("message", "") + "\n" + fault.value("detail", "");
+        throw std::runtime_error(text);
+    }
+    return response;
+}
+
+struct held_document
+{
+    std::uint64_t revision = 0;
+    std::string text;
+};
+
+held_document documentInForce()
+{
+    const http_response response = call("GET", "/operator/document");
+    return {std::stoull(std::string(findHeader(response.headers, "X-Revision"))), response.body};
+}
+
+void printTable(const words &titles, const std::vector<words> &rows)
+{
+    std::vector<std::size_t> widths;
+    for (std::size_t i = 0; i < titles.size(); ++i) {
+        std::size_t width = titles[i].size();
+        for (const words &row : rows) {
+            width = std::max(width, row[i].size());
+        }
+        widths.push_back(width);
+    }
+    const auto print = [&](const words &row) {
+        for (std::size_t i = 0; i < row.size(); ++i) {
+            std::cout << std::left << std::setw(static_cast<int>(widths[i]) + 2) << row[i];
+        }
+        std::cout << "\n";
+    };
+    print(titles);
+    for (const words &row : rows) {
+        print(row);
+    }
+    std::cout << "\n";
+}
+
+void printList(const json &list, const words &fields)
+{
+    std::vector<words> rows;
+    for (const json &item : list) {
+        words row;
+        for (const std::string &field : fields) {
+            const json &value = item.at(field);
+            row.push_back(value.is_string() ? value.get<std::string>() : value.dump());
+        }
+        rows.push_back(std::move(row));
+    }
+    printTable(fields, rows);
+}
+
+int printDifferences(const std::string &text)
+{
+    const json answer = json::parse(call("POST", "/operator/check", text).body);
+    if (FLAGS_json) {
+        std::cout << answer.dump(2) << "\n";
+        return exitGood;
+    }
+    for (const json &line : answer["differences"]) {
+        std::cout << line.get<std::string>() << "\n";
+    }
+    if (answer["differences"].empty()) {
+        std::cout << "no difference to revision " << answer["revision"] << "\n";
+    }
+    return exitGood;
+}
+
+int apply(const std::string &text, std::int64_t expected)
+{
+    printDifferences(text);
+    if (!FLAGS_yes) {
+        std::cout << "nothing was changed; --yes puts it in force\n";
+        return exitGood;
+    }
+    const json answer = json::parse(call("PUT", "/operator/document?expect-revision=" + std::to_string(expected), text).body);
+    std::cout << "revision " << answer["revision"] << " accepted; in force everywhere within seconds (see 'status')\n";
+    return exitGood;
+}
+
+// ---- Commands --------------------------------------------------------------------------------------------------------------------------
+
+int validate(const words &arguments)
+{
+    parseDocument(readFile(arguments.at(0)));
+    std::cout << arguments[0] << ": valid\n";
+    return exitGood;
+}
+
+int schema(const words &)
+{
+    std::cout << documentSchema();
+    return exitGood;
+}
+
+int hashStandardInput(const words &)
+{
+    std::string token;
+    std::getline(std::cin, token);
+    std::cout << hashToken(token) << "\n";
+    return exitGood;
+}
+
+int show(const words &)
+{
+    const held_document held = documentInForce();
+    std::cerr << "revision " << held.revision << "\n";
+    std::cout << held.text;
+    return exitGood;
+}
+
+int diff(const words &arguments)
+{
+    const std::string text = readFile(arguments.at(0));
+    parseDocument(text);
+    return printDifferences(text);
+}
+
+int applyFile(const words &arguments)
+{
+    const std::string text = readFile(arguments.at(0));
+    parseDocument(text);
+    if (FLAGS_expect_revision < 0) {
+        throw error(error_kind::BadRequest, "apply needs --expect_revision=N, the revision that the file was made from ('show' tells it)");
+    }
+    return apply(text, FLAGS_expect_revision);
+}
+
+int status(const words &)
+{
+    const json answer = json::parse(call("GET", "/operator/status").body);
+    if (FLAGS_json) {
+        std::cout << answer.dump(2) << "\n";
+        return exitGood;
+    }
+    std::cout << "entry instance " << answer["instance"].get<std::string>() << " in " << answer["failure_domain"].get<std::string>() << ", "
+              << (answer["ready"].get<bool>() ? "ready" : "not ready") << ", revision " << answer["revision"] << " in force, " << answer["open_requests"]
+              << " requests open\n\n";
+    printList(answer["failure_domains"], {"name", "region", "out"});
+    printList(answer["members"], {"instance", "failure_domain", "state"});
+    printList(answer["moves"], {"service", "from", "to", "state", "share", "done_by", "reason"});
+    printList(answer["placement"], {"service", "holder", "planned", "per_hour", "bears_loss", "starts_open"});
+    printList(answer["endpoints"], {"id", "service", "version", "failure_domain", "use", "limit", "slots", "in_flight"});
+    return exitGood;
+}
+
+int explain(const words &arguments)
+{
+    const json answer = json::parse(call("GET", "/operator/explain/" + arguments.at(0)).body);
+    if (FLAGS_json) {
+        std::cout << answer.dump(2) << "\n";
+    } else {
+        std::cout << answer["request_id"].get<std::string>() << " on " << answer["route"].get<std::string>() << " for " << answer["account"].get<std::string>() << "\n"
+                  << answer["decisions"].get<std::string>();
+    }
+    return exitGood;
+}
+
+// Changes one thing in the document in force, through the same check and the same compare-and-swap as 'apply'.
+int change(const std::function<void(YAML::Node &)> &edit)
+{
+    const held_document held = documentInForce();
+    YAML::Node root = YAML::Load(held.text);
+    edit(root);
+    YAML::Emitter out;
+    out << root;
+    const std::string text = std::string(out.c_str()) + "\n";
+    parseDocument(text);
+    return apply(text, static_cast<std::int64_t>(held.revision));
+}
+
+YAML::Node findNamed(YAML::Node list, const std::string &field, const std::string &name)
+{
+    for (YAML::Node item : list) {
+        if (item[field].as<std::string>() == name) {
+            return item;
+        }
+    }
+    throw error(error_kind::BadRequest, "'" + name + "' is not in the document");
+}
+
+int failureDomain(const words &arguments)
+{
+    const std::string &what = arguments.at(0);
+    if (what != "out" && what != "in") {
+        throw error(error_kind::BadRequest, "expected 'out' or 'in'");
+    }
+    return change([&](YAML::Node &root) { findNamed(root["failure_domains"], "name", arguments.at(1))["out"] = what == "out"; });
+}
+
+void startMove(YAML::Node &root, const std::string &serviceName, const std::string &version)
+{
+    if (!parseMoment(FLAGS_done_by)) {
+        throw error(error_kind::BadRequest, "move start needs --done_by=TIME, such as 2026-05-01T08:30:00Z");
+    }
+    YAML::Node move;
+    move["service"] = serviceName;
+    move["from"] = findNamed(root["services"], "name", serviceName)["current_version"].as<std::string>();
+    move["to"] = version;
+    move["start_at"] = momentText(systemNow());
+    move["done_by"] = FLAGS_done_by;
+    root["moves"].push_back(move);
+}
+
+void endMove(YAML::Node &root, const std::string &serviceName)
+{
+    YAML::Node kept(YAML::NodeType::Sequence);
+    bool found = false;
+    for (const YAML::Node &item : root["moves"]) {
+        const bool ours = item["service"].as<std::string>() == serviceName;
+        found = found || ours;
+        if (!ours) {
+            kept.push_back(item);
+        }
+    }
+    if (!found) {
+        throw error(error_kind::BadRequest, "service '" + serviceName + "' has no move");
+    }
+    root["moves"] = kept;
+}
+
+int move(const words &arguments)
+{
+    if (arguments.at(0) == "start") {
+        return change([&](YAML::Node &root) { startMove(root, arguments.at(1), arguments.at(2)); });
+    }
+    if (arguments.at(0) == "back") {
+        return change([&](YAML::Node &root) { endMove(root, arguments.at(1)); });
+    }
+    throw error(error_kind::BadRequest, "expected 'start' or 'back'");
+}
+
+int watch(const words &)
+{
+    std::string before;
+    while (true) {
+        const json answer = json::parse(call("GET", "/operator/status").body);
+        std::string line = "revision " + answer["revision"].dump();
+        for (const json &item : answer["members"]) {
+            line += ", " + item["instance"].get<std::string>() + " " + item["state"].get<std::string>();
+        }
+        for (const json &item : answer["moves"]) {
+            line += ", " + item["service"].get<std::string>() + " to " + item["to"].get<std::string>() + " " + item["state"].get<std::string>() + " share " + item["share"].dump();
+        }
+        if (line != before) {
+            std::cout << momentText(systemNow()) << " " << line << std::endl;
+            before = line;
+        }
+        std::this_thread::sleep_for(std::chrono::seconds(1));
+    }
+}
+
+struct command
+{
+    std::size_t arguments = 0; // at least so many
+    int (*run)(const words &) = nullptr;
+};
+
+const std::map<std::string, command> &commands()
+{
+    static const std::map<std::string, command> table = {
+        {"validate", {1, validate}}, {"schema", {0, schema}},   {"hash-token", {0, hashStandardInput}}, {"show", {0, show}},
+        {"diff", {1, diff}},         {"apply", {1, applyFile}}, {"status", {0, status}},                {"explain", {1, explain}},
+        {"failure-domain", {2, failureDomain}}, {"move", {2, move}}, {"watch", {0, watch}},
+    };
+    return table;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
-    using namespace chicoryrouter;
-    startProgram(argc, argv, "validate FILE | schema\nExit code: 0 good, 1 failed, 2 wrong use or invalid document.");
-    const std::vector<std::string> words(argv + 1, argv + argc);
+    startProgram(argc, argv, usage);
+    const words arguments(argv + std::min(argc, 2), argv + argc);
+    const auto found = argc > 1 ? commands().find(argv[1]) : commands().end();
+    if (found == commands().end() || arguments.size() < found->second.arguments) {
+        std::cerr << "see chicoryctl --help\n";
+        return exitUsage;
+    }
     try {
-        if (words.size() == 2 && words[0] == "validate") {
-            parseDocument(readFile(words[1]));
-            std::cout << words[1] << ": valid\n";
-            return exitGood;
-        }
-        if (words.size() == 1 && words[0] == "schema") {
-            std::cout << documentSchema();
-            return exitGood;
-        }
+        return found->second.run(arguments);
     } catch (const error &fault) {
         std::cerr << fault.detail() << "\n";
         return exitUsage;
+    } catch (const std::out_of_range &) {
+        std::cerr << "something is missing; see chicoryctl --help\n";
+        return exitUsage;
+    } catch (const std::exception &fault) {
+        std::cerr << fault.what() << "\n";
+        return exitFailed;
     }
-    std::cerr << "see chicoryctl --help\n";
-    return exitUsage;
 }
