--- a/include/chicoryrouter/endpoint.h
+++ b/include/chicoryrouter/endpoint.h
@@ -39,6 +39,8 @@
     std::atomic<std::uint32_t> firstTokenMicros{0}; // moving average of observed times to the first token, in microseconds; 0: not measured
     std::atomic<std::uint32_t> reportedPermille{0}; // moving average of reported load over what it runs at once, over all daemons; 0: not measured
 
+    std::atomic<bool> leaving{false}; // on notice: whoever holds a slot and has not sent yet goes elsewhere
+
     bool tryTake();  // takes one slot; false when all are taken
     void giveBack(); // returns one slot; asserts that one was taken
 };
--- a/include/chicoryrouter/request_machine.h
+++ b/include/chicoryrouter/request_machine.h
@@ -188,7 +188,9 @@
     };
 
     request_actions askSlot(slot_purpose purpose, time_point waitUntil);
+    request_actions goElsewhere(const endpoint_ptr &where, slot_purpose purpose);
     request_actions proceedToSend(time_point now);
+    request_actions sendHeld(bool withKv, time_point now);
     request_actions send(const endpoint_ptr &where, bool withKv, time_point now);
     request_actions retryLater(time_point now);
     request_actions fail(error_kind kind);
@@ -205,10 +207,11 @@
     retry_budget &m_budget;
     std::vector<attempt> m_attempts; // open ones; at most two: a primary, and a hedge or a mover
     route_query m_query;
-    slot_purpose m_asking = slot_purpose::None; // what the pending acquire_slot is for; at most one is pending
-    endpoint_ptr m_held;                        // slot granted, not yet sent; null otherwise
-    time_point m_retryAt = noDeadline;          // when to try again; set while waiting for the budget
-    time_point m_leaveBy = noDeadline;          // the newest notice's deadline
+    slot_purpose m_asking = slot_purpose::None;  // what the pending acquire_slot is for; at most one is pending
+    endpoint_ptr m_held;                         // slot granted, not yet sent; null otherwise
+    slot_purpose m_heldFor = slot_purpose::None; // what the held slot was asked for
+    time_point m_retryAt = noDeadline;           // when to try again; set while waiting for the budget
+    time_point m_leaveBy = noDeadline;           // the newest notice's deadline
     move_method m_method = move_method::Resume;
     error_kind m_lastFailure = error_kind::Internal;
     std::uint32_t m_sends = 0; // attempts sent; also the newest attempt's number
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -77,6 +77,7 @@
         }
         // A notice is never taken back by a list that lags behind it.
         item.leaving = item.leaving || record.leaving;
+        item.facts.load->leaving = item.leaving;
     }
     for (auto item = m_endpoints.begin(); item != m_endpoints.end();) {
         item->second.listed = listed.count(item->first) != 0;
@@ -94,6 +95,7 @@
         return {};
     }
     found->second.leaving = true;
+    found->second.facts.load->leaving = true;
     m_dirty = true;
     return {{endpointId, leaveBy}};
 }
--- a/src/core/request_machine.cpp
+++ b/src/core/request_machine.cpp
@@ -75,7 +75,11 @@
     if (m_over || purpose == slot_purpose::None) {
         return {release_slot{where}};
     }
+    if (where->load->leaving) {
+        return goElsewhere(where, purpose);
+    }
     m_held = where;
+    m_heldFor = purpose;
     if (purpose == slot_purpose::First && m_facts.needsCopy) {
         return {copy_to_peer{}};
     }
@@ -86,6 +90,15 @@
     return purpose == slot_purpose::First ? onCopied(now) : proceedToSend(now);
 }
 
+// The slot's endpoint was put on notice between the choice and the send.
+request_actions request_machine::goElsewhere(const endpoint_ptr &where, slot_purpose purpose)
+{
+    request_actions actions{release_slot{where}};
+    m_query.avoid = where->key;
+    appendAll(actions, askSlot(purpose, purpose == slot_purpose::First ? m_facts.waitUntil : m_facts.deadline));
+    return actions;
+}
+
 request_actions request_machine::onNoSlot(error_kind kind, time_point now)
 {
     const slot_purpose purpose = m_asking;
@@ -139,10 +152,16 @@
 // ---- Sending ---------------------------------------------------------------------------------------------------------------------------
 
 request_actions request_machine::proceedToSend(time_point now)
+{
+    return sendHeld(false, now);
+}
+
+request_actions request_machine::sendHeld(bool withKv, time_point now)
 {
     const endpoint_ptr where = std::move(m_held);
     m_held = nullptr;
-    return send(where, false, now);
+    const bool claimed = m_heldFor == slot_purpose::First && m_facts.needsClaim; // its claim is made: it goes where it was to go
+    return where->load->leaving && !claimed ? goElsewhere(where, m_heldFor) : send(where, withKv, now);
 }
 
 request_actions request_machine::send(const endpoint_ptr &where, bool withKv, time_point now)
@@ -288,9 +307,7 @@
     if (m_over || m_held == nullptr) {
         return {};
     }
-    const endpoint_ptr where = std::move(m_held);
-    m_held = nullptr;
-    return send(where, arrived, now);
+    return sendHeld(arrived, now);
 }
 
 // ---- The caller, and time --------------------------------------------------------------------------------------------------------------
--- a/src/programs/chicoryctl.cpp
+++ b/src/programs/chicoryctl.cpp
@@ -33,21 +33,20 @@
 using nlohmann::json;
 using words = std::vector<std::string>;
 
-constexpr const char *usage =
-    "does one of these against a running deployment (--at, --token) or a file:\n"
-    "  validate FILE                        check a document\n"
-    "  schema                               print the published JSON schema\n"
-    "  hash-token                           read a token from standard input, print its hash for a document\n"
-    "  show                                 print the document in force; its revision goes to standard error\n"
-    "  diff FILE                            what FILE would change\n"
-    "  apply FILE --expect_revision=N --yes put FILE in force, if revision N still is\n"
-    "  status                               members, moves, failure domains, endpoints and why each is or is not used\n"
-    "  explain REQUEST_ID                   what was decided for one request, at the entry instance that served it\n"
-    "  failure-domain out|in NAME --yes     take a failure domain out, or bring it back\n"
-    "  move start SERVICE VERSION --done_by=TIME --yes\n"
-    "  move back SERVICE --yes              end a move: all traffic stays with the old version\n"
-    "  watch                                print changes of revision, members and moves until interrupted\n"
-    "Exit code: 0 done, 1 failed (nothing was changed, unless the message says otherwise), 2 wrong use or invalid document.";
+constexpr const char *usage = "does one of these against a running deployment (--at, --token) or a file:\n"
+                              "  validate FILE                        check a document\n"
+                              "  schema                               print the published JSON schema\n"
+                              "  hash-token                           read a token from standard input, print its hash for a document\n"
+                              "  show                                 print the document in force; its revision goes to standard error\n"
+                              "  diff FILE                            what FILE would change\n"
+                              "  apply FILE --expect_revision=N --yes put FILE in force, if revision N still is\n"
+                              "  status                               members, moves, failure domains, endpoints and why each is or is not used\n"
+                              "  explain REQUEST_ID                   what was decided for one request, at the entry instance that served it\n"
+                              "  failure-domain out|in NAME --yes     take a failure domain out, or bring it back\n"
+                              "  move start SERVICE VERSION --done_by=TIME --yes\n"
+                              "  move back SERVICE --yes              end a move: all traffic stays with the old version\n"
+                              "  watch                                print changes of revision, members and moves until interrupted\n"
+                              "Exit code: 0 done, 1 failed (nothing was changed, unless the message says otherwise), 2 wrong use or invalid document.";
 
 std::string readFile(const std::string &path)
 {
@@ -242,7 +241,8 @@
     if (FLAGS_json) {
         std::cout << answer.dump(2) << "\n";
     } else {
-        std::cout << answer["request_id"].get<std::string>() << " on " << answer["route"].get<std::string>() << " for " << answer["account"].get<std::string>() << "\n"
+        std::cout << answer["request_id"].get<std::string>() << " on " << answer["route"].get<std::string>() << " for " << answer["account"].get<std::string>()
+                  << "\n"
                   << answer["decisions"].get<std::string>();
     }
     return exitGood;
@@ -332,7 +332,8 @@
             line += ", " + item["instance"].get<std::string>() + " " + item["state"].get<std::string>();
         }
         for (const json &item : answer["moves"]) {
-            line += ", " + item["service"].get<std::string>() + " to " + item["to"].get<std::string>() + " " + item["state"].get<std::string>() + " share " + item["share"].dump();
+            line += ", " + item["service"].get<std::string>() + " to " + item["to"].get<std::string>() + " " + item["state"].get<std::string>() + " share "
+                + item["share"].dump();
         }
         if (line != before) {
             std::cout << momentText(systemNow()) << " " << line << std::endl;
@@ -351,9 +352,17 @@
 const std::map<std::string, command> &commands()
 {
     static const std::map<std::string, command> table = {
-        {"validate", {1, validate}}, {"schema", {0, schema}},   {"hash-token", {0, hashStandardInput}}, {"show", {0, show}},
-        {"diff", {1, diff}},         {"apply", {1, applyFile}}, {"status", {0, status}},                {"explain", {1, explain}},
-        {"failure-domain", {2, failureDomain}}, {"move", {2, move}}, {"watch", {0, watch}},
+        {"validate", {1, validate}},
+        {"schema", {0, schema}},
+        {"hash-token", {0, hashStandardInput}},
+        {"show", {0, show}},
+        {"diff", {1, diff}},
+        {"apply", {1, applyFile}},
+        {"status", {0, status}},
+        {"explain", {1, explain}},
+        {"failure-domain", {2, failureDomain}},
+        {"move", {2, move}},
+        {"watch", {0, watch}},
     };
     return table;
 }
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -303,8 +303,8 @@
     const request_facts &facts = m_machine.facts();
     const std::string key = claimKey(facts.account, facts.promised.route, m_payload.idempotencyKey);
     claim_record record = m_claim->mine();
-    record.done = !m_failed;
-    if (record.done && text().size() <= maxHeldAnswerBytes) {
+    record.done = true; // also after a failure: nobody is working on it any more
+    if (!m_failed && text().size() <= maxHeldAnswerBytes) {
         record.status = m_status;
         record.contentType = m_contentType;
         record.answer = text();
--- a/tests/support/scenario.cpp
+++ b/tests/support/scenario.cpp
@@ -23,6 +23,7 @@
     {"doubling", endpoint_fault::Doubling},
     {"gapping", endpoint_fault::Gapping},
     {"slow", endpoint_fault::Slow},
+    {"ending-early", endpoint_fault::EndingEarly},
 };
 
 class scenario
@@ -92,7 +93,11 @@
         } else if (name == "caller-leaves") {
             m_world->leaveCaller(word(step, 1));
         } else if (name == "fault") {
-            m_world->setFault(word(step, 1), faultNames.at(word(step, 2)));
+            const auto fault = faultNames.find(word(step, 2));
+            if (fault == faultNames.end()) {
+                fail("'" + word(step, 2) + "' is no fault");
+            }
+            m_world->setFault(word(step, 1), fault->second);
         } else if (name == "crash") {
             m_world->crash(word(step, 1));
         } else if (name == "notice") {
--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -657,8 +657,8 @@
     const std::string key = claimKey("demo", live->outside->route, live->outside->key);
     const bool unused = !live->outside->answered && !live->machine->mayHaveRun();
     claim_record record = live->claim->mine();
-    record.done = live->outside->answered;
-    record.status = record.done ? 200 : 0;
+    record.done = true;
+    record.status = live->outside->answered ? 200 : 0;
     after(store.delay, [this, key, record, unused] {
         const store_reply held = storeRead(key);
         const auto found = held.outcome == store_outcome::Ok ? decodeClaim(held.value) : std::nullopt;
--- a/tests/unit/documents.cpp
+++ b/tests/unit/documents.cpp
@@ -66,7 +66,8 @@
     cr_expect(says(faultOf(with("max_in_flight: 200, ", "")), "/accounts/0"));
     cr_expect(says(faultOf(with("path: /stock, ", "")), "a route to a plain service needs a path"));
     cr_expect(says(faultOf(with("deadline: 10min", "deadline: 10")), "/routes/1"));
-    cr_expect(says(faultOf(with("initial_concurrency: 4, max_concurrency: 16", "initial_concurrency: 40, max_concurrency: 16")), "initial_concurrency is above max_concurrency"));
+    cr_expect(says(faultOf(with("initial_concurrency: 4, max_concurrency: 16", "initial_concurrency: 40, max_concurrency: 16")),
+        "initial_concurrency is above max_concurrency"));
     cr_expect(says(faultOf(with("name: fd-2", "name: fd-1")), "'fd-1' stands twice"));
     cr_expect(says(faultOf(test::worldDocument() + "surprise: 1\n"), "surprise"));
     cr_expect(says(faultOf("services: [\n"), "line 2"));
@@ -76,12 +77,17 @@
 
 Test(documents, moves_are_checked)
 {
-    const auto withMove = [](const std::string &move) { return test::worldDocument() + "moves:\n  - " + move + "\n"; };
+    const auto withMove = [](const std::string &move) {
+        return test::worldDocument() + "moves:\n  - " + move + "\n";
+    };
     const std::string good = "{service: writer, from: v1, to: v2, start_at: 2026-05-01T08:00:00Z, done_by: 2026-05-01T09:00:00Z}";
     cr_expect_eq(faultOf(withMove(good)), "valid");
-    cr_expect(says(faultOf(withMove("{service: writer, from: v1, to: v7, start_at: 2026-05-01T08:00:00Z, done_by: 2026-05-01T09:00:00Z}")), "version 'v7' is not listed"));
-    cr_expect(says(faultOf(withMove("{service: writer, from: v2, to: v1, start_at: 2026-05-01T08:00:00Z, done_by: 2026-05-01T09:00:00Z}")), "is not the current version"));
-    cr_expect(says(faultOf(withMove("{service: writer, from: v1, to: v2, start_at: 2026-05-01T09:00:00Z, done_by: 2026-05-01T08:00:00Z}")), "is not after 'start_at'"));
+    cr_expect(says(
+        faultOf(withMove("{service: writer, from: v1, to: v7, start_at: 2026-05-01T08:00:00Z, done_by: 2026-05-01T09:00:00Z}")), "version 'v7' is not listed"));
+    cr_expect(says(
+        faultOf(withMove("{service: writer, from: v2, to: v1, start_at: 2026-05-01T08:00:00Z, done_by: 2026-05-01T09:00:00Z}")), "is not the current version"));
+    cr_expect(says(
+        faultOf(withMove("{service: writer, from: v1, to: v2, start_at: 2026-05-01T09:00:00Z, done_by: 2026-05-01T08:00:00Z}")), "is not after 'start_at'"));
     cr_expect(says(faultOf(withMove(good + "\n  - " + good)), "has two moves"));
 }
 
