--- a/bench/bench_routing.cpp
+++ b/bench/bench_routing.cpp
@@ -14,13 +14,13 @@
 #include <thread>
 
 namespace {
-std::atomic<std::uint64_t> allocations{0};
+thread_local std::uint64_t allocations = 0; // of this thread only: a shared counter would slow every benchmark
 }
 
-// Counts allocations of the whole program, to show that a decision makes none.
+// Counts allocations, to show that a decision makes none.
 void *operator new(std::size_t size)
 {
-    allocations.fetch_add(1, std::memory_order_relaxed);
+    ++allocations;
     if (void *memory = std::malloc(size)) { // NOLINT
         return memory;
     }
--- a/bench/bench_slopes.cpp
+++ b/bench/bench_slopes.cpp
@@ -4,6 +4,7 @@
 
 #include "chicoryrouter/fleet.h"
 #include "chicoryrouter/hash.h"
+#include "standin/deployment.h"
 #include "trials/cluster.h"
 
 #include <cmath>
@@ -11,6 +12,7 @@
 #include <ctime>
 #include <functional>
 #include <malloc.h>
+#include <thread>
 
 namespace chicoryrouter::bench {
 
@@ -21,6 +23,7 @@
 
 constexpr duration warmUp = 30s;
 constexpr duration measured = 60s;
+constexpr std::uint64_t demandEvery = 5; // seconds, as the daemon measures it
 
 struct point
 {
@@ -115,6 +118,9 @@
         for (std::size_t r = 0; r < load.routes; ++r) {
             all.at(i).onOutcome({"endpoint-1", "s", second % 10 == 0 ? "v2" : "v1", "r" + std::to_string(r), attempt_result::Answered, 300ms}, all.now());
         }
+        if (second % demandEvery != 0) {
+            continue;
+        }
         std::vector<account_demand> demand;
         for (std::size_t a = 0; a < load.accounts; ++a) {
             demand.push_back({"a" + std::to_string(a), static_cast<double>(second % 7 + a)});
@@ -175,6 +181,36 @@
     printFit((name + ": heap").c_str(), "bytes", held);
 }
 
+// Open streams of one daemon; callers and stand-ins live in the same process, so the slope is an upper bound.
+void printOpenRequestSlope()
+{
+    std::vector<point> held;
+    for (const double size : {50.0, 100.0, 200.0, 400.0}) {
+        deployment_options options;
+        options.daemons = 1;
+        options.failureDomains = {"d0"};
+        options.initialConcurrency = 1000;
+        options.maxConcurrency = 1000;
+        options.accountLimit = 100000;
+        options.engine.batch = 1000;
+        options.engine.betweenTokens = 100ms;
+        deployment all(options);
+        all.waitReady();
+        const double before = heapBytes();
+        std::vector<std::thread> threads;
+        for (int i = 0; i < static_cast<int>(size); ++i) {
+            threads.emplace_back([&all] { all.completion(0, "chat", std::string(1000, 'p'), 30); });
+        }
+        all.waitUntil([&] { return all.at(0).openRequests() >= static_cast<std::size_t>(size); }, 10s);
+        std::this_thread::sleep_for(1s);
+        held.push_back({size, heapBytes() - before});
+        for (std::thread &thread : threads) {
+            thread.join();
+        }
+    }
+    printFit("open streams: heap, callers and stand-ins included", "bytes", held);
+}
+
 void printTableSlope()
 {
     std::vector<point> build;
@@ -231,6 +267,7 @@
     printSlopes("accounts with demand at 33 daemons", {0, 5, 10, 20}, [](std::size_t n) { return cluster_load{33, 1, 0, 0, n}; });
     printTableSlope();
     printDocumentSlope();
+    printOpenRequestSlope();
 }
 
 } // namespace chicoryrouter::bench
--- a/bench/trials/cluster.cpp
+++ b/bench/trials/cluster.cpp
@@ -15,6 +15,7 @@
 constexpr duration watchLag = 50ms; // from a write to a watcher's answer
 constexpr duration watchRetry = 1s;
 constexpr duration settleInterval = 500ms;
+constexpr std::size_t verdictTellers = 2; // as the daemon's control strand has it
 constexpr duration verdictPoll = 5s;
 constexpr std::size_t watchersPerDomain = 2;
 constexpr std::size_t relayBytes = 64;
@@ -251,7 +252,8 @@
         const bool leads = item.core->members().isAmongFirst("verdict-" + service, 1);
         const bool turn = m_now.time_since_epoch() % verdictPoll < settleInterval;
         const auto wanted = mover.wantedVerdict();
-        if (over || !(turn || (leads && wanted))) {
+        const bool tells = item.core->members().isAmongFirst("verdict-" + service, verdictTellers);
+        if (over || !tells || !(turn || (leads && wanted))) {
             continue;
         }
         ++m_counters.storeReads;
--- a/include/chicoryrouter/document.h
+++ b/include/chicoryrouter/document.h
@@ -149,6 +149,7 @@
 document parseDocument(std::string_view yaml);                                                 // throws error(InvalidDocument) naming every fault
 revisioned_document makeRevisioned(std::uint64_t revision, std::string yaml);                  // parse and hash; same errors
 std::vector<std::string> documentDifferences(std::string_view before, std::string_view after); // one line for each changed field
+std::string documentJson(std::string_view yaml);                                               // the same document as JSON, for forms; comments are lost
 std::string documentSchema();                                                                  // the published JSON schema
 std::string hashToken(std::string_view token);                                                 // SHA-256 in lower-case hex
 
--- a/src/core/document.cpp
+++ b/src/core/document.cpp
@@ -381,6 +381,11 @@
     return lines;
 }
 
+std::string documentJson(std::string_view yaml)
+{
+    return yaml.empty() ? "{}" : detail::readYaml(yaml).json.dump(2);
+}
+
 std::string documentSchema()
 {
     return detail::documentSchemaText;
--- a/src/shell/console_page.cpp
+++ b/src/shell/console_page.cpp
@@ -1,11 +1,13 @@
-// The console's page.
+// The console's page, compiled in.
 #include "shell/console_page.h"
 
+#include "console_page_text.h"
+
 namespace chicoryrouter {
 
 std::string consolePage()
 {
-    return "<!doctype html><title>chicoryrouter</title><p>The console follows.</p>";
+    return detail::consolePageText;
 }
 
 } // namespace chicoryrouter
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -27,7 +27,7 @@
 constexpr duration roleCheck = 1s; // whether this daemon is to watch
 constexpr duration callWithin = 2s;
 constexpr duration readyWithoutList = 5s;
-constexpr duration demandInterval = 1s;
+constexpr duration demandInterval = 5s;
 constexpr std::size_t watchersPerDomain = 2; // of the configuration and of the instance list
 
 member_facts ownFacts(const settings &own)
@@ -285,16 +285,29 @@
 
 void control::onOutcome(const attempt_outcome &outcome)
 {
-    asio::post(m_context, [this, outcome] {
+    const std::lock_guard guard(m_outcomesLock);
+    m_outcomes.push_back(outcome);
+}
+
+// Once a tick for all: waking this thread for every request would cost more than the request's own decisions.
+void control::takeOutcomes()
+{
+    std::vector<attempt_outcome> fresh;
+    {
+        const std::lock_guard guard(m_outcomesLock);
+        fresh.swap(m_outcomes);
+    }
+    for (const attempt_outcome &outcome : fresh) {
         m_fleet.onOutcome(outcome, systemNow());
         m_agreement.onOutcome(outcome, systemNow());
-    });
+    }
 }
 
 asio::awaitable<void> control::tick()
 {
     while (true) {
         co_await pause(tickInterval);
+        takeOutcomes();
         m_fleet.onProbeTime(systemNow());
         measureDemand();
         refreshMembers();
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -15,6 +15,7 @@
 
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 
@@ -63,6 +64,7 @@
     void onInstances(const instance_list &list);
     void takeReports(const std::vector<load_report> &reports);
     void offerDocument(const document_envelope &envelope, const std::string &source);
+    void takeOutcomes();
     void refreshMembers();
     void refreshMoves();
     void refreshAccounts();
@@ -87,9 +89,11 @@
     std::map<std::string, std::uint64_t> m_askedBefore;              // by account, for the demand per second
     time_point m_demandFrom{};                                       // since when m_askedBefore counts
     std::map<std::string, move_state> m_announced;                   // by service: the last state logged
-    std::string m_listText;                                          // the newest instance list, for peers that do not poll it
-    std::uint64_t m_storeVersion = 0;                                // of the configuration key when last read
-    std::uint64_t m_membersSeen = UINT64_MAX;                        // membership changes already acted on
+    std::mutex m_outcomesLock;
+    std::vector<attempt_outcome> m_outcomes;  // of request threads, since the last tick
+    std::string m_listText;                   // the newest instance list, for peers that do not poll it
+    std::uint64_t m_storeVersion = 0;         // of the configuration key when last read
+    std::uint64_t m_membersSeen = UINT64_MAX; // membership changes already acted on
 };
 
 } // namespace chicoryrouter
--- a/src/shell/control_moves.cpp
+++ b/src/shell/control_moves.cpp
@@ -17,7 +17,8 @@
 using namespace std::chrono_literals;
 
 constexpr duration settleInterval = 500ms;
-constexpr duration verdictPoll = 5s; // how often an open move's verdict is looked for
+constexpr std::size_t verdictTellers = 2; // of each failure domain
+constexpr duration verdictPoll = 5s;      // how often an open move's verdict is looked for
 constexpr duration storeWithin = 1s;
 
 std::string describe(const version_mover &mover)
@@ -79,13 +80,13 @@
         for (const auto &[service, mover] : m_agreement.moves()) {
             const bool over = mover.state() == move_state::Done || mover.state() == move_state::TakenBack;
             const bool due = mover.wantedVerdict().has_value() || systemNow() >= lookAt[service];
-            if (!over && due) {
+            // Two of each failure domain deal with the key-value service; the others hear the verdict by gossip.
+            if (!over && due && m_agreement.members().isAmongFirst("verdict-" + service, verdictTellers)) {
                 services.push_back(service);
             }
         }
         for (const std::string &service : services) {
-            // Every daemon may record a verdict, but one after the other: the first of each failure domain at once, the others when
-            // nothing has come of it. All look for a verdict now and then.
+            // The first of each failure domain records a verdict at once, the second when nothing has come of it.
             const bool leads = m_agreement.members().isAmongFirst("verdict-" + service, 1);
             if (leads || systemNow() >= lookAt[service]) {
                 lookAt[service] = systemNow() + verdictPoll;
--- a/src/shell/operator_api.cpp
+++ b/src/shell/operator_api.cpp
@@ -80,8 +80,10 @@
 asio::awaitable<void> operator_api::getDocument(http_exchange &exchange)
 {
     const auto inForce = m_control.inForce();
+    const bool asJson = exchange.request.parameter("form") == "json";
     const http_headers revision = {{"X-Revision", std::to_string(inForce->revision)}};
-    co_await exchange.respond(200, "application/yaml", inForce->text, revision);
+    std::string text = asJson ? documentJson(inForce->text) : inForce->text;
+    co_await exchange.respond(200, asJson ? "application/json" : "application/yaml", std::move(text), revision);
 }
 
 asio::awaitable<void> operator_api::putDocument(http_exchange &exchange)
--- a/src/shell/request_host.cpp
+++ b/src/shell/request_host.cpp
@@ -8,6 +8,11 @@
 
 namespace chicoryrouter {
 
+namespace {
+constexpr std::size_t mostRetired = 2048; // at 15 requests a second two minutes' worth
+constexpr std::size_t mostRetiredBytes = 8 * 1024 * 1024;
+} // namespace
+
 request_host::request_host() = default;
 request_host::~request_host() = default;
 
@@ -27,14 +32,20 @@
     m_sessions[session->facts().id] = session;
 }
 
-void request_host::remove(const std::string &requestId)
+void request_host::retire(const std::shared_ptr<request_session> &session, std::size_t bytes)
 {
-    std::shared_ptr<request_session> last; // destroyed outside the lock
+    std::vector<std::shared_ptr<request_session>> last; // destroyed outside the lock
     const std::lock_guard guard(m_lock);
-    const auto found = m_sessions.find(requestId);
-    if (found != m_sessions.end()) {
-        last = std::move(found->second);
-        m_sessions.erase(found);
+    m_retired.push_back({session->facts().id, bytes});
+    m_retiredBytes += bytes;
+    while (m_retired.size() > mostRetired || m_retiredBytes > mostRetiredBytes) {
+        const auto found = m_sessions.find(m_retired.front().id);
+        if (found != m_sessions.end()) {
+            last.push_back(std::move(found->second));
+            m_sessions.erase(found);
+        }
+        m_retiredBytes -= m_retired.front().bytes;
+        m_retired.pop_front();
     }
 }
 
--- a/src/shell/request_host.h
+++ b/src/shell/request_host.h
@@ -11,6 +11,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -74,9 +75,9 @@
     retry_budget &budgetOf(const std::string &service); // any thread; lives as long as the host
     std::uint64_t nextTicket() { return m_tickets.fetch_add(1) + 1; }
 
-    void add(const std::shared_ptr<request_session> &session); // findable until remove()
-    void remove(const std::string &requestId);
-    void clear(); // forgets all, once no request thread runs any more
+    void add(const std::shared_ptr<request_session> &session);                       // findable until remove()
+    void retire(const std::shared_ptr<request_session> &session, std::size_t bytes); // over: stays findable while there is room for it
+    void clear();                                                                    // forgets all, once no request thread runs any more
     [[nodiscard]] std::shared_ptr<request_session> find(const std::string &requestId) const;
     [[nodiscard]] std::vector<std::shared_ptr<request_session>> open() const;
     [[nodiscard]] std::size_t openCount() const;
@@ -87,9 +88,17 @@
     void moveStreams(const reclaim_notice &notice);                // any thread
 
 private:
+    struct retired_session
+    {
+        std::string id;
+        std::size_t bytes = 0;
+    };
+
     mutable std::mutex m_lock;
     std::map<std::string, std::unique_ptr<retry_budget>> m_budgets;
     std::map<std::string, std::shared_ptr<request_session>> m_sessions; // open, or over and still held for callers
+    std::deque<retired_session> m_retired;                              // oldest first; bounded in count and bytes
+    std::size_t m_retiredBytes = 0;                                     // sum over m_retired
     std::map<std::uint64_t, std::weak_ptr<request_session>> m_waiting;  // by ticket
     std::atomic<std::uint64_t> m_tickets{0};
 };
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -25,7 +25,6 @@
 constexpr std::uint32_t bytesPerPromptToken = 4; // rough; only orders moves by cost
 constexpr duration storeCallWithin = 500ms;
 constexpr duration claimSettleWithin = 5s;
-constexpr duration heldAfterEnd = 60s; // how long a finished answer can be re-attached to
 
 asio::steady_timer::time_point steadyAt(time_point moment)
 {
@@ -169,8 +168,7 @@
         return;
     }
     m_host.forget(wanted.ticket);
-    // Through the queue of the thread, so that the machine is never called from within itself.
-    asio::post(m_thread.context, [self = shared_from_this(), answer] { self->onSlotAnswer(answer); });
+    onSlotAnswer(answer); // the machine's call that asked has returned, and asking is its last action
 }
 
 void request_session::onServed(const slot_answer &answer)
@@ -595,9 +593,7 @@
     m_timer.cancel();
     m_room.cancel();
     notifyReaders();
-    const bool mayBeAskedAgain = facts().kind == service_kind::Model;
-    const auto keep = std::make_shared<asio::steady_timer>(m_thread.context, mayBeAskedAgain ? heldAfterEnd : duration(0));
-    keep->async_wait([self = shared_from_this(), keep](const boost::system::error_code &) { self->m_host.remove(self->facts().id); });
+    m_host.retire(shared_from_this(), text().size() + m_payload.prompt.size() + m_payload.body.size());
 }
 
 void request_session::onNotice(const std::string &endpointId, time_point leaveBy, move_method method)
