--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: setup build demo test golden sanitize format lint bench
+.PHONY: setup build demo test test-console golden sanitize format lint bench
 
 setup:
 	@scripts/setup
@@ -17,6 +17,9 @@
 test: build
 	@scripts/run-tests $(BUILD)
 
+test-console: build
+	@scripts/test-console $(BUILD)
+
 golden: build
 	@CHICORY_GOLDEN=write $(BUILD)/chicory-tests --filter 'scenarios/*'
 
@@ -31,4 +34,4 @@
 	@scripts/lint $(BUILD)
 
 bench: build
-	@$(BUILD)/chicory-bench all
+	@for name in routing streams plain firsttoken moves slopes hundred; do $(BUILD)/chicory-bench $$name; done
--- a/src/programs/chicory_demo.cpp
+++ b/src/programs/chicory_demo.cpp
@@ -1,22 +1,61 @@
 // The whole path in one process: platform stand-ins, two daemons and a caller on loopback. Start here to see every feature.
 #include "programs/program.h"
-#include "standin/demo.h"
 
+#include "chicoryrouter/error.h"
 #include "shell/log.h"
+#include "standin/demo.h"
 
 #include <iostream>
 
 DEFINE_string(log, "", "write the daemons' log lines to this file (default: no log)");
+DEFINE_string(fault, "", "play this fault instead, or 'all'");
+DEFINE_bool(serve, false, "keep the deployment up until SIGTERM and print where it listens");
+
+namespace {
+
+bool play(const sigset_t &signals)
+{
+    using namespace chicoryrouter;
+    if (FLAGS_serve) {
+        serveDemo(std::cout, [&signals] { waitForStop(signals); });
+        return true;
+    }
+    if (FLAGS_fault.empty()) {
+        return playDemo(std::cout);
+    }
+    if (FLAGS_fault != "all") {
+        return playFault(std::cout, FLAGS_fault);
+    }
+    bool good = true;
+    for (const std::string &name : demoFaults()) {
+        good = playFault(std::cout, name) && good;
+    }
+    return good;
+}
+
+} // namespace
 
 int main(int argc, char **argv)
 {
-    chicoryrouter::startProgram(argc, argv,
+    using namespace chicoryrouter;
+    std::string names;
+    for (const std::string &name : demoFaults()) {
+        names += " " + name;
+    }
+    startProgram(argc, argv,
         "plays a streamed chat, a stock lookup and an order through two daemons on loopback.\n"
-        "Exit code: 0 when every answer was whole and right, 1 otherwise.");
+        "Faults for --fault:"
+            + names + "\nExit code: 0 when every answer was whole and right, 1 otherwise, 2 wrong use.");
+    const sigset_t signals = blockStopSignals();
     if (!FLAGS_log.empty()) {
-        chicoryrouter::startLog("info", FLAGS_log);
+        startLog("info", FLAGS_log);
+    }
+    try {
+        const bool good = play(signals);
+        stopLog();
+        return good ? exitGood : exitFailed;
+    } catch (const error &fault) {
+        std::cerr << fault.detail() << "\n";
+        return exitUsage;
     }
-    const bool good = chicoryrouter::playDemo(std::cout);
-    chicoryrouter::stopLog();
-    return good ? chicoryrouter::exitGood : chicoryrouter::exitFailed;
 }
