--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -9,8 +9,9 @@
 int main(int argc, char **argv)
 {
     using namespace chicoryrouter;
-    const std::map<std::string, void (*)()> benchmarks = {{"routing", bench::routing}, {"moves", bench::moves}, {"slopes", bench::slopes},
-        {"streams", bench::streams}, {"plain", bench::plain}, {"firsttoken", bench::firsttoken}, {"hundred", bench::hundred}};
+    const std::map<std::string, void (*)()> benchmarks
+        = {{"routing", bench::routing}, {"moves", bench::moves}, {"slopes", bench::slopes}, {"streams", bench::streams}, {"plain", bench::plain},
+            {"firsttoken", bench::firsttoken}, {"hundred", bench::hundred}, {"costs", bench::costs}, {"report", bench::report}};
     std::string usage = "NAME\nMeasures on this machine, with stand-ins on loopback or under virtual time. Names:";
     for (const auto &[name, run] : benchmarks) {
         usage += " " + name;
--- a/tests/unit/placing.cpp
+++ b/tests/unit/placing.cpp
@@ -3,6 +3,7 @@
 #include "chicoryrouter/placement.h"
 #include "chicoryrouter/stream_moves.h"
 #include "support/world.h"
+#include "trials/cost_trial.h"
 
 #include <criterion/criterion.h>
 
@@ -260,3 +261,16 @@
     planStreamMoves(streams, someday, someday);
     cr_assert_eq(streams[0].method, move_method::Resume);
 }
+
+Test(placing, over_days_with_waves_the_plan_bears_prompt_work_at_a_fraction_of_on_demand)
+{
+    for (const trials::cost_sizes &sizes : {trials::aspenCosts(), trials::tablesCosts()}) {
+        for (std::uint64_t day = 1; day <= 10; ++day) {
+            const trials::cost_result planned = trials::runCostTrial(sizes, trials::placing::Planner, day);
+            const trials::cost_result onDemand = trials::runCostTrial(sizes, trials::placing::AllOnDemand, day);
+            cr_assert_lt(planned.promptMissedPercent, 0.5, "%s day %lu: %.3f%% of prompt work had no place", sizes.name.c_str(),
+                static_cast<unsigned long>(day), planned.promptMissedPercent);
+            cr_assert_lt(planned.cost, onDemand.cost);
+        }
+    }
+}
