One path for both kinds of attempt; shared counters; and a compiler fault found by a test

Cause: logic stood twice (attempts, bounded counters, scoped counts, error redirection), as a search for repeated lines showed. Change: one piece each. On the way 'cond ? co_await a : co_await b' was miscompiled by g++ 12: both ran, so a failed generation was followed by a plain call to the same engine, its answer taken as the stream's. Seen as: a version that fails every call was moved to as good (tests daemons/a_version_that_fails_at_once...). Ruled out: mover, evidence, accounts.

--- /dev/null
+++ b/include/chicoryrouter/bounded_counter.h
@@ -0,0 +1,47 @@
+// A count that many threads raise up to a bound and lower again: open requests at an endpoint, or of a client account.
+#pragma once
+
+#include <atomic>
+#include <cassert>
+#include <cstdint>
+
+namespace chicoryrouter {
+
+// Counts one more in `open` unless that would pass `bound`; false when it would. Never passes it, on any number of threads.
+inline bool tryCountIn(std::atomic<std::uint32_t> &open, const std::atomic<std::uint32_t> &bound)
+{
+    std::uint32_t now = open.load(std::memory_order_relaxed);
+    while (now < bound.load(std::memory_order_relaxed)) {
+        if (open.compare_exchange_weak(now, now + 1, std::memory_order_acq_rel)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+inline void countOut(std::atomic<std::uint32_t> &open)
+{
+    const std::uint32_t before = open.fetch_sub(1, std::memory_order_acq_rel);
+    assert(before > 0 && "counted out what was never counted in");
+    (void)before;
+}
+
+// Counts something in for as long as it lives, without a bound.
+template<typename Number>
+class scoped_count
+{
+public:
+    explicit scoped_count(std::atomic<Number> &count)
+        : m_count(count)
+    {
+        ++m_count;
+    }
+    ~scoped_count() { --m_count; }
+    scoped_count(const scoped_count &) = delete;
+    scoped_count &operator=(const scoped_count &) = delete;
+
+private:
+    std::atomic<Number> &m_count;
+};
+
+} // namespace chicoryrouter
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -1,27 +1,19 @@
 // Slots, queues and account limits put together.
 #include "chicoryrouter/dispatcher.h"
 
-#include <cassert>
+#include "chicoryrouter/bounded_counter.h"
 
 namespace chicoryrouter {
 
 bool account_load::tryTake()
 {
     asked.fetch_add(1, std::memory_order_relaxed);
-    std::uint32_t open = inFlight.load(std::memory_order_relaxed);
-    while (open < limit.load(std::memory_order_relaxed)) {
-        if (inFlight.compare_exchange_weak(open, open + 1, std::memory_order_acq_rel)) {
-            return true;
-        }
-    }
-    return false;
+    return tryCountIn(inFlight, limit);
 }
 
 void account_load::giveBack()
 {
-    const std::uint32_t before = inFlight.fetch_sub(1, std::memory_order_acq_rel);
-    assert(before > 0 && "giveBack() without a request counted in");
-    (void)before;
+    countOut(inFlight);
 }
 
 dispatcher::dispatcher(router_options options, std::size_t mostWaitingPerPriority)
--- a/src/core/endpoint.cpp
+++ b/src/core/endpoint.cpp
@@ -1,27 +1,20 @@
 // Slot counting of one endpoint.
 #include "chicoryrouter/endpoint.h"
 
+#include "chicoryrouter/bounded_counter.h"
+
 #include <array>
-#include <cassert>
 
 namespace chicoryrouter {
 
 bool endpoint_load::tryTake()
 {
-    std::uint32_t open = inFlight.load(std::memory_order_relaxed);
-    while (open < slots.load(std::memory_order_relaxed)) {
-        if (inFlight.compare_exchange_weak(open, open + 1, std::memory_order_acq_rel)) {
-            return true;
-        }
-    }
-    return false;
+    return tryCountIn(inFlight, slots);
 }
 
 void endpoint_load::giveBack()
 {
-    const std::uint32_t before = inFlight.fetch_sub(1, std::memory_order_acq_rel);
-    assert(before > 0 && "giveBack() without a slot taken");
-    (void)before;
+    countOut(inFlight);
 }
 
 std::string_view toText(endpoint_use use)
--- a/src/shell/gateway.cpp
+++ b/src/shell/gateway.cpp
@@ -1,6 +1,7 @@
 // Callers' requests: from HTTP to a request session and back.
 #include "shell/gateway.h"
 
+#include "chicoryrouter/bounded_counter.h"
 #include "chicoryrouter/hash.h"
 #include "shell/clock.h"
 #include "shell/request_session.h"
@@ -32,23 +33,6 @@
 
 thread_local request_thread *boundThread = nullptr;
 
-// Counts a caller in for as long as it is being answered.
-class served_caller
-{
-public:
-    explicit served_caller(std::atomic<std::size_t> &count)
-        : m_count(count)
-    {
-        ++m_count;
-    }
-    ~served_caller() { --m_count; }
-    served_caller(const served_caller &) = delete;
-    served_caller &operator=(const served_caller &) = delete;
-
-private:
-    std::atomic<std::size_t> &m_count;
-};
-
 // Gives the account's place back whichever way the answer ends.
 class account_place
 {
@@ -246,7 +230,7 @@
 asio::awaitable<void> gateway::handle(http_exchange &exchange)
 {
     const http_request &request = exchange.request;
-    const served_caller served(callersServed);
+    const scoped_count served(callersServed);
     if (request.path == "/healthz") {
         co_await exchange.respond(200, "text/plain", "ok\n");
     } else if (request.path == "/readyz") {
@@ -442,7 +426,9 @@
             started = true;
             open = co_await exchange.startStream(200, "text/event-stream", idHeader(id));
         }
-        open = open && co_await exchange.writeChunk(batch);
+        if (open) {
+            open = co_await exchange.writeChunk(batch);
+        }
         if (last) {
             break;
         }
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -1,9 +1,9 @@
 // The HTTP client: kept connections by address, whole calls and streamed answers.
+#include "shell/asio_error.h"
 #include "shell/clock.h"
 #include "shell/http.h"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -30,11 +30,6 @@
 
 using address_key = std::pair<std::string, std::uint16_t>;
 
-asio::redirect_error_t<asio::use_awaitable_t<>> into(beast::error_code &code)
-{
-    return asio::redirect_error(asio::use_awaitable, code);
-}
-
 std::chrono::steady_clock::time_point steadyDeadline(time_point deadline)
 {
     constexpr duration longest = std::chrono::hours(24);
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -1,4 +1,5 @@
 // The HTTP server: one coroutine per connection on the thread it was given to.
+#include "shell/asio_error.h"
 #include "shell/clock.h"
 #include "shell/http.h"
 #include "shell/worker_pool.h"
@@ -6,7 +7,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -24,11 +24,6 @@
 
 namespace {
 
-asio::redirect_error_t<asio::use_awaitable_t<>> into(beast::error_code &code)
-{
-    return asio::redirect_error(asio::use_awaitable, code);
-}
-
 bool sameName(std::string_view a, std::string_view b)
 {
     return a.size() == b.size()
--- a/src/shell/peer_link.cpp
+++ b/src/shell/peer_link.cpp
@@ -1,6 +1,7 @@
 // nghttp2 sessions over Asio sockets.
 #include "shell/peer_link.h"
 
+#include "shell/asio_error.h"
 #include "shell/clock.h"
 #include "shell/worker_pool.h"
 
@@ -8,7 +9,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -293,7 +293,7 @@
         std::array<std::uint8_t, 16384> buffer{};
         while (m_open) {
             boost::system::error_code code;
-            const std::size_t got = co_await m_socket.async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, code));
+            const std::size_t got = co_await m_socket.async_read_some(asio::buffer(buffer), into(code));
             m_counters->bytesReceived += got;
             m_lastReceived = systemNow();
             if (code || nghttp2_session_mem_recv(m_session, buffer.data(), got) < 0) {
@@ -325,7 +325,7 @@
             const std::string copy(reinterpret_cast<const char *>(data), static_cast<std::size_t>(length));
             m_counters->bytesSent += copy.size();
             boost::system::error_code code;
-            co_await asio::async_write(m_socket, asio::buffer(copy), asio::redirect_error(asio::use_awaitable, code));
+            co_await asio::async_write(m_socket, asio::buffer(copy), into(code));
             if (code) {
                 close();
             }
@@ -363,7 +363,7 @@
         const auto self = shared_from_this();
         while (acceptor.is_open()) {
             boost::system::error_code code;
-            tcp::socket socket = co_await acceptor.async_accept(workers.next(), asio::redirect_error(asio::use_awaitable, code));
+            tcp::socket socket = co_await acceptor.async_accept(workers.next(), into(code));
             if (!code) {
                 const auto executor = socket.get_executor();
                 asio::post(executor, [self, moved = std::move(socket)]() mutable { self->startConnection(std::move(moved)); });
@@ -490,7 +490,7 @@
         });
         boost::system::error_code failed;
         const tcp::endpoint place(asio::ip::make_address(where.ip), where.port);
-        co_await socket->async_connect(place, asio::redirect_error(asio::use_awaitable, failed));
+        co_await socket->async_connect(place, into(failed));
         timer.cancel();
         if (failed || !socket->is_open()) {
             co_return nullptr;
@@ -539,7 +539,7 @@
     if (!stream->closed) {
         stream->done->expires_after(std::max<duration>(deadline - systemNow(), duration(0)));
         boost::system::error_code ignored;
-        co_await stream->done->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await stream->done->async_wait(into(ignored));
     }
     if (!stream->closed) {
         connection->abandon(stream, began);
--- a/src/shell/placement_loop.cpp
+++ b/src/shell/placement_loop.cpp
@@ -72,7 +72,11 @@
                 continue;
             }
             co_await tendLease(state, bounds.service);
-            if (!state.held.mayOrder(systemNow()) || !co_await loadRecords(state, bounds.service)) {
+            if (!state.held.mayOrder(systemNow())) {
+                continue;
+            }
+            const bool loaded = co_await loadRecords(state, bounds.service);
+            if (!loaded) {
                 continue;
             }
             const placement_plan plan = planFor(state, agreed, endpoints, host, bounds);
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -1,12 +1,12 @@
 // Carrying out one request's actions.
 #include "shell/request_session.h"
 
+#include "shell/asio_error.h"
 #include "shell/clock.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <array>
@@ -72,7 +72,7 @@
 asio::awaitable<void> request_session::changed()
 {
     boost::system::error_code ignored;
-    co_await m_wake.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    co_await m_wake.async_wait(into(ignored));
 }
 
 asio::awaitable<void> request_session::changedOrAt(time_point deadline)
@@ -111,7 +111,7 @@
 {
     while (m_readers && !m_machine.isOver() && m_tokens.size() >= m_readUpTo + mostUnreadTokens) {
         boost::system::error_code ignored;
-        co_await m_room.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        co_await m_room.async_wait(into(ignored));
         m_machine.onCallerCaughtUp(systemNow());
     }
 }
@@ -366,8 +366,7 @@
     if (action.attempt > 1) {
         note(log_part::Request, "attempt " + std::to_string(action.attempt) + " from token " + std::to_string(action.resumeFrom));
     }
-    const bool model = facts().kind == service_kind::Model;
-    asio::co_spawn(m_thread.context, model ? runModel(open, action) : runPlain(open, action), asio::detached);
+    asio::co_spawn(m_thread.context, runAttempt(open, action), asio::detached);
 }
 
 void request_session::sent(const std::shared_ptr<open_attempt> &open, std::uint32_t number)
@@ -378,40 +377,60 @@
     m_machine.onSent(number, systemNow());
 }
 
-asio::awaitable<void> request_session::runModel(std::shared_ptr<open_attempt> open, send_attempt action)
+// One attempt from its first byte to its end, with what came of it told to the machine.
+asio::awaitable<void> request_session::runAttempt(std::shared_ptr<open_attempt> open, send_attempt action)
 {
     const auto self = shared_from_this();
     const std::uint32_t number = action.attempt;
-    std::string already;
-    for (std::uint32_t i = 0; i < action.resumeFrom; ++i) {
-        already += m_tokens[i];
-    }
-    engine_call call{facts().id, number, facts().promised.rank, action.resumeFrom, already, action.withTransferredKv};
-    attempt_reach reach = attempt_reach::MayHaveRun;
-    error_kind kind = error_kind::EndpointFailed;
+    std::optional<attempt_fault> fault;
     try {
-        auto onSending = [this, open, number] {
-            sent(open, number);
-        };
-        std::unique_ptr<http_stream> stream
-            = co_await m_thread.client.open(open->where->where, engineRequest(m_payload, call), facts().deadline, false, onSending);
-        open->stream = std::move(stream);
-        if (open->stream->status == 200) {
-            const bool ended = co_await readEvents(open, number);
-            if (ended || open->cancelled) {
-                co_return;
-            }
+        if (facts().kind == service_kind::Model) {
+            fault = co_await runModel(open, action);
         } else {
-            reach = provesNotRun(open->stream->status, open->stream->headers) ? attempt_reach::ProvedNotRun : reach;
-            kind = reach == attempt_reach::ProvedNotRun ? error_kind::EndpointRefused : kind;
+            fault = co_await runPlain(open, action);
         }
     } catch (const http_failure &failure) {
-        reach = failure.byteMayHaveLeft() ? attempt_reach::MayHaveRun : attempt_reach::NotSent;
-        kind = failure.kind();
-    } catch (const error &fault) {
-        kind = fault.kind();
+        fault = attempt_fault{failure.byteMayHaveLeft() ? attempt_reach::MayHaveRun : attempt_reach::NotSent, failure.kind()};
+    } catch (const error &garbage) {
+        fault = attempt_fault{attempt_reach::MayHaveRun, garbage.kind()};
+    }
+    if (fault) {
+        attemptFailed(open, number, fault->reach, fault->kind);
+    }
+}
+
+// Connects, sends, and reads the answer's head.
+asio::awaitable<void> request_session::openStream(std::shared_ptr<open_attempt> open, std::uint32_t number, http_call call, bool fresh)
+{
+    auto onSending = [this, open, number] {
+        sent(open, number);
+    };
+    std::unique_ptr<http_stream> stream = co_await m_thread.client.open(open->where->where, std::move(call), facts().deadline, fresh, onSending);
+    open->stream = std::move(stream);
+}
+
+asio::awaitable<std::optional<request_session::attempt_fault>> request_session::runModel(std::shared_ptr<open_attempt> open, send_attempt action)
+{
+    const std::uint32_t number = action.attempt;
+    const std::string already = text(action.resumeFrom);
+    const engine_call call{facts().id, number, facts().promised.rank, action.resumeFrom, already, action.withTransferredKv};
+    co_await openStream(open, number, engineRequest(m_payload, call), false);
+    if (open->stream->status != 200) {
+        co_return refusalOf(*open->stream);
+    }
+    const bool ended = co_await readEvents(open, number);
+    if (ended || open->cancelled) {
+        co_return std::nullopt;
+    }
+    co_return attempt_fault{attempt_reach::MayHaveRun, error_kind::EndpointLost};
+}
+
+request_session::attempt_fault request_session::refusalOf(const http_stream &answer)
+{
+    if (provesNotRun(answer.status, answer.headers)) {
+        return {attempt_reach::ProvedNotRun, error_kind::EndpointRefused};
     }
-    attemptFailed(open, number, reach, kind);
+    return {attempt_reach::MayHaveRun, error_kind::EndpointFailed};
 }
 
 // True when the answer ended whole; false when the stream closed before.
@@ -470,55 +489,39 @@
     return verdict != token_verdict::Gap;
 }
 
-asio::awaitable<void> request_session::runPlain(std::shared_ptr<open_attempt> open, send_attempt action)
+asio::awaitable<std::optional<request_session::attempt_fault>> request_session::runPlain(std::shared_ptr<open_attempt> open, send_attempt action)
 {
-    const auto self = shared_from_this();
     const std::uint32_t number = action.attempt;
     const engine_call call{facts().id, number, facts().promised.rank, 0, {}, false};
     const bool fresh = !facts().promised.repeatable; // a kept connection's silent end could not be told from a lost order
-    attempt_reach reach = attempt_reach::MayHaveRun;
-    error_kind kind = error_kind::EndpointFailed;
-    try {
-        auto onSending = [this, open, number] {
-            sent(open, number);
-        };
-        std::unique_ptr<http_stream> stream
-            = co_await m_thread.client.open(open->where->where, plainRequest(m_payload, call), facts().deadline, fresh, onSending);
-        open->stream = std::move(stream);
-        std::string body;
-        std::array<char, 16384> buffer{};
-        while (const std::size_t got = co_await open->stream->readSome(buffer.data(), buffer.size())) {
-            body.append(buffer.data(), got);
-            if (body.size() > maxPlainAnswerBytes) {
-                throw error(error_kind::EndpointGarbage, "the answer is too large");
-            }
-        }
-        if (open->cancelled) {
-            co_return;
-        }
-        const http_stream &answer = *open->stream;
-        const std::string_view echoed = findHeader(answer.headers, "X-Request-Id");
-        const bool crossed = !echoed.empty() && echoed != facts().id;
-        const bool notRun = provesNotRun(answer.status, answer.headers);
-        const bool worthRetry = answer.status >= 500 && facts().promised.repeatable;
-        if (!crossed && !notRun && !worthRetry) {
-            m_open.erase(number);
-            if (takeToken(number, {facts().id, number, 0, std::move(body), false})) {
-                m_status = answer.status;
-                m_contentType = std::string(findHeader(answer.headers, "Content-Type"));
-            }
-            perform(m_machine.onEnd(number, facts().id, 1, systemNow()));
-            co_return;
+    co_await openStream(open, number, plainRequest(m_payload, call), fresh);
+    std::string body;
+    std::array<char, 16384> buffer{};
+    while (const std::size_t got = co_await open->stream->readSome(buffer.data(), buffer.size())) {
+        body.append(buffer.data(), got);
+        if (body.size() > maxPlainAnswerBytes) {
+            throw error(error_kind::EndpointGarbage, "the answer is too large");
         }
-        reach = notRun ? attempt_reach::ProvedNotRun : reach;
-        kind = notRun ? error_kind::EndpointRefused : (crossed ? error_kind::EndpointGarbage : kind);
-    } catch (const http_failure &failure) {
-        reach = failure.byteMayHaveLeft() ? attempt_reach::MayHaveRun : attempt_reach::NotSent;
-        kind = failure.kind();
-    } catch (const error &fault) {
-        kind = fault.kind();
     }
-    attemptFailed(open, number, reach, kind);
+    if (open->cancelled) {
+        co_return std::nullopt;
+    }
+    const http_stream &answer = *open->stream;
+    const std::string_view echoed = findHeader(answer.headers, "X-Request-Id");
+    if (!echoed.empty() && echoed != facts().id) {
+        co_return attempt_fault{attempt_reach::MayHaveRun, error_kind::EndpointGarbage}; // another request's answer
+    }
+    const bool worthRetry = answer.status >= 500 && facts().promised.repeatable;
+    if (worthRetry || provesNotRun(answer.status, answer.headers)) {
+        co_return refusalOf(answer);
+    }
+    m_open.erase(number);
+    if (takeToken(number, {facts().id, number, 0, std::move(body), false})) {
+        m_status = answer.status;
+        m_contentType = std::string(findHeader(answer.headers, "Content-Type"));
+    }
+    perform(m_machine.onEnd(number, facts().id, 1, systemNow()));
+    co_return std::nullopt;
 }
 
 void request_session::attemptFailed(const std::shared_ptr<open_attempt> &open, std::uint32_t number, attempt_reach reach, error_kind kind)
--- a/src/shell/request_session.h
+++ b/src/shell/request_session.h
@@ -78,8 +78,18 @@
 
     void onSlotAnswer(const slot_answer &answer);
     void sent(const std::shared_ptr<open_attempt> &open, std::uint32_t number);
-    boost::asio::awaitable<void> runModel(std::shared_ptr<open_attempt> open, send_attempt action);
-    boost::asio::awaitable<void> runPlain(std::shared_ptr<open_attempt> open, send_attempt action);
+    // How an attempt ended that was not answered whole.
+    struct attempt_fault
+    {
+        attempt_reach reach = attempt_reach::MayHaveRun;
+        error_kind kind = error_kind::EndpointFailed;
+    };
+
+    boost::asio::awaitable<void> runAttempt(std::shared_ptr<open_attempt> open, send_attempt action);
+    boost::asio::awaitable<void> openStream(std::shared_ptr<open_attempt> open, std::uint32_t number, http_call call, bool fresh);
+    boost::asio::awaitable<std::optional<attempt_fault>> runModel(std::shared_ptr<open_attempt> open, send_attempt action);
+    boost::asio::awaitable<std::optional<attempt_fault>> runPlain(std::shared_ptr<open_attempt> open, send_attempt action);
+    static attempt_fault refusalOf(const http_stream &answer);
     boost::asio::awaitable<bool> readEvents(std::shared_ptr<open_attempt> open, std::uint32_t number);
     boost::asio::awaitable<void> runTransfer(transfer_kv action);
     boost::asio::awaitable<void> runClaim();
--- a/src/standin/endpoint_standin.cpp
+++ b/src/standin/endpoint_standin.cpp
@@ -1,6 +1,7 @@
 // The endpoint stand-ins.
 #include "standin/endpoint_standin.h"
 
+#include "chicoryrouter/bounded_counter.h"
 #include "chicoryrouter/hash.h"
 #include "shell/clock.h"
 
@@ -38,23 +39,6 @@
     return {{"X-Not-Run", "1"}};
 }
 
-// Counts one stream in for as long as it lives.
-class counted_in
-{
-public:
-    explicit counted_in(std::atomic<std::uint32_t> &count)
-        : m_count(count)
-    {
-        ++m_count;
-    }
-    ~counted_in() { --m_count; }
-    counted_in(const counted_in &) = delete;
-    counted_in &operator=(const counted_in &) = delete;
-
-private:
-    std::atomic<std::uint32_t> &m_count;
-};
-
 } // namespace
 
 std::string standinToken(std::string_view prompt, std::uint32_t index)
@@ -181,14 +165,17 @@
     bool gone = false;
     exchange.watchCaller([&gone] { gone = true; });
     {
-        const counted_in queued(m_queued);
+        const scoped_count queued(m_queued);
         while (m_running >= m_options.batch && !gone) {
             co_await pause(exchange, queuePoll);
         }
     }
-    const counted_in running(m_running);
+    const scoped_count running(m_running);
     co_await pause(exchange, (isCached(prompt) ? m_options.prefillCached : m_options.prefill) * faults.slowFactor.load());
-    bool open = !gone && co_await exchange.startStream(200, "text/event-stream");
+    bool open = !gone;
+    if (open) {
+        open = co_await exchange.startStream(200, "text/event-stream");
+    }
     const std::uint32_t first = next;
     while (open && !gone && next < total) {
         if (faults.down || (faults.cutAfter >= 0 && next - first >= static_cast<std::uint32_t>(faults.cutAfter))) {
