--- a/bench/bench_costs.cpp
+++ b/bench/bench_costs.cpp
@@ -1,4 +1,4 @@
-// What a day costs, placed in different ways, and the report page with the brief's measures.
+// What a day costs, placed in different ways, and the report page with the users' measures.
 #include "benchmarks.h"
 
 #include "parallel.h"
--- a/bench/benchmarks.h
+++ b/bench/benchmarks.h
@@ -13,6 +13,6 @@
 void hundred();    // a hundred real daemons at once
 
 void costs();  // a day's cost, placed in different ways
-void report(); // the brief's measures as a page with plots
+void report(); // the users' measures as a page with plots
 
 } // namespace chicoryrouter::bench
--- a/src/shell/clock.cpp
+++ b/src/shell/clock.cpp
@@ -1,6 +1,8 @@
 // A wall clock that advances with the steady clock.
 #include "shell/clock.h"
 
+#include <algorithm>
+
 namespace chicoryrouter {
 
 time_point systemNow()
@@ -10,4 +12,11 @@
     return wallStart + std::chrono::floor<duration>(std::chrono::steady_clock::now() - steadyStart);
 }
 
+std::chrono::steady_clock::time_point steadyAt(time_point moment)
+{
+    constexpr duration longest = std::chrono::hours(24);
+    const duration left = moment == noDeadline ? longest : std::min<duration>(moment - systemNow(), longest);
+    return std::chrono::steady_clock::now() + std::max(left, duration(0));
+}
+
 } // namespace chicoryrouter
--- a/src/shell/clock.h
+++ b/src/shell/clock.h
@@ -5,6 +5,7 @@
 
 namespace chicoryrouter {
 
-time_point systemNow(); // any thread
+time_point systemNow();                                            // any thread
+std::chrono::steady_clock::time_point steadyAt(time_point moment); // the same moment for timers; the past is now, noDeadline a day ahead
 
 } // namespace chicoryrouter
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -30,13 +30,6 @@
 
 using address_key = std::pair<std::string, std::uint16_t>;
 
-std::chrono::steady_clock::time_point steadyDeadline(time_point deadline)
-{
-    constexpr duration longest = std::chrono::hours(24);
-    const duration left = std::min<duration>(deadline == noDeadline ? longest : deadline - systemNow(), longest);
-    return std::chrono::steady_clock::now() + std::max(left, duration(0));
-}
-
 bool stillOpen(beast::tcp_stream &stream)
 {
     char peeked = 0;
@@ -88,12 +81,12 @@
     {
         if (!fresh) {
             if (auto stream = takeKept(where)) {
-                stream->expires_at(steadyDeadline(deadline));
+                stream->expires_at(steadyAt(deadline));
                 co_return stream;
             }
         }
         auto stream = std::make_unique<beast::tcp_stream>(executor);
-        stream->expires_at(steadyDeadline(deadline));
+        stream->expires_at(steadyAt(deadline));
         const tcp::endpoint place(asio::ip::make_address(where.ip), where.port);
         beast::error_code code;
         co_await stream->async_connect(place, into(code));
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -23,14 +23,6 @@
 constexpr std::size_t maxPlainAnswerBytes = 8 * 1024 * 1024;
 constexpr std::size_t maxHistoryBytes = 4096;
 constexpr std::uint32_t bytesPerPromptToken = 4; // rough; only orders moves by cost
-constexpr duration storeCallWithin = 500ms;
-constexpr duration claimSettleWithin = 5s;
-
-asio::steady_timer::time_point steadyAt(time_point moment)
-{
-    const auto now = asio::steady_timer::clock_type::now();
-    return moment == noDeadline ? now + 24h : now + std::max<duration>(moment - systemNow(), duration(0));
-}
 
 } // namespace
 
@@ -237,103 +229,6 @@
     co_return true;
 }
 
-void request_session::perform(const make_claim &)
-{
-    asio::co_spawn(m_thread.context, runClaim(), asio::detached);
-}
-
-asio::awaitable<void> request_session::runClaim()
-{
-    using step = claim_machine::step;
-    const auto self = shared_from_this();
-    const request_facts &facts = m_machine.facts();
-    const std::string key = claimKey(facts.account, facts.promised.route, m_payload.idempotencyKey);
-    claim_record record;
-    record.nonce = facts.id;
-    record.bodyHash = m_payload.bodyHash;
-    record.requestId = facts.id;
-    record.openUntil = facts.deadline;
-    m_claim = std::make_unique<claim_machine>(record, facts.waitUntil);
-    step next = m_claim->start();
-    while (next == step::Create || next == step::Read || next == step::Wait) {
-        const time_point deadline = std::min(systemNow() + storeCallWithin, facts.waitUntil);
-        if (next == step::Create) {
-            const store_reply reply = co_await m_thread.store.compareAndSwap(key, 0, encodeClaim(record), claimKeptFor, deadline);
-            next = m_claim->onCreated(reply, systemNow());
-        } else if (next == step::Read) {
-            const store_reply reply = co_await m_thread.store.get(key, deadline);
-            next = m_claim->onRead(reply, systemNow());
-        } else {
-            asio::steady_timer pause(m_thread.context, steadyAt(m_claim->retryAt()));
-            co_await pause.async_wait(asio::use_awaitable);
-            next = m_claim->onRetry(systemNow());
-        }
-    }
-    m_claimWon = next == step::Won;
-    if (next == step::Won) {
-        note(log_part::Claim, "claimed");
-        perform(m_machine.onClaimed(systemNow()));
-        if (m_machine.isOver() && !m_machine.mayHaveRun()) {
-            co_await settleClaim();
-        }
-        co_return;
-    }
-    if (next == step::Replay) {
-        m_status = m_claim->holder().status;
-        m_contentType = m_claim->holder().contentType;
-        m_tokens = {m_claim->holder().answer};
-        m_replayed = true;
-        note(log_part::Claim, "answered by the earlier call " + m_claim->holder().requestId);
-        perform(m_machine.onReplayed(systemNow()));
-        co_return;
-    }
-    note(log_part::Claim, "refused: " + std::string(answerFor(m_claim->refusal()).name));
-    perform(m_machine.onClaimRefused(m_claim->refusal(), systemNow()));
-    if (m_claim->mayStandUnused()) {
-        co_await settleClaim();
-    }
-}
-
-// After the end: the record gets the answer, or goes away when nothing was run, so that the key can be used again.
-asio::awaitable<void> request_session::settleClaim()
-{
-    const auto self = shared_from_this();
-    const request_facts &facts = m_machine.facts();
-    const std::string key = claimKey(facts.account, facts.promised.route, m_payload.idempotencyKey);
-    claim_record record = m_claim->mine();
-    record.done = true; // also after a failure: nobody is working on it any more
-    if (!m_failed && text().size() <= maxHeldAnswerBytes) {
-        record.status = m_status;
-        record.contentType = m_contentType;
-        record.answer = text();
-    }
-    const bool unused = m_failed && !m_machine.mayHaveRun();
-    const time_point giveUpAt = systemNow() + claimSettleWithin;
-    while (systemNow() < giveUpAt) {
-        const time_point deadline = systemNow() + storeCallWithin;
-        const store_reply held = co_await m_thread.store.get(key, deadline);
-        const std::optional<claim_record> found = held.outcome == store_outcome::Ok ? decodeClaim(held.value) : std::nullopt;
-        const bool notOurs = held.outcome == store_outcome::NotFound || (found && found->nonce != record.nonce);
-        if (notOurs || (found && found->done)) {
-            co_return;
-        }
-        if (found) {
-            store_reply reply;
-            if (unused) {
-                reply = co_await m_thread.store.remove(key, held.version, deadline);
-            } else {
-                reply = co_await m_thread.store.compareAndSwap(key, held.version, encodeClaim(record), claimKeptFor, deadline);
-            }
-            if (reply.outcome == store_outcome::Ok) {
-                co_return;
-            }
-        }
-        asio::steady_timer pause(m_thread.context, 200ms);
-        co_await pause.async_wait(asio::use_awaitable);
-    }
-    logLine(log_part::Claim, log_level::Warning, facts.id + " record not settled: the key-value service did not answer");
-}
-
 void request_session::perform(const transfer_kv &action)
 {
     asio::co_spawn(m_thread.context, runTransfer(action), asio::detached);
--- /dev/null
+++ b/src/shell/request_session_claims.cpp
@@ -0,0 +1,119 @@
+// A session's part in claims: making one before the first byte, settling it after the end.
+#include "shell/clock.h"
+#include "shell/request_session.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace chicoryrouter {
+
+namespace asio = boost::asio;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration storeCallWithin = 500ms;
+constexpr duration claimSettleWithin = 5s;
+
+} // namespace
+
+void request_session::perform(const make_claim &)
+{
+    asio::co_spawn(m_thread.context, runClaim(), asio::detached);
+}
+
+asio::awaitable<void> request_session::runClaim()
+{
+    using step = claim_machine::step;
+    const auto self = shared_from_this();
+    const request_facts &facts = m_machine.facts();
+    const std::string key = claimKey(facts.account, facts.promised.route, m_payload.idempotencyKey);
+    claim_record record;
+    record.nonce = facts.id;
+    record.bodyHash = m_payload.bodyHash;
+    record.requestId = facts.id;
+    record.openUntil = facts.deadline;
+    m_claim = std::make_unique<claim_machine>(record, facts.waitUntil);
+    step next = m_claim->start();
+    while (next == step::Create || next == step::Read || next == step::Wait) {
+        const time_point deadline = std::min(systemNow() + storeCallWithin, facts.waitUntil);
+        if (next == step::Create) {
+            const store_reply reply = co_await m_thread.store.compareAndSwap(key, 0, encodeClaim(record), claimKeptFor, deadline);
+            next = m_claim->onCreated(reply, systemNow());
+        } else if (next == step::Read) {
+            const store_reply reply = co_await m_thread.store.get(key, deadline);
+            next = m_claim->onRead(reply, systemNow());
+        } else {
+            asio::steady_timer pause(m_thread.context, steadyAt(m_claim->retryAt()));
+            co_await pause.async_wait(asio::use_awaitable);
+            next = m_claim->onRetry(systemNow());
+        }
+    }
+    m_claimWon = next == step::Won;
+    if (next == step::Won) {
+        note(log_part::Claim, "claimed");
+        perform(m_machine.onClaimed(systemNow()));
+        if (m_machine.isOver() && !m_machine.mayHaveRun()) {
+            co_await settleClaim();
+        }
+        co_return;
+    }
+    if (next == step::Replay) {
+        m_status = m_claim->holder().status;
+        m_contentType = m_claim->holder().contentType;
+        m_tokens = {m_claim->holder().answer};
+        m_replayed = true;
+        note(log_part::Claim, "answered by the earlier call " + m_claim->holder().requestId);
+        perform(m_machine.onReplayed(systemNow()));
+        co_return;
+    }
+    note(log_part::Claim, "refused: " + std::string(answerFor(m_claim->refusal()).name));
+    perform(m_machine.onClaimRefused(m_claim->refusal(), systemNow()));
+    if (m_claim->mayStandUnused()) {
+        co_await settleClaim();
+    }
+}
+
+// After the end: the record gets the answer, or goes away when nothing was run, so that the key can be used again.
+asio::awaitable<void> request_session::settleClaim()
+{
+    const auto self = shared_from_this();
+    const request_facts &facts = m_machine.facts();
+    const std::string key = claimKey(facts.account, facts.promised.route, m_payload.idempotencyKey);
+    claim_record record = m_claim->mine();
+    record.done = true; // also after a failure: nobody is working on it any more
+    if (!m_failed && text().size() <= maxHeldAnswerBytes) {
+        record.status = m_status;
+        record.contentType = m_contentType;
+        record.answer = text();
+    }
+    const bool unused = m_failed && !m_machine.mayHaveRun();
+    const time_point giveUpAt = systemNow() + claimSettleWithin;
+    while (systemNow() < giveUpAt) {
+        const time_point deadline = systemNow() + storeCallWithin;
+        const store_reply held = co_await m_thread.store.get(key, deadline);
+        const std::optional<claim_record> found = held.outcome == store_outcome::Ok ? decodeClaim(held.value) : std::nullopt;
+        const bool notOurs = held.outcome == store_outcome::NotFound || (found && found->nonce != record.nonce);
+        if (notOurs || (found && found->done)) {
+            co_return;
+        }
+        if (found) {
+            store_reply reply;
+            if (unused) {
+                reply = co_await m_thread.store.remove(key, held.version, deadline);
+            } else {
+                reply = co_await m_thread.store.compareAndSwap(key, held.version, encodeClaim(record), claimKeptFor, deadline);
+            }
+            if (reply.outcome == store_outcome::Ok) {
+                co_return;
+            }
+        }
+        asio::steady_timer pause(m_thread.context, 200ms);
+        co_await pause.async_wait(asio::use_awaitable);
+    }
+    logLine(log_part::Claim, log_level::Warning, facts.id + " record not settled: the key-value service did not answer");
+}
+
+} // namespace chicoryrouter
