Reading of documents one at a time; the demo ends on a signal

Cause: ThreadSanitizer over the demo reported 24 races, all inside the YAML and pattern libraries' own tables when two strands read a document at once. Change: reading and checking are guarded, one at a time. Also, the demo blocked SIGTERM while it played scenes.

--- a/src/core/document.cpp
+++ b/src/core/document.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <array>
+#include <mutex>
 #include <set>
 
 namespace chicoryrouter {
@@ -78,6 +79,9 @@
 
 void checkSchema(const json &value, fault_list &faults)
 {
+    // Patterns are compiled through the locale, which caches characters without a lock.
+    static std::mutex oneAtATime;
+    const std::lock_guard guard(oneAtATime);
     valijson::Validator validator;
     valijson::ValidationResults results;
     if (validator.validate(compiledSchema(), valijson::adapters::NlohmannJsonAdapter(value), &results)) {
--- a/src/core/yaml_json.cpp
+++ b/src/core/yaml_json.cpp
@@ -5,6 +5,8 @@
 
 #include <yaml-cpp/yaml.h>
 
+#include <mutex>
+
 namespace chicoryrouter::detail {
 
 namespace {
@@ -69,6 +71,9 @@
 
 yaml_value readYaml(std::string_view text)
 {
+    // The library fills tables of its own on first use, without a lock. Reading is rare; one at a time costs nothing.
+    static std::mutex oneAtATime;
+    const std::lock_guard guard(oneAtATime);
     try {
         const YAML::Node root = YAML::Load(std::string(text));
         yaml_value value;
--- a/src/programs/chicory_demo.cpp
+++ b/src/programs/chicory_demo.cpp
@@ -13,10 +13,11 @@
 
 namespace {
 
-bool play(const sigset_t &signals)
+bool play()
 {
     using namespace chicoryrouter;
     if (FLAGS_serve) {
+        const sigset_t signals = blockStopSignals(); // only here: scenes end by themselves, and a signal ends them sooner
         serveDemo(std::cout, [&signals] { waitForStop(signals); });
         return true;
     }
@@ -46,12 +47,11 @@
         "plays a streamed chat, a stock lookup and an order through two daemons on loopback.\n"
         "Faults for --fault:"
             + names + "\nExit code: 0 when every answer was whole and right, 1 otherwise, 2 wrong use.");
-    const sigset_t signals = blockStopSignals();
     if (!FLAGS_log.empty()) {
         startLog("info", FLAGS_log);
     }
     try {
-        const bool good = play(signals);
+        const bool good = play();
         stopLog();
         return good ? exitGood : exitFailed;
     } catch (const error &fault) {
--- a/src/standin/demo.cpp
+++ b/src/standin/demo.cpp
@@ -184,7 +184,7 @@
         out << "the daemons did not become ready\n";
         return false;
     }
-    out << name << ":\n";
+    out << name << ":" << std::endl;
     return finish(out, found->second(out, all));
 }
 
