--- a/bench/bench_costs.cpp
+++ b/bench/bench_costs.cpp
@@ -42,15 +42,15 @@
 {
 public:
     bar_chart(std::string heading, std::string unitName)
-        : title(std::move(heading))
-        , unit(std::move(unitName))
+        : m_title(std::move(heading))
+        , m_unit(std::move(unitName))
     {
     }
 
     void add(const std::string &name, double value)
     {
-        names.push_back(name);
-        values.push_back(value);
+        m_names.push_back(name);
+        m_values.push_back(value);
     }
 
     [[nodiscard]] std::string svg() const
@@ -59,17 +59,17 @@
         constexpr int labelWidth = 260;
         constexpr int barWidth = 380;
         double most = 0.0;
-        for (const double value : values) {
+        for (const double value : m_values) {
             most = std::max(most, value);
         }
-        const auto height = static_cast<int>(values.size()) * rowHeight;
-        std::string out = "<h3>" + title + "</h3><svg role=\"img\" aria-label=\"" + title + "\" width=\"760\" height=\"" + std::to_string(height) + "\">";
-        for (std::size_t i = 0; i < values.size(); ++i) {
+        const auto height = static_cast<int>(m_values.size()) * rowHeight;
+        std::string out = "<h3>" + m_title + "</h3><svg role=\"img\" aria-label=\"" + m_title + "\" width=\"760\" height=\"" + std::to_string(height) + "\">";
+        for (std::size_t i = 0; i < m_values.size(); ++i) {
             const int y = static_cast<int>(i) * rowHeight;
-            const int width = most > 0.0 ? static_cast<int>(values[i] / most * barWidth) : 0;
+            const int width = most > 0.0 ? static_cast<int>(m_values[i] / most * barWidth) : 0;
             char number[64];
-            std::snprintf(number, sizeof number, "%.4g %s", values[i], unit.c_str());
-            out += "<text x=\"0\" y=\"" + std::to_string(y + 17) + "\">" + names[i] + "</text><rect x=\"" + std::to_string(labelWidth) + "\" y=\""
+            std::snprintf(number, sizeof number, "%.4g %s", m_values[i], m_unit.c_str());
+            out += "<text x=\"0\" y=\"" + std::to_string(y + 17) + "\">" + m_names[i] + "</text><rect x=\"" + std::to_string(labelWidth) + "\" y=\""
                 + std::to_string(y + 4) + "\" width=\"" + std::to_string(width) + "\" height=\"18\"/><text x=\"" + std::to_string(labelWidth + width + 6)
                 + "\" y=\"" + std::to_string(y + 17) + "\">" + number + "</text>";
         }
@@ -77,10 +77,10 @@
     }
 
 private:
-    std::string title;
-    std::string unit;
-    std::vector<std::string> names;
-    std::vector<double> values;
+    std::string m_title;
+    std::string m_unit;
+    std::vector<std::string> m_names;
+    std::vector<double> m_values;
 };
 
 std::string costCharts(const cost_sizes &sizes)
--- a/bench/trials/cost_trial.cpp
+++ b/bench/trials/cost_trial.cpp
@@ -18,7 +18,6 @@
 constexpr int startTakes = 4;       // minutes until a started endpoint serves, its model's load included
 constexpr int refusedFor = 15;      // minutes after a wave in which the domain's reclaimable starts are refused
 constexpr double wavesPerDay = 3.0; // of each failure domain
-constexpr double headroom = 1.2;    // as endpointsFor() has it
 
 struct running
 {
