What a reading of the whole change found: a cut answer closed as whole, pollers that no one hears, logic twice

One piece, takeEvents, serves both now, and an attached caller is followed to the peer as the first one is. Cause 2: the two daemons that ask an endpoint for its load were chosen from the whole deployment; above 16 members reports do not cross failure domains, so most endpoints' reports would not have reached their own domain. They are chosen within it now (new test). Also: one way to hear gossip; dead parts gone (sharersOf, reports, proceedToSend, a lease's unused count). No assertion was changed.

--- a/include/chicoryrouter/agreement.h
+++ b/include/chicoryrouter/agreement.h
@@ -95,7 +95,8 @@
     [[nodiscard]] const std::map<std::string, version_mover> &moves() const { return m_moves; }
     [[nodiscard]] std::vector<version_share> shares() const;
     [[nodiscard]] std::uint32_t accountPart(const client_account &account) const; // this daemon's part of the account's limit
-    [[nodiscard]] bool pollsEndpoint(std::uint64_t endpointKey) const;            // this daemon is one of the two that ask it for its load
+    // This daemon is one of the two that ask the endpoint for its load; in a large deployment two of the endpoint's own failure domain.
+    [[nodiscard]] bool pollsEndpoint(std::uint64_t endpointKey, const std::string &failureDomain) const;
     [[nodiscard]] const evidence_book &evidence() const { return m_evidence; }
 
 private:
@@ -116,6 +117,13 @@
     void addDemands(gossip_message &message, bool crossesDomain);
     void takeDemand(const demand_statement &statement);
     [[nodiscard]] demand_statement domainDemand() const;
+    struct living_member
+    {
+        std::uint64_t origin = 0; // hash of its name
+        std::string failureDomain;
+    };
+
+    [[nodiscard]] const std::vector<living_member> &livingMembers() const;
     [[nodiscard]] bool isSmall() const;
     [[nodiscard]] std::vector<std::uint64_t> demandOrigins() const;
     void syncMoves();
@@ -125,6 +133,8 @@
     std::uint64_t m_self;
     configuration m_documents;
     membership m_members;
+    mutable std::vector<living_member> m_living;   // of m_members, made anew when it has changed
+    mutable std::uint64_t m_livingAt = UINT64_MAX; // membership::changes() of which m_living was made
     evidence_book m_evidence;
     std::map<std::string, version_mover> m_moves;
     std::map<std::string, held_report> m_loads;     // by endpoint id
--- a/include/chicoryrouter/fleet.h
+++ b/include/chicoryrouter/fleet.h
@@ -70,7 +70,6 @@
     std::shared_ptr<const routing_table> buildTable();     // also sets every endpoint's slots
     [[nodiscard]] bool isDirty() const { return m_dirty; } // something changed since the last buildTable()
     [[nodiscard]] std::vector<endpoint_status> status() const;
-    [[nodiscard]] std::vector<load_report> reports() const;
 
 private:
     struct known_endpoint
@@ -96,7 +95,6 @@
     [[nodiscard]] std::uint32_t limitOf(const known_endpoint &item) const;
     [[nodiscard]] duration usualFirstToken(const std::string &service) const;
     [[nodiscard]] duration linkDelayTo(const std::string &failureDomain) const;
-    [[nodiscard]] std::vector<std::uint64_t> sharersOf(const endpoint &facts) const;
 
     std::string m_ownDomain;
     std::uint64_t m_self;
--- a/src/core/agreement.cpp
+++ b/src/core/agreement.cpp
@@ -123,7 +123,7 @@
 
 bool agreement::isSmall() const
 {
-    return m_members.living().size() <= m_options.smallDeployment;
+    return livingMembers().size() <= m_options.smallDeployment;
 }
 
 // Among whom limits of client accounts are divided: all daemons, or in a large deployment those of the own failure domain and the
@@ -132,9 +132,9 @@
 {
     std::vector<std::uint64_t> origins;
     const bool small = isSmall();
-    for (const member_facts &item : m_members.living()) {
+    for (const living_member &item : livingMembers()) {
         const bool own = small || item.failureDomain == m_members.self().failureDomain;
-        origins.push_back(hashBytes(own ? item.instance : item.failureDomain));
+        origins.push_back(own ? item.origin : hashBytes(item.failureDomain));
     }
     std::sort(origins.begin(), origins.end());
     origins.erase(std::unique(origins.begin(), origins.end()), origins.end());
@@ -301,14 +301,32 @@
     return found == accounts.end() ? 0.0 : found->perSecond;
 }
 
-bool agreement::pollsEndpoint(std::uint64_t endpointKey) const
+bool agreement::pollsEndpoint(std::uint64_t endpointKey, const std::string &failureDomain) const
 {
+    const bool small = isSmall();
+    if (!small && failureDomain != m_members.self().failureDomain) {
+        return false; // reports do not cross failure domains there
+    }
     const std::uint64_t own = rendezvousWeight(endpointKey, m_self);
     std::size_t ahead = 0;
-    for (const member_facts &item : m_members.living()) {
-        ahead += rendezvousWeight(endpointKey, hashBytes(item.instance)) > own ? 1 : 0;
+    for (const living_member &item : livingMembers()) {
+        const bool rival = small || item.failureDomain == failureDomain;
+        ahead += rival && rendezvousWeight(endpointKey, item.origin) > own ? 1 : 0;
     }
     return ahead < pollersPerEndpoint;
 }
 
+// Asked for every endpoint and message: copying the members each time would cost more than all else of the control strand.
+const std::vector<agreement::living_member> &agreement::livingMembers() const
+{
+    if (m_livingAt != m_members.changes()) {
+        m_livingAt = m_members.changes();
+        m_living.clear();
+        for (const member_facts &item : m_members.living()) {
+            m_living.push_back({hashBytes(item.instance), item.failureDomain});
+        }
+    }
+    return m_living;
+}
+
 } // namespace chicoryrouter
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -260,11 +260,6 @@
     return sameRegion ? sameRegionDelay : otherRegionDelay;
 }
 
-std::vector<std::uint64_t> fleet::sharersOf(const endpoint &) const
-{
-    return m_members;
-}
-
 std::shared_ptr<const routing_table> fleet::buildTable()
 {
     std::vector<endpoint_ptr> endpoints;
@@ -272,7 +267,7 @@
         judge(item);
         item.facts.linkDelay = linkDelayTo(item.facts.failureDomain);
         const bool usable = item.facts.use == endpoint_use::Usable;
-        const std::uint32_t slots = usable ? slotShare(limitOf(item), item.facts.key, sharersOf(item.facts), m_self) : 0;
+        const std::uint32_t slots = usable ? slotShare(limitOf(item), item.facts.key, m_members, m_self) : 0;
         item.facts.load->slots.store(slots, std::memory_order_relaxed);
         endpoints.push_back(std::make_shared<endpoint>(item.facts));
     }
@@ -290,15 +285,4 @@
     return result;
 }
 
-std::vector<load_report> fleet::reports() const
-{
-    std::vector<load_report> result;
-    for (const auto &[id, item] : m_endpoints) {
-        if (!item.report.endpointId.empty()) {
-            result.push_back(item.report);
-        }
-    }
-    return result;
-}
-
 } // namespace chicoryrouter
--- a/src/core/lease.cpp
+++ b/src/core/lease.cpp
@@ -73,7 +73,6 @@
 {
     m_wanted = encodeLease(record);
     m_fencing = record.fencing;
-    m_renewals = record.renewals;
     m_swapBegan = now;
     return step::Swap;
 }
--- a/src/core/request_machine.cpp
+++ b/src/core/request_machine.cpp
@@ -87,7 +87,7 @@
     if (canTransfer) {
         return {transfer_kv{m_attempts.front().number, m_attempts.front().where, where, m_leaveBy}};
     }
-    return purpose == slot_purpose::First ? onCopied(now) : proceedToSend(now);
+    return purpose == slot_purpose::First ? onCopied(now) : sendHeld(false, now);
 }
 
 // The slot's endpoint was put on notice between the choice and the send.
@@ -124,12 +124,12 @@
     if (m_over || m_held == nullptr) {
         return {};
     }
-    return m_facts.needsClaim ? request_actions{make_claim{}} : proceedToSend(now);
+    return m_facts.needsClaim ? request_actions{make_claim{}} : sendHeld(false, now);
 }
 
 request_actions request_machine::onClaimed(time_point now)
 {
-    return m_over || m_held == nullptr ? request_actions{} : proceedToSend(now);
+    return m_over || m_held == nullptr ? request_actions{} : sendHeld(false, now);
 }
 
 request_actions request_machine::onClaimRefused(error_kind kind, time_point)
@@ -151,11 +151,6 @@
 
 // ---- Sending ---------------------------------------------------------------------------------------------------------------------------
 
-request_actions request_machine::proceedToSend(time_point now)
-{
-    return sendHeld(false, now);
-}
-
 request_actions request_machine::sendHeld(bool withKv, time_point now)
 {
     const endpoint_ptr where = std::move(m_held);
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -260,7 +260,7 @@
 {
     while (true) {
         for (const endpoint_status &status : m_fleet.status()) {
-            if (m_agreement.pollsEndpoint(status.known->key)) {
+            if (m_agreement.pollsEndpoint(status.known->key, status.known->failureDomain)) {
                 asio::co_spawn(m_context, fetchLoad(status.known), asio::detached);
             }
         }
@@ -359,22 +359,26 @@
     if (!answer) {
         co_return false;
     }
-    const gossip_result result = m_agreement.receive(*answer, systemNow());
+    const gossip_result result = hear(*answer);
+    const bool fromInstance = result.from == instance;
+    co_return fromInstance;
+}
+
+// Takes in one message and acts on what it brings.
+gossip_result control::hear(const std::string &message)
+{
+    gossip_result result = m_agreement.receive(message, systemNow());
     takeReports(result.loads);
     if (result.hasNewerDocument) {
         asio::co_spawn(m_context, pullDocument(result.from), asio::detached);
     }
-    co_return result.understood &&result.from == instance;
+    return result;
 }
 
 asio::awaitable<std::optional<std::string>> control::onPeerCall(std::string path, std::string body)
 {
     if (path == "/gossip") {
-        const gossip_result result = m_agreement.receive(body, systemNow());
-        takeReports(result.loads);
-        if (result.hasNewerDocument) {
-            asio::co_spawn(m_context, pullDocument(result.from), asio::detached);
-        }
+        const gossip_result result = hear(body);
         co_return result.understood ? std::optional(m_agreement.compose(result.from, systemNow())) : std::nullopt;
     }
     if (path == "/relay") {
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -57,6 +57,7 @@
     boost::asio::awaitable<void> fetchLoad(endpoint_ptr from);
     boost::asio::awaitable<void> runProbe(probe what);
     boost::asio::awaitable<bool> exchange(address where, std::string instance);
+    gossip_result hear(const std::string &message);
     boost::asio::awaitable<void> pullDocument(std::string from);
     boost::asio::awaitable<bool> settleMove(std::string service);
     boost::asio::awaitable<std::optional<instance_list>> currentInstances();
--- a/src/shell/gateway.cpp
+++ b/src/shell/gateway.cpp
@@ -144,6 +144,19 @@
     return "event: error\ndata: " + errorBody(kind, id, "") + "\n\n";
 }
 
+// The events from `next` on, which moves to their end; with the closing one when the request ended here.
+std::string takeEvents(const request_session &session, std::uint32_t &next, const std::string &head)
+{
+    std::string batch;
+    for (const std::uint32_t end = session.readable(); next < end; ++next) {
+        batch += eventText(session, next, head);
+    }
+    if (session.isOver() && !session.isHandedOver()) {
+        batch += session.failed() ? errorEvent(session.facts().id, session.failure()) : "data: [DONE]\n\n";
+    }
+    return batch;
+}
+
 std::string wholeAnswer(const request_session &session, const std::string &text, std::uint32_t tokens)
 {
     json choice = {{"index", 0}, {"finish_reason", "stop"}};
@@ -334,14 +347,8 @@
     std::uint32_t next = from;
     std::string batch;
     while (open) {
-        batch.clear();
-        for (const std::uint32_t end = session->readable(); next < end; ++next) {
-            batch += eventText(*session, next, head);
-        }
+        batch = takeEvents(*session, next, head);
         const bool last = session->isOver();
-        if (last && !session->isHandedOver()) {
-            batch += session->failed() ? errorEvent(id, session->failure()) : "data: [DONE]\n\n";
-        }
         open = co_await exchange.writeChunk(batch);
         session->readerAt(next);
         if (last && session->isHandedOver()) {
@@ -411,15 +418,9 @@
         while (session->readable() <= next && !session->isOver()) {
             co_await session->changed();
         }
-        const std::string head = eventHead(*session);
-        std::string batch;
-        for (const std::uint32_t end = session->readable(); next < end; ++next) {
-            batch += eventText(*session, next, head);
-        }
+        const std::string batch = takeEvents(*session, next, eventHead(*session));
         const bool last = session->isOver();
-        if (last) {
-            batch += session->failed() ? errorEvent(id, session->failure()) : "data: [DONE]\n\n";
-        }
+        const bool handedOver = session->isHandedOver();
         session->readerAt(next);
         co_await asio::dispatch(here, asio::use_awaitable);
         if (!started) {
@@ -429,6 +430,10 @@
         if (open) {
             open = co_await exchange.writeChunk(batch);
         }
+        if (last && handedOver) {
+            co_await followAtPeer(exchange, id, who.account.name, next);
+            co_return;
+        }
         if (last) {
             break;
         }
--- a/tests/unit/agreement.cpp
+++ b/tests/unit/agreement.cpp
@@ -332,3 +332,23 @@
     cr_assert_eq(sum, 100);
     cr_assert_gt(all.at(0).accountPart(account), 60);
 }
+
+Test(agreement, two_daemons_ask_an_endpoint_for_its_load_and_in_a_large_deployment_both_are_of_its_domain)
+{
+    for (const std::size_t daemons : {9U, 30U}) {
+        cluster_options options;
+        options.domains = spreadOver(daemons, 3);
+        options.seed = 1;
+        cluster all(options);
+        all.runFor(30s);
+        for (std::uint64_t key = 1; key <= 50; ++key) {
+            std::size_t pollers = 0;
+            for (std::size_t i = 0; i < daemons; ++i) {
+                const bool polls = all.at(i).pollsEndpoint(key, "d1");
+                pollers += polls ? 1 : 0;
+                cr_assert(!polls || daemons == 9 || options.domains[i] == "d1", "%s asks an endpoint of another domain", all.nameOf(i).c_str());
+            }
+            cr_assert_eq(pollers, 2, "%zu daemons, key %lu: %zu ask", daemons, static_cast<unsigned long>(key), pollers);
+        }
+    }
+}
--- a/tests/unit/daemons.cpp
+++ b/tests/unit/daemons.cpp
@@ -371,6 +371,21 @@
     cr_expect_eq(text, standinAnswer("long", 600));
 }
 
+Test(daemons, a_caller_attached_at_a_stopping_instance_reads_on_after_the_handover)
+{
+    deployment_options options = slowEngines(10ms);
+    options.stopWithin = 8s;
+    deployment all(options);
+    cr_assert(all.waitReady());
+    const auto left = sync_client().callUntilCut(all.at(0).gateway(), completionCall("write-up", "attached", 600), 300);
+    const std::string id(findHeader(left.response.headers, "X-Request-Id"));
+    auto attached = std::async(std::launch::async, [&] { return sync_client().callUntilCut(all.at(0).gateway(), attachCall(id, 0)).response; });
+    std::this_thread::sleep_for(200ms);
+    all.at(0).stop();
+    const http_response answer = attached.get();
+    cr_expect(isWhole(answer, "attached", 600), "%zu tokens, ended: %d", streamedTokens(answer.body), streamEnded(answer.body) ? 1 : 0);
+}
+
 Test(daemons, a_stopping_instance_refuses_truthfully_and_says_it_is_not_ready)
 {
     deployment all(slowEngines(10ms));
