--- a/include/chicoryrouter/configuration.h
+++ b/include/chicoryrouter/configuration.h
@@ -41,6 +41,11 @@
 class configuration
 {
 public:
+    explicit configuration(document_reader reader = parseDocument)
+        : m_reader(reader)
+    {
+    }
+
     adoption offer(std::uint64_t revision, std::string text); // the only way in
 
     [[nodiscard]] std::shared_ptr<const revisioned_document> inForce() const { return m_inForce; } // never null; revision 0: none yet
@@ -49,6 +54,7 @@
     [[nodiscard]] const std::string &lastFault() const { return m_lastFault; } // why the newest offer was Invalid
 
 private:
+    document_reader m_reader;
     std::shared_ptr<const revisioned_document> m_inForce = std::make_shared<revisioned_document>();
     configuration_advert m_refused; // an Invalid offer, so that it is not pulled again and again
     std::string m_lastFault;
--- a/include/chicoryrouter/document.h
+++ b/include/chicoryrouter/document.h
@@ -10,6 +10,7 @@
 #include "chicoryrouter/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -36,7 +37,12 @@
     std::string name; // unique
     service_kind kind = service_kind::Plain;
     std::string currentVersion;         // the version all traffic goes to when no move is open
-    std::vector<version_spec> versions; // at least one
+    std::vector<version_spec> versions; // at least one, unless `anyVersion`
+    bool anyVersion = false;            // versions come with their endpoints: each may serve until a move takes it back
+    version_spec usual;                 // anyVersion only: what an endpoint bears that does not state it itself
+    std::uint32_t maxConnections = 0;   // one endpoint accepts from all entry instances together; 0: not stated
+    duration coldFor{};                 // an endpoint bears less for so long after its start; zero: never
+    double coldPerSecond = 0.0;         // requests a second that a cold endpoint bears, over all entry instances; 0: not stated
 };
 
 // ---- Failure domains -------------------------------------------------------------------------------------------------------------------
@@ -48,6 +54,14 @@
     bool out = false; // true: taken out by operators; gets no new work
 };
 
+// How urgent work is.
+enum class priority : std::uint8_t {
+    Prompt, // a person waits for the first token
+    Normal,
+    Long, // may wait, must finish
+    Count,
+};
+
 // ---- Client accounts -------------------------------------------------------------------------------------------------------------------
 
 struct client_account
@@ -56,15 +70,19 @@
     double weight = 1.0;                  // share of a full service, relative to other accounts; above 0
     std::uint32_t maxInFlight = 0;        // requests open at once, over all entry instances; at least 1
     std::vector<std::string> tokenHashes; // SHA-256 of each bearer token, in lower-case hex; the tokens themselves are never stored
+    std::optional<priority> rank{};       // goes before the route's when it is set
+    double tokensPerSecond = 0.0;         // prompt and output tokens over all entry instances; 0: no limit
+    double tokenBurst = 0.0;              // tokens on top of the rate, after a quiet spell
+    std::uint32_t tokensPerPlainCall = 0; // what a call counts that states no tokens
 };
 
 // ---- Contracts -------------------------------------------------------------------------------------------------------------------------
 
-enum class priority : std::uint8_t {
-    Prompt, // a person waits for the first token
-    Normal,
-    Long, // may wait, must finish
-    Count,
+// One service's part of a route whose traffic is divided.
+struct service_share
+{
+    std::string service;
+    std::uint32_t weight = 0; // relative to the other parts
 };
 
 // What a route promises its callers. The spans are promises relative to a request's arrival; a request stores the deadlines made of them.
@@ -72,7 +90,12 @@
 {
     std::string route;        // unique name; for model services also the `model` callers ask for
     std::string service;      // name of the service behind it
-    std::string path;         // plain services: path prefix; empty for model services
+    std::vector<service_share> split; // the services behind it when there are several; empty: `service` alone
+    std::string host;         // the Host that callers name; empty: any
+    std::string path;         // plain services and relayed ones: path prefix; empty for model services by name
+    bool open = false;        // true: needs no client account
+    bool streamed = false;    // true: the answer is a stream of numbered events
+    std::uint32_t maxAttempts = 0; // endpoints that may run one request; 0: three retries at most
     bool repeatable = false;  // true: idempotent, may be sent again or hedged
     bool mustFinish = false;  // true: goes on although the caller left, and is copied to a peer before it is accepted
     bool keyRequired = false; // true: callers must send an Idempotency-Key
@@ -92,6 +115,9 @@
     std::string to;       // version that should serve
     time_point startAt{}; // no share before this moment
     time_point doneBy{};  // by this moment the move is done or taken back
+    duration lasts{}; // where no moment is stated: the move is to be over so long after a daemon learns of it; zero: see above
+    std::optional<bool> settled{}; // already decided before this daemon learnt of it: true, done; false, taken back
+    std::uint64_t order = 0; // the operators' order that it comes from, the same at every daemon; 0: identified by its dates
 };
 
 // ---- Placement -------------------------------------------------------------------------------------------------------------------------
@@ -132,6 +158,7 @@
     [[nodiscard]] const client_account *findAccountByTokenHash(std::string_view hash) const;
     [[nodiscard]] const contract *findModelRoute(std::string_view model) const; // route of a model service by name
     [[nodiscard]] const contract *findPlainRoute(std::string_view path) const;  // longest matching path prefix
+    [[nodiscard]] const contract *findRelayedRoute(std::string_view host, std::string_view path) const; // of this host, longest matching path prefix
     [[nodiscard]] const version_move *findMove(std::string_view service) const; // a service has at most one open move
 };
 
@@ -147,7 +174,8 @@
 inline constexpr std::size_t maxDocumentBytes = 900 * 1000; // the key-value service holds values up to 1 MB; the rest is envelope
 
 document parseDocument(std::string_view yaml);                                                 // throws error(InvalidDocument) naming every fault
-revisioned_document makeRevisioned(std::uint64_t revision, std::string yaml);                  // parse and hash; same errors
+using document_reader = document (*)(std::string_view text);                                  // parseDocument, or a platform's own
+revisioned_document makeRevisioned(std::uint64_t revision, std::string text, document_reader reader = parseDocument); // read and hash; same errors
 std::vector<std::string> documentDifferences(std::string_view before, std::string_view after); // one line for each changed field
 std::string documentJson(std::string_view yaml);                                               // the same document as JSON, for forms; comments are lost
 std::string documentSchema();                                                                  // the published JSON schema
--- a/include/chicoryrouter/fleet.h
+++ b/include/chicoryrouter/fleet.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,7 +25,10 @@
     address where;
     std::string startToken{}; // of the start that made it; empty: not started by a placer
     bool leaving = false;
-    time_point leaveBy = noDeadline; // when it will be gone, if leaving
+    time_point leaveBy = noDeadline;  // when it will be gone, if leaving
+    std::uint32_t slots = 0;          // requests it runs at once, as it says itself; 0: the document says
+    std::uint64_t bornAt = 0;         // tells its starts apart: a new start holds and knows nothing; 0: not stated
+    time_point coldUntil{};           // bears less until then
 };
 
 // An endpoint of which it became known that it leaves: open streams must be moved by `leaveBy`.
@@ -43,6 +47,8 @@
     std::string route;
     attempt_result result = attempt_result::Answered;
     duration firstToken{}; // zero: none was seen
+    std::uint32_t openThere = 0;                // requests that the endpoint said it held, running and waiting; with `reportsLoad` only
+    bool reportsLoad = false;
 };
 
 struct endpoint_status
@@ -66,6 +72,8 @@
     bool onLoadReport(const load_report &report, time_point now); // false: older than what is held
     void onOutcome(const attempt_outcome &outcome, time_point now);
     void onProbeTime(time_point now); // brings back what was set aside long enough
+    void onPaceTime(time_point now);  // hands out new work for cold endpoints; call at least ten times a second
+    void barVersion(const std::string &service, const std::string &version, bool barred); // services whose versions come with their endpoints
 
     std::shared_ptr<const routing_table> buildTable();     // also sets every endpoint's slots
     [[nodiscard]] bool isDirty() const { return m_dirty; } // something changed since the last buildTable()
@@ -85,9 +93,17 @@
         std::uint32_t timesSetAside = 0; // in a row, for the probe's back-off
         time_point probeAt = noDeadline; // set aside until then
         bool probing = false;            // back for one request
+        std::uint32_t ownSlots = 0;      // as it states itself; 0: the document says
+        std::uint64_t bornAt = 0;        // of its present start
+        time_point coldUntil{};          // new work is paced until then
+        time_point pacedAt{};            // when paceTokens were last handed out
+        double paceDue = 0.0;            // fraction of a request earned since
     };
 
     void judge(known_endpoint &item) const;
+    void takeRecord(known_endpoint &item, const instance_record &record);
+    void shareSlots(const known_endpoint &item) const;
+    [[nodiscard]] double pacePerSecond(const known_endpoint &item) const;
     void averageReportedLoad(known_endpoint &item, time_point now);
     void setAsideIfAllowed(known_endpoint &item, time_point now);
     void observeFirstToken(known_endpoint &item, duration firstToken);
@@ -102,6 +118,7 @@
     std::vector<std::uint64_t> m_members;
     std::vector<version_share> m_shares;
     std::map<std::string, known_endpoint> m_endpoints; // by id
+    std::set<std::pair<std::string, std::string>> m_barred; // service and version that a move took back
     std::map<std::string, duration> m_usual;           // service -> moving average of first-token times
     bool m_dirty = true;
 };
--- a/include/chicoryrouter/request_machine.h
+++ b/include/chicoryrouter/request_machine.h
@@ -161,6 +161,7 @@
     [[nodiscard]] time_point nextDeadline() const;
     [[nodiscard]] bool isOver() const { return m_over; }
     [[nodiscard]] bool isAccepted() const { return m_sends > 0 || m_facts.wasAccepted; }
+    [[nodiscard]] bool mayTryAgain() const; // a failed answer is better not shown: another attempt is allowed
     [[nodiscard]] bool mayHaveRun() const; // a byte may have left and nothing proved that it did not run
     [[nodiscard]] std::uint32_t delivered() const { return m_delivered; }
     [[nodiscard]] std::uint32_t recomputedTokens() const { return m_recomputed; }
@@ -198,6 +199,7 @@
     void exclude(const endpoint_ptr &where);
     attempt *find(std::uint32_t number);
     [[nodiscard]] bool mayRepeat() const;
+    [[nodiscard]] bool attemptsLeft() const;
     [[nodiscard]] time_point hedgeAt() const;
     [[nodiscard]] duration quietLimit() const;
     [[nodiscard]] error_kind truthful(error_kind kind) const;
@@ -215,6 +217,7 @@
     error_kind m_lastFailure = error_kind::Internal;
     std::uint32_t m_sends = 0; // attempts sent; also the newest attempt's number
     std::uint32_t m_retries = 0;
+    std::uint32_t m_provedNotRun = 0; // attempts of which no byte left, or that the endpoint proved not to have run; <= m_sends
     std::uint32_t m_delivered = 0; // tokens given to the caller; only grows
     std::uint32_t m_recomputed = 0;
     bool m_ranUnknown = false; // an attempt is over that may have run; only ever goes from false to true
--- a/include/chicoryrouter/settings.h
+++ b/include/chicoryrouter/settings.h
@@ -8,6 +8,8 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace chicoryrouter {
 
@@ -21,6 +23,12 @@
     address keyValue;                                         // `platform.key_value`
     address instanceList;                                     // `platform.instance_list`
     address cloud;                                            // `platform.cloud`; port 0: nothing is started or stopped by this daemon
+    address readiness;                                        // `readiness`: where the platform asks whether to send callers; port 0: at `gateway` only
+    bool hosted = false;                                      // `platform.form`: standard (the protocols of docs/STANDINS.md) or hosted (those of platform/)
+    std::string region;                                       // `region`: hosted only; where its failure domain lies
+    std::vector<std::pair<std::string, std::string>> domains; // `failure_domains`: hosted only; name and region of each
+    duration leaseTerm = std::chrono::seconds(3);             // `platform.lease_term`: hosted only; of this daemon's entry and of duties, 1s to 60s
+    duration usageWindow = std::chrono::seconds(5);           // `platform.usage_window`: hosted only; requests are counted by account in spans of it
     std::string peerKey;                                      // `peer_key`: shared by all daemons of a deployment; at least 16 characters
     std::string operatorTokenHash;                            // `operator_token_hash`: SHA-256 of the operators' token, in hex
     unsigned threads = 2;                                     // `threads`: request threads, 1 to 64
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -31,7 +31,7 @@
     }
     const std::uint64_t hash = hashBytes(text);
     try {
-        m_inForce = std::make_shared<revisioned_document>(makeRevisioned(revision, std::move(text)));
+        m_inForce = std::make_shared<revisioned_document>(makeRevisioned(revision, std::move(text), m_reader));
         return adoption::Adopted;
     } catch (const error &fault) {
         m_lastFault = fault.detail();
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -3,6 +3,8 @@
 
 #include "chicoryrouter/bounded_counter.h"
 
+#include <algorithm>
+
 namespace chicoryrouter {
 
 bool account_load::tryTake()
@@ -16,6 +18,36 @@
     countOut(inFlight);
 }
 
+bool account_load::tryTakeTokens(std::int64_t tokens)
+{
+    asked.fetch_add(static_cast<std::uint64_t>(tokens), std::memory_order_relaxed);
+    if (!rationed.load(std::memory_order_relaxed)) {
+        return true;
+    }
+    std::int64_t left = tokensLeft.load(std::memory_order_relaxed);
+    while (left > 0 && !tokensLeft.compare_exchange_weak(left, left - tokens, std::memory_order_relaxed)) { }
+    return left > 0;
+}
+
+void account_load::refill(std::int64_t perSecond, std::int64_t most, duration since)
+{
+    const bool first = !rationed.exchange(true);
+    tokensPerSecond = perSecond;
+    const auto earned = static_cast<std::int64_t>(static_cast<double>(perSecond) * std::chrono::duration<double>(since).count());
+    std::int64_t left = tokensLeft.load(std::memory_order_relaxed);
+    std::int64_t fuller = 0;
+    do {
+        fuller = first ? most : std::min(left + earned, most);
+    } while (!tokensLeft.compare_exchange_weak(left, fuller, std::memory_order_relaxed));
+}
+
+duration account_load::backIn() const
+{
+    const double missing = static_cast<double>(1 - std::min<std::int64_t>(tokensLeft, 0));
+    const double rate = static_cast<double>(std::max<std::int64_t>(tokensPerSecond, 1));
+    return std::chrono::duration_cast<duration>(std::chrono::duration<double>(missing / rate));
+}
+
 dispatcher::dispatcher(router_options options, std::size_t mostWaitingPerPriority)
     : m_options(options)
     , m_mostWaiting(mostWaitingPerPriority)
--- a/src/core/document.cpp
+++ b/src/core/document.cpp
@@ -362,13 +362,13 @@
     return content;
 }
 
-revisioned_document makeRevisioned(std::uint64_t revision, std::string yaml)
+revisioned_document makeRevisioned(std::uint64_t revision, std::string text, document_reader reader)
 {
     revisioned_document result;
-    result.content = parseDocument(yaml);
+    result.content = reader(text);
     result.revision = revision;
-    result.hash = hashBytes(yaml);
-    result.text = std::move(yaml);
+    result.hash = hashBytes(text);
+    result.text = std::move(text);
     return result;
 }
 
@@ -452,6 +452,18 @@
     return best;
 }
 
+const contract *document::findRelayedRoute(std::string_view host, std::string_view path) const
+{
+    const contract *best = nullptr;
+    for (const contract &item : routes) {
+        const bool matches = item.host == host && path.substr(0, item.path.size()) == item.path;
+        if (matches && (best == nullptr || item.path.size() > best->path.size())) {
+            best = &item;
+        }
+    }
+    return best;
+}
+
 const version_move *document::findMove(std::string_view name) const
 {
     return findIn(moves, [&](const version_move &item) { return item.service == name; });
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -66,12 +66,7 @@
             item.facts.key = hashBytes(record.id);
             item.facts.load = std::make_shared<endpoint_load>();
         }
-        item.facts.service = record.service;
-        item.facts.version = record.version;
-        item.facts.failureDomain = record.failureDomain;
-        item.facts.cls = record.cls;
-        item.facts.where = record.where;
-        item.listed = true;
+        takeRecord(item, record);
         if (record.leaving && !item.leaving) {
             notices.push_back({record.id, record.leaveBy});
         }
@@ -88,6 +83,26 @@
     return notices;
 }
 
+// A new start under a known id holds and knows nothing of before: what was learnt of it is forgotten, its open requests are lost anyway.
+void fleet::takeRecord(known_endpoint &item, const instance_record &record)
+{
+    if (item.bornAt != 0 && record.bornAt != 0 && item.bornAt != record.bornAt) {
+        endpoint facts = item.facts;
+        facts.load = std::make_shared<endpoint_load>();
+        item = {};
+        item.facts = std::move(facts);
+    }
+    item.bornAt = record.bornAt;
+    item.facts.service = record.service;
+    item.facts.version = record.version;
+    item.facts.failureDomain = record.failureDomain;
+    item.facts.cls = record.cls;
+    item.facts.where = record.where;
+    item.ownSlots = record.slots;
+    item.coldUntil = std::max(item.coldUntil, record.coldUntil);
+    item.listed = true;
+}
+
 std::vector<reclaim_notice> fleet::onNotice(const std::string &endpointId, time_point leaveBy)
 {
     const auto found = m_endpoints.find(endpointId);
@@ -130,7 +145,8 @@
     if (version == nullptr) {
         return;
     }
-    const double sample = std::min(1.0, static_cast<double>(item.report.running + item.report.queued) / version->maxConcurrency);
+    const std::uint32_t bears = std::max(item.ownSlots > 0 ? item.ownSlots : version->maxConcurrency, 1U);
+    const double sample = std::min(1.0, static_cast<double>(item.report.running + item.report.queued) / bears);
     auto &held = item.facts.load->reportedPermille;
     const bool first = item.reportedAt == time_point{};
     const double elapsed = std::chrono::duration<double>(now - item.reportedAt).count();
@@ -163,6 +179,12 @@
         return;
     }
     known_endpoint &item = found->second;
+    if (outcome.reportsLoad) {
+        item.report.running = outcome.openThere;
+        averageReportedLoad(item, now);
+        item.reportedAt = now;
+        shareSlots(item);
+    }
     if (outcome.result == attempt_result::Answered) {
         m_dirty = m_dirty || item.probing;
         item.failuresInRow = 0;
@@ -230,6 +252,9 @@
     if (owner == nullptr) {
         return nullptr;
     }
+    if (owner->anyVersion) {
+        return m_barred.count({facts.service, facts.version}) == 0 ? &owner->usual : nullptr;
+    }
     const auto found = std::find_if(owner->versions.begin(), owner->versions.end(), [&](const version_spec &item) { return item.name == facts.version; });
     return found == owner->versions.end() ? nullptr : &*found;
 }
@@ -240,7 +265,60 @@
     if (version == nullptr) {
         return 0;
     }
-    return item.probing ? 1 : endpointLimit(*version, item.report, item.coldSince);
+    if (item.probing) {
+        return 1;
+    }
+    return item.ownSlots > 0 ? item.ownSlots : endpointLimit(*version, item.report, item.coldSince);
+}
+
+// This daemon's slots at an endpoint. Where the endpoint says in its answers how much it has open in all, what others leave free is
+// used too: the parts alone would leave places empty where callers come unevenly to the daemons. It refuses what is too much, and proves it.
+void fleet::shareSlots(const known_endpoint &item) const
+{
+    const std::uint32_t limit = item.facts.use == endpoint_use::Usable ? limitOf(item) : 0;
+    std::uint32_t slots = slotShare(limit, item.facts.key, m_members, m_self);
+    if (item.ownSlots > 0 && limit > 1) {
+        const std::uint32_t own = item.facts.load->inFlight.load(std::memory_order_relaxed);
+        const std::uint32_t all = item.report.running;
+        const std::uint32_t others = all - std::min(all, own);
+        slots = std::max({slots, limit - std::min(limit, others), 1U});
+    }
+    item.facts.load->slots.store(slots, std::memory_order_relaxed);
+}
+
+// While an endpoint is cold, all daemons together start no more there than it bears: each its even part, also of those who cannot be heard.
+double fleet::pacePerSecond(const known_endpoint &item) const
+{
+    const service *owner = m_inForce->content.findService(item.facts.service);
+    return owner == nullptr ? 0.0 : owner->coldPerSecond / static_cast<double>(std::max<std::size_t>(m_members.size(), 1));
+}
+
+void fleet::onPaceTime(time_point now)
+{
+    for (auto &[id, item] : m_endpoints) {
+        endpoint_load &load = *item.facts.load;
+        const double rate = pacePerSecond(item);
+        const bool cold = now < item.coldUntil && rate > 0.0;
+        const bool begins = cold && !load.paced;
+        load.paced = cold;
+        if (!cold || begins) {
+            item.paceDue = 0.0;
+            load.paceTokens = begins ? 1 : 0;
+        } else {
+            item.paceDue += rate * std::chrono::duration<double>(now - item.pacedAt).count();
+            if (item.paceDue >= 1.0) {
+                item.paceDue = 0.0;
+                load.paceTokens = 1; // never more than one saved up: what was not used is gone
+            }
+        }
+        item.pacedAt = now;
+    }
+}
+
+void fleet::barVersion(const std::string &service, const std::string &version, bool barred)
+{
+    const bool changed = barred ? m_barred.insert({service, version}).second : m_barred.erase({service, version}) > 0;
+    m_dirty = m_dirty || changed;
 }
 
 duration fleet::usualFirstToken(const std::string &service) const
@@ -266,9 +344,7 @@
     for (auto &[id, item] : m_endpoints) {
         judge(item);
         item.facts.linkDelay = linkDelayTo(item.facts.failureDomain);
-        const bool usable = item.facts.use == endpoint_use::Usable;
-        const std::uint32_t slots = usable ? slotShare(limitOf(item), item.facts.key, m_members, m_self) : 0;
-        item.facts.load->slots.store(slots, std::memory_order_relaxed);
+        shareSlots(item);
         endpoints.push_back(std::make_shared<endpoint>(item.facts));
     }
     m_dirty = false;
--- a/src/core/request_machine.cpp
+++ b/src/core/request_machine.cpp
@@ -17,6 +17,7 @@
 constexpr duration shortestQuietLimit = 2s;
 constexpr std::int64_t quietTargets = 20; // an attempt silent for this many between-token targets is taken as failed
 constexpr std::uint32_t mostRetries = 3;  // for requests that need not finish
+constexpr std::uint32_t mostProvedRefusals = 2; // sends beyond the route's own bound, all to endpoints that proved not to have run it
 
 template<typename... Parts>
 void append(request_actions &actions, Parts &&...parts)
@@ -250,6 +251,7 @@
     const bool bytesLeft = reach == attempt_reach::MayHaveRun || (reach == attempt_reach::NotSent && open->byteMayHaveLeft);
     m_lastFailure = kind;
     exclude(open->where);
+    m_provedNotRun += bytesLeft ? 0 : 1;
     const auto index = static_cast<std::size_t>(open - m_attempts.data());
     open->byteMayHaveLeft = bytesLeft;
     const attempt_result result = kind == error_kind::EndpointLost ? attempt_result::Lost : attempt_result::Failed;
@@ -266,13 +268,23 @@
     return actions;
 }
 
+// The route's own bound counts the endpoints that may have run it; a chain of refusals is bounded too.
+bool request_machine::attemptsLeft() const
+{
+    if (m_facts.promised.maxAttempts == 0) {
+        return m_facts.promised.mustFinish || m_retries < mostRetries;
+    }
+    const std::uint32_t mayHaveRun = m_sends - std::min(m_sends, m_provedNotRun);
+    return mayHaveRun < m_facts.promised.maxAttempts && m_provedNotRun <= mostProvedRefusals;
+}
+
 request_actions request_machine::retryLater(time_point now)
 {
-    const bool outOfRetries = !m_facts.promised.mustFinish && m_retries >= mostRetries;
-    if (outOfRetries && m_attempts.empty()) {
+    if (!attemptsLeft() && m_attempts.empty()) {
         return fail(m_lastFailure);
     }
-    const duration delay = std::min(firstRetryDelay * (1U << std::min(m_retries, 6U)), longestRetryDelay);
+    const bool goesAtOnce = m_facts.promised.maxAttempts > 0 && m_retries == 0; // with so few attempts the first is not spread out
+    const duration delay = goesAtOnce ? duration{} : std::min(firstRetryDelay * (1U << std::min(m_retries, 6U)), longestRetryDelay);
     ++m_retries;
     m_retryAt = std::min(now + delay, m_facts.deadline);
     return {};
@@ -309,7 +321,8 @@
 
 request_actions request_machine::onCallerGone(time_point)
 {
-    const bool goesOn = m_facts.promised.mustFinish || (!mayRepeat() && mayHaveRun());
+    const bool keepsRunning = !m_facts.promised.streamed && !mayRepeat() && mayHaveRun(); // a stream is of no use to anybody else
+    const bool goesOn = m_facts.promised.mustFinish || keepsRunning;
     if (m_over || goesOn) {
         return {};
     }
@@ -345,7 +358,8 @@
         if (moving || m_budget.trySpend(now)) {
             return askSlot(moving ? slot_purpose::Move : slot_purpose::Retry, m_facts.deadline);
         }
-        return retryLater(now);
+        const bool pointless = m_facts.promised.maxAttempts > 0; // a caller who is told now comes back sooner than the budget does
+        return pointless ? fail(m_lastFailure) : retryLater(now);
     }
     if (now >= hedgeAt()) {
         m_hedged = true;
@@ -372,7 +386,7 @@
 time_point request_machine::hedgeAt() const
 {
     const bool mayHedge = m_facts.kind == service_kind::Plain && m_facts.promised.repeatable && m_facts.promised.firstTokenTarget > duration{};
-    const bool oneOpen = m_attempts.size() == 1 && m_asking == slot_purpose::None && m_held == nullptr;
+    const bool oneOpen = m_attempts.size() == 1 && attemptsLeft() && m_asking == slot_purpose::None && m_held == nullptr;
     if (!mayHedge || m_hedged || !oneOpen) {
         return noDeadline;
     }
@@ -381,7 +395,8 @@
 
 duration request_machine::quietLimit() const
 {
-    if (m_facts.kind == service_kind::Plain) {
+    const bool nowhereElse = m_facts.promised.streamed && !mayRepeat(); // cutting it would save nobody anything
+    if (m_facts.kind == service_kind::Plain || nowhereElse) {
         return m_facts.promised.deadline;
     }
     const duration target = std::max(m_facts.promised.betweenTokensTarget, m_delivered == 0 ? m_facts.promised.firstTokenTarget : duration{});
@@ -430,6 +445,11 @@
     append(actions, release_slot{closed.where, result, closed.firstToken});
 }
 
+bool request_machine::mayTryAgain() const
+{
+    return mayRepeat() && attemptsLeft();
+}
+
 bool request_machine::mayHaveRun() const
 {
     return m_ranUnknown || std::any_of(m_attempts.begin(), m_attempts.end(), [](const attempt &open) { return open.byteMayHaveLeft; });
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -38,7 +38,9 @@
 
 bool hasFreeSlot(const endpoint &candidate, const route_query &query)
 {
-    return openAt(candidate) < slotsAt(candidate) && !isExcluded(candidate, query);
+    const endpoint_load &load = *candidate.load;
+    const bool cold = load.paced.load(std::memory_order_relaxed) && load.paceTokens.load(std::memory_order_relaxed) == 0;
+    return openAt(candidate) < slotsAt(candidate) && !cold && !isExcluded(candidate, query);
 }
 
 std::uint32_t reportedAt(const endpoint &candidate)
--- a/src/core/routing_table.cpp
+++ b/src/core/routing_table.cpp
@@ -56,6 +56,36 @@
     return group;
 }
 
+// Versions come with their endpoints here: the one on trial is a group by itself, all others make one.
+std::vector<version_group> buildOpenGroups(
+    const service &owner, std::string_view ownDomain, const std::vector<endpoint_ptr> &endpoints, const std::vector<version_share> &shares)
+{
+    version_group trial;
+    version_group rest;
+    for (const version_share &item : shares) {
+        if (item.service == owner.name && !item.version.empty()) {
+            trial.version = item.version;
+            trial.share = item.share;
+        }
+    }
+    rest.share = wholeShare - trial.share;
+    std::vector<endpoint_ptr> onTrial;
+    for (const endpoint_ptr &item : endpoints) {
+        if (item->service != owner.name || item->use != endpoint_use::Usable) {
+            continue;
+        }
+        if (!trial.version.empty() && item->version == trial.version) {
+            onTrial.push_back(item);
+        } else {
+            (item->failureDomain == ownDomain ? rest.local : rest.remote).append(item);
+        }
+    }
+    for (endpoint_ptr &item : onTrial) {
+        (item->failureDomain == ownDomain ? trial.local : trial.remote).append(std::move(item));
+    }
+    return {std::move(trial), std::move(rest)};
+}
+
 } // namespace
 
 const service_table *routing_table::find(std::string_view service) const
@@ -74,6 +104,9 @@
         service_table built;
         built.service = owner.name;
         built.kind = owner.kind;
+        if (owner.anyVersion) {
+            built.groups = buildOpenGroups(owner, ownDomain, endpoints, shares);
+        }
         for (const version_spec &version : owner.versions) {
             built.groups.push_back(buildGroup(owner, version, ownDomain, endpoints, shares));
         }
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -96,6 +96,26 @@
         return *parsed;
     }
 
+    std::vector<std::pair<std::string, std::string>> names(const std::string &pointer, const std::string &expected)
+    {
+        std::vector<std::pair<std::string, std::string>> result;
+        const json *value = find(pointer);
+        if (value == nullptr) {
+            return result;
+        }
+        if (!value->is_object()) {
+            fail(pointer, "expected " + expected);
+        }
+        for (const auto &[name, region] : value->items()) {
+            if (!region.is_string()) {
+                fail(pointer + "/" + name, "expected the name of a region");
+            }
+            m_asked.insert(pointer + "/" + name);
+            result.emplace_back(name, region.get<std::string>());
+        }
+        return result;
+    }
+
     unsigned count(const std::string &pointer, unsigned fallback, unsigned least, unsigned most)
     {
         const json *value = find(pointer);
@@ -163,7 +183,17 @@
     result.gateway = reader.where("/gateway");
     result.peer = reader.where("/peer");
     result.keyValue = reader.where("/platform/key_value");
-    result.instanceList = reader.where("/platform/instance_list");
+    const std::string form = reader.textOr("/platform/form", "standard", "standard or hosted");
+    if (form != "standard" && form != "hosted") {
+        reader.fail("/platform/form", "expected standard or hosted");
+    }
+    result.hosted = form == "hosted";
+    result.instanceList = result.hosted ? address{} : reader.where("/platform/instance_list");
+    result.readiness = reader.whereOr("/readiness");
+    result.region = reader.textOr("/region", result.region, "the name of a region");
+    result.domains = reader.names("/failure_domains", "a map from the name of each failure domain to its region");
+    result.leaseTerm = reader.span("/platform/lease_term", result.leaseTerm, 1s, 60s);
+    result.usageWindow = reader.span("/platform/usage_window", result.usageWindow, 1s, 1h);
     result.cloud = reader.whereOr("/platform/cloud");
     result.peerKey = reader.text("/peer_key", "a secret of at least 16 characters");
     result.operatorTokenHash = reader.text("/operator_token_hash", "the SHA-256 of the operators' token in hex");
--- a/src/core/version_mover.cpp
+++ b/src/core/version_mover.cpp
@@ -67,6 +67,9 @@
 
 std::uint64_t moveId(const version_move &move)
 {
+    if (move.order != 0) {
+        return hashBytes(move.service + "\n" + move.to + "\n" + std::to_string(move.order));
+    }
     return hashBytes(move.service + "\n" + move.from + "\n" + move.to + "\n" + momentText(move.startAt) + "\n" + momentText(move.doneBy));
 }
 
@@ -112,6 +115,10 @@
     if (isOver() || m_state == move_state::Condemned) {
         return;
     }
+    if (m_facts.lasts > duration{} && m_facts.startAt == time_point{}) {
+        m_facts.startAt = now;
+        m_facts.doneBy = now + m_facts.lasts;
+    }
     if (now >= m_facts.doneBy) {
         m_state = move_state::Overdue;
         m_reason = "no verdict by the time set";
--- a/src/programs/chicoryrouterd.cpp
+++ b/src/programs/chicoryrouterd.cpp
@@ -3,6 +3,7 @@
 
 #include "chicoryrouter/daemon.h"
 #include "chicoryrouter/error.h"
+#include "hosted_daemon.h"
 #include "shell/log.h"
 
 #include <iostream>
@@ -31,9 +32,15 @@
     }
     startLog(own.logLevel, own.logFile);
     try {
-        chicoryrouter::daemon router(own);
-        waitForStop(signals);
-        router.stop();
+        if (own.hosted) {
+            platform::hosted_daemon router(own);
+            waitForStop(signals);
+            router.stop();
+        } else {
+            chicoryrouter::daemon router(own);
+            waitForStop(signals);
+            router.stop();
+        }
     } catch (const std::exception &fault) {
         std::cerr << "cannot serve: " << fault.what() << "\n";
         return exitFailed;
--- a/src/programs/program.h
+++ b/src/programs/program.h
@@ -4,6 +4,7 @@
 #include <gflags/gflags.h>
 
 #include <csignal>
+#include <functional>
 #include <string>
 
 namespace chicoryrouter {
@@ -27,14 +28,20 @@
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP); // settings changed
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     return signals;
 }
 
-inline void waitForStop(const sigset_t &signals)
+inline void waitForStop(const sigset_t &signals, const std::function<void()> &onSettingsChanged = {})
 {
-    int received = 0;
-    sigwait(&signals, &received);
+    int received = SIGHUP;
+    while (received == SIGHUP) {
+        sigwait(&signals, &received);
+        if (received == SIGHUP && onSettingsChanged) {
+            onSettingsChanged();
+        }
+    }
 }
 
 } // namespace chicoryrouter
--- a/src/shell/clock.cpp
+++ b/src/shell/clock.cpp
@@ -2,6 +2,7 @@
 #include "shell/clock.h"
 
 #include <algorithm>
+#include <ctime>
 
 namespace chicoryrouter {
 
@@ -12,6 +13,13 @@
     return wallStart + std::chrono::floor<duration>(std::chrono::steady_clock::now() - steadyStart);
 }
 
+time_point awakeNow()
+{
+    timespec now{};
+    clock_gettime(CLOCK_BOOTTIME, &now);
+    return time_point(std::chrono::duration_cast<duration>(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 std::chrono::steady_clock::time_point steadyAt(time_point moment)
 {
     constexpr duration longest = std::chrono::hours(24);
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -28,6 +28,7 @@
 constexpr duration callWithin = 2s;
 constexpr duration readyWithoutList = 5s;
 constexpr duration demandInterval = 5s;
+constexpr duration hostedDemandInterval = 1s; // accounts are limited by tokens there, which a burst spends in seconds
 constexpr std::size_t watchersPerDomain = 2; // of the configuration and of the instance list
 
 member_facts ownFacts(const settings &own)
@@ -37,9 +38,10 @@
     return {own.instance, own.failureDomain, own.peer, start, member_state::Alive};
 }
 
-agreement_options optionsFor(const settings &own)
+agreement_options optionsFor(const settings &own, document_reader reader)
 {
     agreement_options options;
+    options.reader = reader;
     options.members.answerWithin = own.gossipInterval * 2;
     options.members.suspectFor = own.gossipInterval * 6;
     return options;
@@ -48,8 +50,10 @@
 } // namespace
 
 control::control(
-    const settings &own, request_host &host, gateway &front, copy_keeper &copies, std::shared_ptr<store_counters> stores, std::shared_ptr<peer_counters> links)
+    const settings &own, request_host &host, gateway &front, copy_keeper &copies, std::shared_ptr<store_counters> stores, std::shared_ptr<peer_counters> links,
+    control_source source)
     : m_own(own)
+    , m_source(std::move(source))
     , m_host(host)
     , m_front(front)
     , m_copies(copies)
@@ -57,7 +61,7 @@
     , m_store(m_context.get_executor(), own.keyValue, std::move(stores))
     , m_peers(m_context.get_executor(), own.peerKey, std::move(links))
     , m_random(std::random_device()())
-    , m_agreement(ownFacts(own), optionsFor(own), m_random.next())
+    , m_agreement(ownFacts(own), optionsFor(own, m_source.reader), m_random.next())
     , m_fleet(own.failureDomain, hashBytes(own.instance))
     , m_placement(own, m_context, m_client, m_store)
 {
@@ -70,13 +74,17 @@
 
 void control::start()
 {
-    asio::co_spawn(m_context, watchConfiguration(), asio::detached);
-    asio::co_spawn(m_context, pollInstances(), asio::detached);
-    asio::co_spawn(m_context, pollLoad(), asio::detached);
     asio::co_spawn(m_context, gossip(), asio::detached);
-    asio::co_spawn(m_context, settleMoves(), asio::detached);
     asio::co_spawn(m_context, tick(), asio::detached);
-    if (m_own.cloud.port != 0) {
+    if (m_source.begin) {
+        m_source.begin(*this);
+    } else {
+        asio::co_spawn(m_context, watchConfiguration(), asio::detached);
+        asio::co_spawn(m_context, pollInstances(), asio::detached);
+        asio::co_spawn(m_context, pollLoad(), asio::detached);
+        asio::co_spawn(m_context, settleMoves(), asio::detached);
+    }
+    if (m_own.cloud.port != 0 && !m_source.begin) {
         asio::co_spawn(m_context, m_placement.run(m_agreement, m_fleet, m_host), asio::detached);
     }
     m_thread = std::thread([this] { m_context.run(); });
@@ -95,6 +103,32 @@
     asio::post(m_context, [this] {
         m_agreement.members().leave();
         m_placement.giveUp();
+        if (m_source.leave) {
+            m_source.leave();
+        }
+    });
+}
+
+void control::keepRunning(std::string name, std::function<asio::awaitable<void>()> loop)
+{
+    asio::co_spawn(m_context, loop(), [this, name, loop](const std::exception_ptr &fault) {
+        if (fault == nullptr) {
+            return; // it was done
+        }
+        std::string what = "unknown fault";
+        try {
+            std::rethrow_exception(fault);
+        } catch (const std::exception &known) {
+            what = known.what();
+        } catch (...) {
+        }
+        logLine(log_part::Daemon, log_level::Error, name + " ended by a fault and begins again: " + what);
+        const auto timer = std::make_shared<asio::steady_timer>(m_context, callWithin);
+        timer->async_wait([this, name, loop, timer](const boost::system::error_code &code) {
+            if (!code) {
+                keepRunning(name, loop);
+            }
+        });
     });
 }
 
@@ -244,6 +278,7 @@
         members.push_back({item.instance, item.failureDomain, item.peer, 0, member_state::Alive});
     }
     m_agreement.members().onListed(members, systemNow());
+    m_front.peersKnown = true;
     refreshMembers();
     m_placement.onInstances(list);
     const std::vector<reclaim_notice> notices = m_fleet.onInstanceList(list.endpoints, systemNow());
@@ -252,7 +287,9 @@
     }
     for (const reclaim_notice &notice : notices) {
         logLine(log_part::Load, log_level::Info, notice.endpointId + " is on notice");
-        m_host.moveStreams(notice);
+        if (notice.leaveBy != noDeadline) {
+            m_host.moveStreams(notice); // without a deadline it finishes what it has
+        }
     }
 }
 
@@ -300,6 +337,9 @@
     for (const attempt_outcome &outcome : fresh) {
         m_fleet.onOutcome(outcome, systemNow());
         m_agreement.onOutcome(outcome, systemNow());
+        if (m_source.onOutcome) {
+            m_source.onOutcome(outcome);
+        }
     }
 }
 
@@ -309,6 +349,8 @@
         co_await pause(tickInterval);
         takeOutcomes();
         m_fleet.onProbeTime(systemNow());
+        m_fleet.onPaceTime(systemNow());
+        refillAccounts();
         measureDemand();
         refreshMembers();
         refreshMoves();
@@ -468,10 +510,29 @@
     }
 }
 
+void control::refillAccounts()
+{
+    const time_point now = systemNow();
+    const duration since = m_refilledAt == time_point{} ? duration{} : now - m_refilledAt;
+    m_refilledAt = now;
+    for (const client_account &account : m_agreement.documents().inForce()->content.accounts) {
+        const auto found = m_accounts.find(account.name);
+        if (found == m_accounts.end()) {
+            continue;
+        }
+        if (account.tokensPerSecond <= 0.0) {
+            found->second->rationed = false;
+            continue;
+        }
+        const double part = m_agreement.accountShare(account.name);
+        found->second->refill(static_cast<std::int64_t>(account.tokensPerSecond * part), static_cast<std::int64_t>(account.tokenBurst * part), since);
+    }
+}
+
 void control::measureDemand()
 {
     const time_point now = systemNow();
-    if (now < m_demandFrom + demandInterval) {
+    if (now < m_demandFrom + (m_own.hosted ? hostedDemandInterval : demandInterval)) {
         return;
     }
     const double seconds = std::chrono::duration<double>(now - m_demandFrom).count();
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -21,6 +21,17 @@
 
 namespace chicoryrouter {
 
+class control;
+
+// Where documents, endpoints and members come from, when they do not come by the standard protocols.
+struct control_source
+{
+    document_reader reader = parseDocument;
+    std::function<void(control &)> begin; // starts its loops on the control strand; empty: the standard ones run
+    std::function<void()> leave;          // this instance is about to stop
+    std::function<void(const attempt_outcome &)> onOutcome; // on the control strand; may stay empty
+};
+
 class control
 {
 public:
@@ -29,7 +40,8 @@
         gateway &front,
         copy_keeper &copies,
         std::shared_ptr<store_counters> stores,
-        std::shared_ptr<peer_counters> links);
+        std::shared_ptr<peer_counters> links,
+        control_source source = {});
     ~control();
 
     void start();
@@ -45,6 +57,14 @@
     boost::asio::awaitable<std::uint64_t> applyDocument(std::string yaml, std::uint64_t expectedRevision); // throws error
     boost::asio::awaitable<std::optional<std::string>> onPeerCall(std::string path, std::string body);
     [[nodiscard]] std::string composeStatus() const;
+    boost::asio::awaitable<void> pause(duration span);
+    void onInstances(const instance_list &list);
+    void offerDocument(const document_envelope &envelope, const std::string &source);
+    void refreshMoves();
+    agreement &agreed() { return m_agreement; }
+    void keepRunning(std::string name, std::function<boost::asio::awaitable<void>()> loop); // begun again should it end by a fault
+    fleet &endpoints() { return m_fleet; }
+    const settings &own() const { return m_own; }
 
 private:
     boost::asio::awaitable<void> watchConfiguration();
@@ -53,7 +73,6 @@
     boost::asio::awaitable<void> tick();
     boost::asio::awaitable<void> gossip();
     boost::asio::awaitable<void> settleMoves();
-    boost::asio::awaitable<void> pause(duration span);
     boost::asio::awaitable<void> fetchLoad(endpoint_ptr from);
     boost::asio::awaitable<void> runProbe(probe what);
     boost::asio::awaitable<bool> exchange(address where, std::string instance);
@@ -62,18 +81,17 @@
     boost::asio::awaitable<bool> settleMove(std::string service);
     boost::asio::awaitable<std::optional<instance_list>> currentInstances();
 
-    void onInstances(const instance_list &list);
     void takeReports(const std::vector<load_report> &reports);
-    void offerDocument(const document_envelope &envelope, const std::string &source);
     void takeOutcomes();
+    void refillAccounts();
     void refreshMembers();
-    void refreshMoves();
     void refreshAccounts();
     void measureDemand();
     void publish();
     void publishFront();
 
     settings m_own;
+    control_source m_source;
     request_host &m_host;
     gateway &m_front;
     copy_keeper &m_copies;
@@ -88,6 +106,7 @@
     placement_loop m_placement;
     std::map<std::string, std::shared_ptr<account_load>> m_accounts; // by name; kept over documents, so counts stay right
     std::map<std::string, std::uint64_t> m_askedBefore;              // by account, for the demand per second
+    time_point m_refilledAt{};                                       // when tokens of accounts were last handed out
     time_point m_demandFrom{};                                       // since when m_askedBefore counts
     std::map<std::string, move_state> m_announced;                   // by service: the last state logged
     std::mutex m_outcomesLock;
--- /dev/null
+++ b/src/shell/endpoint_dialect.cpp
@@ -0,0 +1,46 @@
+// The engines' own protocol as a dialect.
+#include "shell/endpoint_dialect.h"
+
+namespace chicoryrouter {
+
+namespace {
+
+class engine_reader : public piece_reader
+{
+public:
+    void feed(std::string_view bytes) override { m_events.feed(bytes); }
+    std::optional<engine_event> next() override { return m_events.next(); }
+    [[nodiscard]] bool wholeAtEnd() const override { return false; } // its last event says that it is the last
+    [[nodiscard]] bool statesRequest() const override { return true; }
+
+private:
+    engine_event_reader m_events;
+};
+
+} // namespace
+
+http_call engine_dialect::modelCall(const request_payload &payload, const engine_call &call, const endpoint &)
+{
+    return engineRequest(payload, call);
+}
+
+http_call engine_dialect::plainCall(const request_payload &payload, const engine_call &call, const endpoint &)
+{
+    return plainRequest(payload, call);
+}
+
+answer_facts engine_dialect::readAnswer(int status, const http_headers &headers, std::string_view requestId)
+{
+    answer_facts facts;
+    const std::string_view echoed = findHeader(headers, "X-Request-Id");
+    facts.provesNotRun = provesNotRun(status, headers);
+    facts.ofAnotherRequest = !echoed.empty() && echoed != requestId;
+    return facts;
+}
+
+std::unique_ptr<piece_reader> engine_dialect::newReader(const engine_call &)
+{
+    return std::make_unique<engine_reader>();
+}
+
+} // namespace chicoryrouter
--- a/src/shell/engine_client.h
+++ b/src/shell/engine_client.h
@@ -18,11 +18,15 @@
     std::uint32_t maxTokens = 0;
     bool chat = false;   // answer in the chat form
     bool stream = false; // answer as server-sent events
-    // Plain services
+    // Plain services, and relayed calls of either kind
     std::string method;
     std::string target;
+    std::string host; // relayed calls only; without a port
+    std::string path; // relayed calls only; `target` without its query
     std::string contentType;
+    http_headers headers; // relayed calls only: what is passed on, in order
     std::string body;
+    std::string pieceOffset; // relayed streams only: where the caller wants its stream gone on with; empty: from its start
     // Calls that may not repeat
     std::string idempotencyKey;
     std::uint64_t bodyHash = 0;
@@ -58,6 +62,9 @@
     std::uint32_t resumeFrom = 0; // tokens that exist already
     std::string_view resumeText;  // their text
     bool withTransferredKv = false;
+    std::uint32_t firstPiece = 0;        // number that the endpoints gave to the stream's first piece
+    time_point deadline = noDeadline;    // of the whole request
+    std::string account{};
 };
 
 http_call engineRequest(const request_payload &payload, const engine_call &call); // generation request
--- a/src/shell/http.h
+++ b/src/shell/http.h
@@ -34,6 +34,7 @@
     std::string method;
     std::string path;  // target without its query
     std::string query; // what stands behind '?'
+    std::string target; // path and query as they were sent
     http_headers headers;
     std::string body;
 
@@ -53,6 +54,9 @@
     virtual boost::asio::awaitable<bool> startStream(int status, std::string contentType, http_headers extra = {}) = 0; // false: caller gone
     virtual boost::asio::awaitable<bool> writeChunk(std::string_view bytes) = 0;                                        // false: caller gone
     virtual boost::asio::awaitable<void> endStream() = 0;
+    // The same with the headers as they are, for answers that are passed on.
+    virtual boost::asio::awaitable<void> respondAs(int status, http_headers headers, std::string body) = 0;
+    virtual boost::asio::awaitable<bool> startStreamAs(int status, http_headers headers) = 0; // false: caller gone
     virtual void abandon() = 0;                                 // closes without an end: the caller sees that the answer is cut
     virtual void watchCaller(std::function<void()> onGone) = 0; // tells once when the caller closes; until the handler returns
     [[nodiscard]] virtual bool started() const = 0;             // a status was written
@@ -79,6 +83,8 @@
     http_server &operator=(const http_server &) = delete;
 
     [[nodiscard]] std::uint16_t port() const; // the one in use, also when 0 was asked for
+    void setLimits(const http_server_limits &limits); // any thread; for requests that begin from now on
+    void lastAnswers();                       // any thread: every answer from now on ends its connection
     void close();                             // accepts no more; open requests go on, kept connections close after their answer
     void abortAll();                          // closes every connection at once; used to play a crash
 
@@ -93,7 +99,7 @@
 {
     std::string method = "GET";
     std::string target = "/";
-    http_headers headers;
+    http_headers headers; // in this order, doubled names kept; a Host among them goes before the address
     std::string body;
 };
 
@@ -120,6 +126,12 @@
     std::string m_text;
 };
 
+// Lets go of a call from outside while it is being made: set by http_client::open() as soon as there is a connection.
+struct call_handle
+{
+    std::function<void()> cancel; // closes the connection; empty before there is one
+};
+
 // An answer being read. Destroying it before its end closes the connection, which tells the other side to stop.
 class http_stream
 {
@@ -131,6 +143,7 @@
 
     virtual boost::asio::awaitable<std::size_t> readSome(char *buffer, std::size_t size) = 0; // 0 at the end; throws http_failure
     virtual void cancel() = 0;                                                                // a waiting readSome() throws
+    virtual boost::asio::awaitable<void> skipAnswer() = 0; // the answer belongs to an older call: drops it and reads the next one's head
 };
 
 // Connections to other processes, kept for reuse. Belongs to one thread.
@@ -146,7 +159,7 @@
     // Sends the request and reads the answer's head. `fresh` avoids kept connections, whose silent end cannot be told from a lost
     // request. `onSending` is called before the first byte may leave. `deadline` covers everything, the reading too.
     boost::asio::awaitable<std::unique_ptr<http_stream>> open(
-        address where, http_call request, time_point deadline, bool fresh, std::function<void()> onSending);
+        address where, http_call request, time_point deadline, bool fresh, std::function<void()> onSending, std::shared_ptr<call_handle> handle = nullptr);
 
 private:
     struct state;
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -8,7 +8,9 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <array>
 #include <map>
+#include <optional>
 
 namespace chicoryrouter {
 
@@ -106,9 +108,11 @@
 http::request<http::string_body> makeMessage(const address &where, http_call &call)
 {
     http::request<http::string_body> message{http::string_to_verb(call.method), call.target, 11};
-    message.set(http::field::host, where.ip + ":" + std::to_string(where.port));
+    if (findHeader(call.headers, "Host").empty()) {
+        message.set(http::field::host, where.ip + ":" + std::to_string(where.port));
+    }
     for (const http_header &item : call.headers) {
-        message.set(item.name, item.value);
+        message.insert(item.name, item.value);
     }
     message.body() = std::move(call.body);
     message.prepare_payload();
@@ -134,30 +138,31 @@
         : m_connection(std::move(connection))
         , m_keep(std::move(keep))
     {
-        m_parser.body_limit(boost::none);
+        renewParser();
     }
 
     asio::awaitable<void> readHead()
     {
         beast::error_code code;
-        co_await http::async_read_header(*m_connection, m_buffer, m_parser, into(code));
+        co_await http::async_read_header(*m_connection, m_buffer, *m_parser, into(code));
         if (code) {
             const bool garbage = code.category() == http::make_error_code(http::error::bad_value).category() && code != http::error::end_of_stream
                 && code != http::error::partial_message;
+            m_failed = true;
             throw http_failure(true, garbage ? error_kind::EndpointGarbage : error_kind::EndpointLost, "answer head: " + code.message());
         }
-        status = static_cast<int>(m_parser.get().result_int());
-        headers = copyHeaders(m_parser.get());
+        status = static_cast<int>(m_parser->get().result_int());
+        headers = copyHeaders(m_parser->get());
     }
 
     asio::awaitable<std::size_t> readSome(char *buffer, std::size_t size) override
     {
-        while (!m_parser.is_done()) {
-            m_parser.get().body().data = buffer;
-            m_parser.get().body().size = size;
+        while (!m_parser->is_done()) {
+            m_parser->get().body().data = buffer;
+            m_parser->get().body().size = size;
             beast::error_code code;
-            co_await http::async_read_some(*m_connection, m_buffer, m_parser, into(code));
-            const std::size_t got = size - m_parser.get().body().size;
+            co_await http::async_read_some(*m_connection, m_buffer, *m_parser, into(code));
+            const std::size_t got = size - m_parser->get().body().size;
             if (code && code != http::error::need_buffer) {
                 throw http_failure(true, error_kind::EndpointLost, "answer: " + code.message());
             }
@@ -165,12 +170,30 @@
                 co_return got;
             }
         }
-        if (m_connection != nullptr && m_parser.keep_alive() && m_keep) {
+        // Bytes behind the answer belong to no request: such a connection is not used again.
+        if (m_connection != nullptr && m_parser->keep_alive() && m_buffer.size() == 0 && !m_failed && m_keep) {
             m_keep(std::move(m_connection));
         }
         co_return 0;
     }
 
+    asio::awaitable<void> skipAnswer() override
+    {
+        std::array<char, 4096> scratch{};
+        const keep_function keep = std::move(m_keep);
+        m_keep = nullptr;
+        std::size_t got = 1;
+        while (got > 0) {
+            got = co_await readSome(scratch.data(), scratch.size());
+        }
+        if (!m_parser->keep_alive()) {
+            throw http_failure(true, error_kind::EndpointGarbage, "only another request's answer came");
+        }
+        m_keep = keep;
+        renewParser();
+        co_await readHead();
+    }
+
     void cancel() override
     {
         if (m_connection != nullptr) {
@@ -182,11 +205,38 @@
     std::unique_ptr<beast::tcp_stream> m_connection; // null once it is kept for others
     keep_function m_keep;
     beast::flat_buffer m_buffer;
-    http::response_parser<http::buffer_body> m_parser;
+    std::optional<http::response_parser<http::buffer_body>> m_parser; // never empty
+    bool m_failed = false;
+
+    void renewParser()
+    {
+        m_parser.emplace();
+        m_parser->body_limit(boost::none);
+    }
 };
 
 } // namespace
 
+namespace {
+
+asio::awaitable<void> readHeadOf(open_stream &stream, call_handle *handle)
+{
+    std::exception_ptr fault;
+    try {
+        co_await stream.readHead();
+    } catch (...) {
+        fault = std::current_exception();
+    }
+    if (handle != nullptr) {
+        handle->cancel = nullptr;
+    }
+    if (fault) {
+        std::rethrow_exception(fault);
+    }
+}
+
+} // namespace
+
 http_client::http_client(asio::any_io_executor executor)
     : m_state(std::make_shared<state>(std::move(executor)))
 {
@@ -195,17 +245,23 @@
 http_client::~http_client() = default;
 
 asio::awaitable<std::unique_ptr<http_stream>> http_client::open(
-    address where, http_call request, time_point deadline, bool fresh, std::function<void()> onSending)
+    address where, http_call request, time_point deadline, bool fresh, std::function<void()> onSending, std::shared_ptr<call_handle> handle)
 {
     const std::shared_ptr<state> shared = m_state;
     std::unique_ptr<beast::tcp_stream> connection = co_await shared->connect(where, deadline, fresh);
     auto message = makeMessage(where, request);
+    if (handle != nullptr) {
+        handle->cancel = [held = connection.get()] {
+            held->close(); // the pointer is good until the head is read; then the stream's own cancel() takes its place
+        };
+    }
     if (onSending) {
         onSending();
     }
     beast::error_code code;
     co_await http::async_write(*connection, message, into(code));
-    if (code) {
+    const bool endpointMayHaveAnswered = code == asio::error::connection_reset || code == asio::error::broken_pipe;
+    if (code && !endpointMayHaveAnswered) {
         throw http_failure(true, error_kind::EndpointLost, "send: " + code.message());
     }
     auto keep = [weak = std::weak_ptr<state>(shared), where](std::unique_ptr<beast::tcp_stream> stream) {
@@ -214,7 +270,7 @@
         }
     };
     auto stream = std::make_unique<open_stream>(std::move(connection), std::move(keep));
-    co_await stream->readHead();
+    co_await readHeadOf(*stream, handle.get());
     co_return stream;
 }
 
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -62,6 +62,14 @@
     std::mutex lock;
     std::set<connection *> open;
     std::atomic<bool> closing{false};
+    std::atomic<bool> lastAnswers{false}; // every answer ends its connection
+    http_server_limits limits;            // guarded by `lock`
+
+    http_server_limits limitsNow()
+    {
+        const std::lock_guard guard(lock);
+        return limits;
+    }
 };
 
 class connection : public http_exchange, public std::enable_shared_from_this<connection>
@@ -87,6 +95,7 @@
         bool keep = true;
         bool first = true;
         while (keep && !m_all->closing) {
+            m_limits = m_all->limitsNow();
             const read_result got = co_await receive(first);
             first = false;
             if (got == read_result::Closed) {
@@ -99,23 +108,32 @@
             stopWatching();
             keep = m_keepAlive && !m_broken;
         }
-        beast::error_code ignored;
-        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+        if (!m_broken) {
+            co_await drain(); // closing over unread bytes would reset the connection, and with it an answer on its way
+        }
     }
 
     asio::awaitable<void> respond(int status, std::string contentType, std::string body, http_headers extra) override
     {
         http::response<http::string_body> response{http::status(status), m_version};
         setHeaders(response, contentType, extra);
-        response.keep_alive(m_keepAlive && !m_all->closing);
         response.body() = std::move(body);
-        response.prepare_payload();
-        m_started = true;
-        m_keepAlive = response.keep_alive();
-        m_stream.expires_after(m_limits.writeWithin);
-        beast::error_code code;
-        co_await http::async_write(m_stream, response, into(code));
-        m_broken = m_broken || code;
+        co_await write(response);
+    }
+
+    asio::awaitable<void> respondAs(int status, http_headers headers, std::string body) override
+    {
+        http::response<http::string_body> response{http::status(status), m_version};
+        insertHeaders(response, headers);
+        response.body() = std::move(body);
+        co_await write(response);
+    }
+
+    asio::awaitable<bool> startStreamAs(int status, http_headers headers) override
+    {
+        http::response<http::empty_body> response{http::status(status), m_version};
+        insertHeaders(response, headers);
+        co_return co_await begin(response);
     }
 
     asio::awaitable<bool> startStream(int status, std::string contentType, http_headers extra) override
@@ -123,16 +141,7 @@
         http::response<http::empty_body> response{http::status(status), m_version};
         setHeaders(response, contentType, extra);
         response.set(http::field::cache_control, "no-store");
-        response.keep_alive(m_keepAlive && !m_all->closing);
-        response.chunked(true);
-        m_started = true;
-        m_keepAlive = response.keep_alive();
-        http::response_serializer<http::empty_body> serializer(response);
-        m_stream.expires_after(m_limits.writeWithin);
-        beast::error_code code;
-        co_await http::async_write_header(m_stream, serializer, into(code));
-        m_broken = m_broken || code;
-        co_return !m_broken;
+        co_return co_await begin(response);
     }
 
     asio::awaitable<bool> writeChunk(std::string_view bytes) override
@@ -191,6 +200,44 @@
         Closed,
     };
 
+    [[nodiscard]] bool mayKeep() const { return m_keepAlive && !m_all->closing && !m_all->lastAnswers; }
+
+    // A whole answer.
+    asio::awaitable<void> write(http::response<http::string_body> &response)
+    {
+        response.keep_alive(mayKeep());
+        response.prepare_payload();
+        m_started = true;
+        m_keepAlive = response.keep_alive();
+        m_stream.expires_after(m_limits.writeWithin);
+        beast::error_code code;
+        co_await http::async_write(m_stream, response, into(code));
+        m_broken = m_broken || code;
+    }
+
+    // The head of a streamed answer.
+    asio::awaitable<bool> begin(http::response<http::empty_body> &response)
+    {
+        response.keep_alive(mayKeep());
+        response.chunked(true);
+        m_started = true;
+        m_keepAlive = response.keep_alive();
+        http::response_serializer<http::empty_body> serializer(response);
+        m_stream.expires_after(m_limits.writeWithin);
+        beast::error_code code;
+        co_await http::async_write_header(m_stream, serializer, into(code));
+        m_broken = m_broken || code;
+        co_return !m_broken;
+    }
+
+    template<typename Response>
+    static void insertHeaders(Response &response, const http_headers &headers)
+    {
+        for (const http_header &item : headers) {
+            response.insert(item.name, item.value);
+        }
+    }
+
     template<typename Response>
     static void setHeaders(Response &response, const std::string &contentType, const http_headers &extra)
     {
@@ -224,9 +271,10 @@
     {
         m_version = message.version();
         m_keepAlive = message.keep_alive();
-        request = {};
+        request = http_request{};
         request.method = std::string(message.method_string());
-        const std::string_view target(message.target().data(), message.target().size());
+        request.target = std::string(message.target());
+        const std::string_view target(request.target);
         const auto mark = target.find('?');
         request.path = std::string(target.substr(0, mark));
         request.query = mark == std::string_view::npos ? std::string() : std::string(target.substr(mark + 1));
@@ -337,8 +385,8 @@
         : workers(pool)
         , acceptor(pool.next())
         , handler(std::move(onRequest))
-        , limits(bounds)
     {
+        connections->limits = bounds;
     }
 
     void listen(const address &where)
@@ -372,7 +420,7 @@
     void startConnection(tcp::socket socket)
     {
         const auto executor = socket.get_executor();
-        const auto fresh = std::make_shared<connection>(std::move(socket), connections, limits);
+        const auto fresh = std::make_shared<connection>(std::move(socket), connections, connections->limitsNow());
         asio::co_spawn(
             executor, [self = shared_from_this(), fresh]() -> asio::awaitable<void> { co_await fresh->serve(self->handler); }, asio::detached);
     }
@@ -380,7 +428,6 @@
     worker_pool &workers;
     tcp::acceptor acceptor;
     http_handler handler;
-    http_server_limits limits;
     std::shared_ptr<connection_set> connections = std::make_shared<connection_set>();
     std::uint16_t port = 0;
 };
@@ -403,6 +450,17 @@
     return m_state->port;
 }
 
+void http_server::setLimits(const http_server_limits &limits)
+{
+    const std::lock_guard guard(m_state->connections->lock);
+    m_state->connections->limits = limits;
+}
+
+void http_server::lastAnswers()
+{
+    m_state->connections->lastAnswers = true;
+}
+
 void http_server::close()
 {
     m_state->connections->closing = true;
--- /dev/null
+++ b/src/shell/relay_gateway.h
@@ -0,0 +1,220 @@
+// The callers' interface where requests are relayed as they are: host and path choose the route, a key the client account, and the
+// endpoint's answer goes back byte for byte. What the requests' headers are called is the callers' dialect's business.
+#pragma once
+
+#include "chicoryrouter/bounded_counter.h"
+#include "chicoryrouter/hash.h"
+#include "shell/clock.h"
+#include "shell/gateway.h"
+#include "shell/request_session.h"
+
+#include <algorithm>
+#include <concepts>
+#include <string>
+
+namespace chicoryrouter {
+
+// One caller's request as its dialect understood it.
+struct relayed_call
+{
+    std::string id;                     // as the caller gave it; empty: none
+    std::string key;                    // of the client account; empty: none
+    time_point deadline = noDeadline;   // until then the caller waits
+    std::uint64_t prefix = 0;           // key of what its prompt shares with others; 0: nothing
+    std::optional<std::int64_t> tokens; // prompt and largest output; nothing: not stated
+    request_payload payload;
+};
+
+template<typename T>
+concept callers_dialect = requires(const http_request &request, const http_headers &headers, time_point now, error_kind kind, duration span) {
+    { T::decode(request, now) } -> std::same_as<relayed_call>;                                  // throws error(BadRequest)
+    { T::answerHeaders(headers) } -> std::same_as<http_headers>;                                // of an endpoint's answer: those that are passed on
+    { T::refusalHeaders(std::string{}, kind, span) } -> std::same_as<http_headers>; // `span`: when to come back; zero: nothing is said
+};
+
+// How a refused caller is told when to come back: long enough for the queue to move, spread so that not all return together, and within a
+// third of what is left to it, since callers wait no longer.
+inline duration comeBackIn(duration least, duration spread, time_point now, time_point deadline, seeded_random &random)
+{
+    constexpr std::int64_t leftPart = 3;
+    const duration drawn = least + duration(static_cast<std::int64_t>(uniformBelow(random, static_cast<std::uint64_t>(std::max<std::int64_t>(spread.count(), 1)))));
+    const duration most = deadline == noDeadline ? drawn : std::max((deadline - now) / leftPart, duration{});
+    return std::min(drawn, most);
+}
+
+template<callers_dialect Dialect>
+class relay_gateway
+{
+public:
+    relay_gateway(request_host &host, gateway &front)
+        : m_host(host)
+        , m_front(front)
+    {
+    }
+
+    std::atomic<bool> refusing{false}; // a planned stop is nearly over: what comes now could not be finished
+
+    boost::asio::awaitable<void> handle(http_exchange &exchange)
+    {
+        const scoped_count served(m_front.callersServed);
+        relayed_call call;
+        error_kind kind = error_kind::Internal;
+        std::string detail;
+        duration comeBack{};
+        std::shared_ptr<request_session> session;
+        try {
+            call = Dialect::decode(exchange.request, systemNow());
+            session = admit(call, comeBack);
+        } catch (const error &fault) {
+            kind = fault.kind();
+            detail = fault.detail();
+        }
+        if (session == nullptr) {
+            co_await refuse(exchange, call, kind, detail, comeBack);
+            co_return;
+        }
+        exchange.watchCaller([session] { session->callerGone(); });
+        session->begin();
+        co_await answer(exchange, session);
+    }
+
+private:
+    static constexpr duration quickReturn = std::chrono::milliseconds(100); // a refusal's shortest wait
+    static constexpr duration returnSpread = std::chrono::milliseconds(400);
+
+    // The session of a request that may be served; throws error for one that may not.
+    std::shared_ptr<request_session> admit(relayed_call &call, duration &comeBack)
+    {
+        const time_point now = systemNow();
+        request_thread &thread = gateway::ownThread();
+        const front_table &table = m_front.front.read();
+        comeBack = comeBackIn(quickReturn, returnSpread, now, call.deadline, thread.random);
+        if (table.inForce->revision == 0) {
+            throw error(error_kind::NoEndpoint, "no configuration is known here yet");
+        }
+        const contract *route = table.inForce->content.findRelayedRoute(call.payload.host, call.payload.path);
+        if (route == nullptr) {
+            throw error(error_kind::UnknownRoute);
+        }
+        if (refusing) {
+            throw error(error_kind::ShuttingDown);
+        }
+        contract promised = *route;
+        promised.service = drawService(*route, thread.random);
+        std::string account;
+        if (!route->open) {
+            account = charge(table, call, promised, comeBack);
+        }
+        const service *owner = table.inForce->content.findService(promised.service);
+        if (owner == nullptr) {
+            throw error(error_kind::NoEndpoint, "no such service");
+        }
+        request_facts facts = makeFacts(call.id, std::move(account), promised, owner->kind, now);
+        facts.deadline = std::min(facts.deadline, call.deadline);
+        facts.waitUntil = std::min(facts.waitUntil, now + (facts.deadline - now) / 2);
+        facts.prefix = call.prefix;
+        return std::make_shared<request_session>(m_host, thread, std::move(facts), std::move(call.payload));
+    }
+
+    // Finds the caller's account and takes the request's tokens from its limit. Its rank goes before the route's.
+    static std::string charge(const front_table &table, const relayed_call &call, contract &promised, duration &comeBack)
+    {
+        const auto found = call.key.empty() ? table.accounts.end() : table.accounts.find(hashToken(call.key));
+        if (found == table.accounts.end()) {
+            throw error(error_kind::UnknownAccount);
+        }
+        const client_account &account = found->second.account;
+        const std::int64_t tokens = call.tokens.value_or(account.tokensPerPlainCall);
+        if (!found->second.load->tryTakeTokens(tokens)) {
+            comeBack = std::max(comeBack, found->second.load->backIn());
+            throw error(error_kind::AccountOverLimit);
+        }
+        promised.rank = account.rank.value_or(promised.rank);
+        return account.name;
+    }
+
+    static std::string drawService(const contract &route, seeded_random &random)
+    {
+        std::uint64_t all = 0;
+        for (const service_share &part : route.split) {
+            all += part.weight;
+        }
+        if (all == 0) {
+            return route.service;
+        }
+        std::uint64_t drawn = uniformBelow(random, all);
+        for (const service_share &part : route.split) {
+            if (drawn < part.weight) {
+                return part.service;
+            }
+            drawn -= part.weight;
+        }
+        return route.service;
+    }
+
+    boost::asio::awaitable<void> refuse(http_exchange &exchange, const relayed_call &call, error_kind kind, const std::string &detail, duration comeBack)
+    {
+        m_host.counts.countFailure(kind);
+        const error_answer &row = answerFor(kind);
+        logLine(log_part::Request, log_level::Info, call.id + " refused: " + std::string(row.name) + (detail.empty() ? "" : ", " + detail));
+        const duration wait = row.mayAskAgain ? comeBack : duration{};
+        co_await exchange.respondAs(row.httpStatus, Dialect::refusalHeaders(call.id, kind, wait), errorBody(kind, call.id, detail));
+    }
+
+    boost::asio::awaitable<void> answer(http_exchange &exchange, const std::shared_ptr<request_session> &session)
+    {
+        while (session->readable() == 0 && !session->isOver()) {
+            co_await session->changed();
+        }
+        const bool streams = session->facts().kind == service_kind::Model && session->answeredByEndpoint() && session->status() == 200;
+        if (streams && session->readable() > 0) {
+            co_await answerStream(exchange, session);
+            co_return;
+        }
+        while (!session->isOver()) {
+            co_await session->changed();
+        }
+        if (!session->failed()) {
+            co_await exchange.respondAs(session->status(), Dialect::answerHeaders(session->answerHeaders()), session->text());
+            co_return;
+        }
+        const relayed_call call{session->facts().id, {}, session->facts().deadline, 0, {}, {}};
+        const duration comeBack = comeBackIn(quickReturn, returnSpread, systemNow(), call.deadline, gateway::ownThread().random);
+        co_await refuse(exchange, call, session->failure(), {}, comeBack);
+    }
+
+    boost::asio::awaitable<void> answerStream(http_exchange &exchange, const std::shared_ptr<request_session> &session)
+    {
+        bool open = co_await exchange.startStreamAs(session->status(), Dialect::answerHeaders(session->answerHeaders()));
+        std::uint32_t next = 0;
+        std::string batch;
+        while (open) {
+            batch.clear();
+            for (const std::uint32_t end = session->readable(); next < end; ++next) {
+                batch += session->token(next);
+            }
+            const bool last = session->isOver();
+            open = co_await exchange.writeChunk(batch);
+            session->readerAt(next);
+            if (last) {
+                break;
+            }
+            if (open && next >= session->readable() && !session->isOver()) {
+                co_await session->changed();
+            }
+        }
+        if (open && !session->failed()) {
+            co_await exchange.endStream();
+        } else {
+            exchange.abandon(); // the caller sees that the answer is cut
+        }
+        if (!session->isOver()) {
+            session->callerGone();
+        }
+    }
+
+    request_host &m_host;
+    gateway &m_front;
+};
+
+} // namespace chicoryrouter
--- a/src/shell/request_host.cpp
+++ b/src/shell/request_host.cpp
@@ -36,6 +36,14 @@
 {
     std::vector<std::shared_ptr<request_session>> last; // destroyed outside the lock
     const std::lock_guard guard(m_lock);
+    if (!keepsAnswers) {
+        const auto held = m_sessions.find(session->facts().id);
+        if (held != m_sessions.end() && held->second == session) {
+            last.push_back(std::move(held->second));
+            m_sessions.erase(held);
+        }
+        return;
+    }
     m_retired.push_back({session->facts().id, bytes});
     m_retiredBytes += bytes;
     while (m_retired.size() > mostRetired || m_retiredBytes > mostRetiredBytes) {
--- a/src/shell/request_host.h
+++ b/src/shell/request_host.h
@@ -4,6 +4,7 @@
 #include "chicoryrouter/dispatcher.h"
 #include "chicoryrouter/fleet.h"
 #include "chicoryrouter/retry_budget.h"
+#include "shell/endpoint_dialect.h"
 #include "shell/http.h"
 #include "shell/metrics.h"
 #include "shell/peer_link.h"
@@ -70,6 +71,9 @@
     dispatcher slots;
     metrics counts;
     std::function<void(const attempt_outcome &)> onOutcome; // set before the first request; called on request threads
+    const dialect_table *dialect = &dialectTable<engine_dialect>(); // set before the first request
+    bool keepsAnswers = true;                               // false: what is over is forgotten, since no caller can ask for it again
+    std::function<void(const std::string &account)> onBegan; // an endpoint began to answer a request; may stay empty
     request_copier *copier = nullptr;                       // null: no peers. Outlives every request
 
     retry_budget &budgetOf(const std::string &service); // any thread; lives as long as the host
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -22,6 +22,8 @@
 constexpr std::uint32_t mostUnreadTokens = 512; // an attempt pauses while the callers are further behind
 constexpr std::size_t maxPlainAnswerBytes = 8 * 1024 * 1024;
 constexpr std::size_t maxHistoryBytes = 4096;
+constexpr std::size_t mostSkippedBytes = 64 * 1024; // of an answer that is read only to keep its connection
+constexpr std::uint32_t mostForeignAnswers = 3; // answers to older calls that are passed over on one connection
 constexpr std::uint32_t bytesPerPromptToken = 4; // rough; only orders moves by cost
 
 } // namespace
@@ -30,7 +32,7 @@
     : m_host(host)
     , m_thread(thread)
     , m_payload(std::move(payload))
-    , m_machine(std::move(facts), host.budgetOf(facts.promised.service))
+    , m_machine(facts, host.budgetOf(facts.promised.service))
     , m_wake(thread.context, asio::steady_timer::time_point::max())
     , m_room(thread.context, asio::steady_timer::time_point::max())
     , m_timer(thread.context)
@@ -300,50 +302,134 @@
     auto onSending = [this, open, number] {
         sent(open, number);
     };
-    std::unique_ptr<http_stream> stream = co_await m_thread.client.open(open->where->where, std::move(call), facts().deadline, fresh, onSending);
+    std::unique_ptr<http_stream> stream
+        = co_await m_thread.client.open(open->where->where, std::move(call), facts().deadline, fresh, onSending, open->handle);
     open->stream = std::move(stream);
 }
 
+engine_call request_session::callFor(const send_attempt &action) const
+{
+    engine_call call;
+    call.requestId = facts().id;
+    call.attempt = action.attempt;
+    call.rank = facts().promised.rank;
+    call.resumeFrom = action.resumeFrom;
+    call.withTransferredKv = action.withTransferredKv;
+    call.firstPiece = m_firstPiece;
+    call.deadline = facts().deadline;
+    call.account = facts().account;
+    return call;
+}
+
+// Looks at the answer's head. A fault: the answer is of no use, and how far the attempt had come.
+asio::awaitable<std::optional<request_session::attempt_fault>> request_session::readHead(std::shared_ptr<open_attempt> open)
+{
+    answer_facts said = m_host.dialect->readAnswer(open->stream->status, open->stream->headers, facts().id);
+    for (std::uint32_t skipped = 0; said.ofAnotherRequest && skipped < mostForeignAnswers; ++skipped) {
+        co_await open->stream->skipAnswer();
+        said = m_host.dialect->readAnswer(open->stream->status, open->stream->headers, facts().id);
+    }
+    m_openThere = said.openThere;
+    if (said.ofAnotherRequest) {
+        co_return attempt_fault{attempt_reach::MayHaveRun, error_kind::EndpointGarbage};
+    }
+    if (said.provesNotRun) {
+        co_await skipBody(open);
+        co_return attempt_fault{attempt_reach::ProvedNotRun, error_kind::EndpointRefused};
+    }
+    const bool relayedAsItIs = m_host.dialect->relaysAnswers && !facts().promised.repeatable;
+    if (open->stream->status >= 500 && !relayedAsItIs && m_machine.mayTryAgain()) {
+        co_await skipBody(open);
+        co_return attempt_fault{attempt_reach::MayHaveRun, error_kind::EndpointFailed};
+    }
+    co_return std::nullopt;
+}
+
+// Reads an answer of no use to its end, so that its connection can be kept. What comes of it does not matter.
+asio::awaitable<void> request_session::skipBody(std::shared_ptr<open_attempt> open)
+{
+    std::array<char, 4096> scratch{};
+    std::size_t total = 0;
+    try {
+        while (const std::size_t got = co_await open->stream->readSome(scratch.data(), scratch.size())) {
+            total += got;
+            if (total > mostSkippedBytes) {
+                open->stream->cancel();
+                co_return;
+            }
+        }
+    } catch (const http_failure &) {
+        co_return; // the connection is closed then; the verdict on the attempt stands
+    }
+}
+
+void request_session::takeHead(const http_stream &answer)
+{
+    if (m_headTaken) {
+        return; // resumed: the answer goes on under its first endpoint's head
+    }
+    m_headTaken = true;
+    if (m_host.onBegan) {
+        m_host.onBegan(facts().account);
+    }
+    m_status = answer.status;
+    m_contentType = std::string(findHeader(answer.headers, "Content-Type"));
+    if (m_host.dialect->relaysAnswers) {
+        m_answerHeaders = answer.headers;
+    }
+}
+
 asio::awaitable<std::optional<request_session::attempt_fault>> request_session::runModel(std::shared_ptr<open_attempt> open, send_attempt action)
 {
     const std::uint32_t number = action.attempt;
-    const std::string already = text(action.resumeFrom);
-    const engine_call call{facts().id, number, facts().promised.rank, action.resumeFrom, already, action.withTransferredKv};
-    co_await openStream(open, number, engineRequest(m_payload, call), false);
-    if (open->stream->status != 200) {
-        co_return refusalOf(*open->stream);
+    const std::string already = m_host.dialect->relaysAnswers ? std::string() : text(action.resumeFrom);
+    engine_call call = callFor(action);
+    call.resumeText = already;
+    co_await openStream(open, number, m_host.dialect->modelCall(m_payload, call, *open->where), false);
+    std::optional<attempt_fault> fault = co_await readHead(open);
+    if (fault) {
+        co_return fault;
     }
-    const bool ended = co_await readEvents(open, number);
+    const bool isStream = open->stream->status == 200;
+    if (!isStream && m_host.dialect->relaysAnswers) {
+        fault = co_await readWhole(open, number);
+        co_return fault;
+    }
+    if (!isStream) {
+        co_return attempt_fault{attempt_reach::MayHaveRun, error_kind::EndpointFailed};
+    }
+    takeHead(*open->stream);
+    const bool ended = co_await readEvents(open, number, call);
     if (ended || open->cancelled) {
         co_return std::nullopt;
     }
     co_return attempt_fault{attempt_reach::MayHaveRun, error_kind::EndpointLost};
 }
 
-request_session::attempt_fault request_session::refusalOf(const http_stream &answer)
-{
-    if (provesNotRun(answer.status, answer.headers)) {
-        return {attempt_reach::ProvedNotRun, error_kind::EndpointRefused};
-    }
-    return {attempt_reach::MayHaveRun, error_kind::EndpointFailed};
-}
-
 // True when the answer ended whole; false when the stream closed before.
-asio::awaitable<bool> request_session::readEvents(std::shared_ptr<open_attempt> open, std::uint32_t number)
+asio::awaitable<bool> request_session::readEvents(std::shared_ptr<open_attempt> open, std::uint32_t number, engine_call call)
 {
     const std::shared_ptr<http_stream> stream = open->stream;
-    engine_event_reader reader;
+    const std::unique_ptr<piece_reader> reader = m_host.dialect->newReader(call);
     std::array<char, 16384> buffer{};
     while (true) {
         const std::size_t got = co_await stream->readSome(buffer.data(), buffer.size());
         if (got == 0) {
-            co_return false;
+            if (!reader->wholeAtEnd() || open->cancelled) {
+                co_return false;
+            }
+            m_open.erase(number);
+            perform(m_machine.onEnd(number, facts().id, m_machine.delivered(), systemNow()));
+            co_return true;
         }
-        reader.feed({buffer.data(), got});
-        while (std::optional<engine_event> event = reader.next()) {
+        reader->feed({buffer.data(), got});
+        while (std::optional<engine_event> event = reader->next()) {
             if (open->cancelled) {
                 co_return true;
             }
+            if (!reader->statesRequest()) {
+                placePiece(*event, number);
+            }
             if (event->done) {
                 if (event->requestId != facts().id || event->attempt != number) {
                     continue;
@@ -366,6 +452,21 @@
     }
 }
 
+// Relayed pieces carry their number only, and endpoints begin to count where they like.
+void request_session::placePiece(engine_event &piece, std::uint32_t attempt)
+{
+    if (!m_firstPieceKnown) {
+        m_firstPieceKnown = true;
+        m_firstPiece = piece.index;
+    }
+    if (piece.index < m_firstPiece) {
+        throw error(error_kind::EndpointGarbage, "a piece before the stream's first");
+    }
+    piece.index -= m_firstPiece;
+    piece.requestId = facts().id;
+    piece.attempt = attempt;
+}
+
 bool request_session::takeToken(std::uint32_t number, engine_event event)
 {
     if (event.attempt != number) {
@@ -387,9 +488,19 @@
 asio::awaitable<std::optional<request_session::attempt_fault>> request_session::runPlain(std::shared_ptr<open_attempt> open, send_attempt action)
 {
     const std::uint32_t number = action.attempt;
-    const engine_call call{facts().id, number, facts().promised.rank, 0, {}, false};
-    const bool fresh = !facts().promised.repeatable; // a kept connection's silent end could not be told from a lost order
-    co_await openStream(open, number, plainRequest(m_payload, call), fresh);
+    // A kept connection's silent end could not be told from a lost order; where endpoints are relayed to, the connection was used just now.
+    const bool fresh = !facts().promised.repeatable && !m_host.dialect->relaysAnswers;
+    co_await openStream(open, number, m_host.dialect->plainCall(m_payload, callFor(action), *open->where), fresh);
+    std::optional<attempt_fault> fault = co_await readHead(open);
+    if (!fault) {
+        fault = co_await readWhole(open, number);
+    }
+    co_return fault;
+}
+
+// The answer as one piece.
+asio::awaitable<std::optional<request_session::attempt_fault>> request_session::readWhole(std::shared_ptr<open_attempt> open, std::uint32_t number)
+{
     std::string body;
     std::array<char, 16384> buffer{};
     while (const std::size_t got = co_await open->stream->readSome(buffer.data(), buffer.size())) {
@@ -401,20 +512,9 @@
     if (open->cancelled) {
         co_return std::nullopt;
     }
-    const http_stream &answer = *open->stream;
-    const std::string_view echoed = findHeader(answer.headers, "X-Request-Id");
-    if (!echoed.empty() && echoed != facts().id) {
-        co_return attempt_fault{attempt_reach::MayHaveRun, error_kind::EndpointGarbage}; // another request's answer
-    }
-    const bool worthRetry = answer.status >= 500 && facts().promised.repeatable;
-    if (worthRetry || provesNotRun(answer.status, answer.headers)) {
-        co_return refusalOf(answer);
-    }
     m_open.erase(number);
-    if (takeToken(number, {facts().id, number, 0, std::move(body), false})) {
-        m_status = answer.status;
-        m_contentType = std::string(findHeader(answer.headers, "Content-Type"));
-    }
+    takeHead(*open->stream);
+    takeToken(number, {facts().id, number, 0, std::move(body), false});
     perform(m_machine.onEnd(number, facts().id, 1, systemNow()));
     co_return std::nullopt;
 }
@@ -438,6 +538,8 @@
     found->second->cancelled = true;
     if (found->second->stream != nullptr) {
         found->second->stream->cancel();
+    } else if (found->second->handle->cancel) {
+        found->second->handle->cancel(); // still waiting for the answer's head
     }
     m_open.erase(found);
 }
@@ -449,7 +551,11 @@
         const request_facts &facts = m_machine.facts();
         const bool answeredBadly = action.result == attempt_result::Answered && m_status >= 500;
         const attempt_result result = answeredBadly ? attempt_result::Failed : action.result;
-        m_host.onOutcome({action.where->id, facts.promised.service, action.where->version, facts.promised.route, result, action.firstToken});
+        const bool relayed = m_host.dialect->relaysAnswers;
+        attempt_outcome outcome{action.where->id, facts.promised.service, action.where->version, facts.promised.route, result, action.firstToken};
+        outcome.reportsLoad = relayed && m_openThere.has_value();
+        outcome.openThere = m_openThere.value_or(0);
+        m_host.onOutcome(outcome);
     }
     m_host.serve(m_machine.facts().promised.service, m_thread.random);
 }
@@ -491,7 +597,7 @@
     m_timer.cancel();
     m_room.cancel();
     notifyReaders();
-    m_host.retire(shared_from_this(), text().size() + m_payload.prompt.size() + m_payload.body.size());
+    m_host.retire(shared_from_this(), m_host.keepsAnswers ? text().size() + m_payload.prompt.size() + m_payload.body.size() : 0);
 }
 
 void request_session::onNotice(const std::string &endpointId, time_point leaveBy, move_method method)
--- a/src/shell/request_session.h
+++ b/src/shell/request_session.h
@@ -4,7 +4,7 @@
 
 #include "chicoryrouter/claim.h"
 #include "chicoryrouter/request_machine.h"
-#include "shell/engine_client.h"
+#include "shell/endpoint_dialect.h"
 #include "shell/log.h"
 #include "shell/request_host.h"
 
@@ -34,6 +34,8 @@
     [[nodiscard]] error_kind failure() const { return m_failure; }
     [[nodiscard]] int status() const { return m_status; } // of a plain service's answer
     [[nodiscard]] const std::string &contentType() const { return m_contentType; }
+    [[nodiscard]] const http_headers &answerHeaders() const { return m_answerHeaders; } // of the first endpoint that answered; relayed answers only
+    [[nodiscard]] bool answeredByEndpoint() const { return m_headTaken; }              // status and headers are an endpoint's
     [[nodiscard]] std::string text(std::uint32_t tokens = UINT32_MAX) const; // the whole answer
     [[nodiscard]] bool replayed() const { return m_replayed; }               // the answer is an earlier call's with the same key
     boost::asio::awaitable<void> changed();                                  // until there is more to read or it is over
@@ -61,7 +63,8 @@
     struct open_attempt
     {
         endpoint_ptr where;
-        std::shared_ptr<http_stream> stream; // null while connecting
+        std::shared_ptr<http_stream> stream; // null until the answer's head is there
+        std::shared_ptr<call_handle> handle = std::make_shared<call_handle>(); // to let go before that
         bool cancelled = false;
     };
 
@@ -89,8 +92,13 @@
     boost::asio::awaitable<void> openStream(std::shared_ptr<open_attempt> open, std::uint32_t number, http_call call, bool fresh);
     boost::asio::awaitable<std::optional<attempt_fault>> runModel(std::shared_ptr<open_attempt> open, send_attempt action);
     boost::asio::awaitable<std::optional<attempt_fault>> runPlain(std::shared_ptr<open_attempt> open, send_attempt action);
-    static attempt_fault refusalOf(const http_stream &answer);
-    boost::asio::awaitable<bool> readEvents(std::shared_ptr<open_attempt> open, std::uint32_t number);
+    boost::asio::awaitable<std::optional<attempt_fault>> readHead(std::shared_ptr<open_attempt> open);
+    boost::asio::awaitable<std::optional<attempt_fault>> readWhole(std::shared_ptr<open_attempt> open, std::uint32_t number);
+    static boost::asio::awaitable<void> skipBody(std::shared_ptr<open_attempt> open);
+    [[nodiscard]] engine_call callFor(const send_attempt &action) const;
+    void takeHead(const http_stream &answer);
+    boost::asio::awaitable<bool> readEvents(std::shared_ptr<open_attempt> open, std::uint32_t number, engine_call call);
+    void placePiece(engine_event &piece, std::uint32_t attempt);
     boost::asio::awaitable<void> runTransfer(transfer_kv action);
     boost::asio::awaitable<void> runClaim();
     boost::asio::awaitable<void> settleClaim();
@@ -126,6 +134,11 @@
     error_kind m_failure = error_kind::Internal;
     int m_status = 200;
     std::string m_contentType = "application/json";
+    http_headers m_answerHeaders;       // relayed answers: the first endpoint's, which all later pieces come under
+    bool m_headTaken = false;           // m_status and the headers are an endpoint's
+    std::uint32_t m_firstPiece = 0;     // number of the stream's first piece, as its first endpoint numbered it
+    bool m_firstPieceKnown = false;
+    std::optional<std::uint32_t> m_openThere; // requests the newest answering endpoint said it holds
     std::string m_history; // bounded by maxHistoryBytes
     std::atomic<std::uint64_t> m_servedByKey{0};
     std::atomic<std::uint32_t> m_tokenCount{0};
