--- a/include/chicoryrouter/agreement.h
+++ b/include/chicoryrouter/agreement.h
@@ -96,7 +96,6 @@
     [[nodiscard]] const std::map<std::string, version_mover> &moves() const { return m_moves; }
     [[nodiscard]] std::vector<version_share> shares() const;
     [[nodiscard]] std::uint32_t accountPart(const client_account &account) const; // this daemon's part of the account's limit
-    [[nodiscard]] double accountShare(const std::string &account) const;          // this daemon's part of a limit of any size, 0 to 1
     // This daemon is one of the two that ask the endpoint for its load; in a large deployment two of the endpoint's own failure domain.
     [[nodiscard]] bool pollsEndpoint(std::uint64_t endpointKey, const std::string &failureDomain) const;
     [[nodiscard]] const evidence_book &evidence() const { return m_evidence; }
@@ -114,7 +113,6 @@
         std::uint32_t told = 0;
     };
 
-    [[nodiscard]] std::vector<std::uint32_t> divide(std::uint32_t total, const std::string &account, std::size_t &own) const;
     [[nodiscard]] double demandOf(std::uint64_t origin, const std::string &account) const;
     void addLoads(gossip_message &message);
     void addDemands(gossip_message &message, bool crossesDomain);
--- a/include/chicoryrouter/dispatcher.h
+++ b/include/chicoryrouter/dispatcher.h
@@ -26,13 +26,14 @@
     std::atomic<std::uint64_t> asked{0}; // requests seen, refused ones included: the demand by which limits are divided
 
     std::atomic<bool> rationed{false};            // tokens are limited
-    std::atomic<std::int64_t> tokensLeft{0};      // of this daemon's part; below zero: the last request went over
+    std::atomic<std::int64_t> tokensLeft{0};      // of the account's limit, as far as is known here; below zero: spent ahead
     std::atomic<std::int64_t> tokensPerSecond{0}; // at which they come back
+    std::atomic<std::uint64_t> spent{0};          // tokens of admitted requests, here, since the start
 
     bool tryTake(); // counts one request in; false when the limit is reached
     void giveBack();
     bool tryTakeTokens(std::int64_t tokens); // takes them when any are left, also more than are left; false when none are
-    void refill(std::int64_t perSecond, std::int64_t most, duration since);  // control strand only
+    void refill(std::int64_t perSecond, std::int64_t most, duration since, std::int64_t takenElsewhere); // control strand only
     [[nodiscard]] duration backIn() const;   // time until tokens are left again
 };
 
--- a/include/chicoryrouter/document.h
+++ b/include/chicoryrouter/document.h
@@ -132,6 +132,7 @@
     std::string failureDomain;
     instance_class cls = instance_class::Reclaimable;
     double perHour = 0.0; // in the operators' currency
+    std::string service{}; // the one it holds for; empty: all
 };
 
 struct placement_bounds
@@ -139,6 +140,7 @@
     std::string service;
     std::uint32_t minEndpoints = 0;
     std::uint32_t maxEndpoints = 0; // at least minEndpoints
+    bool perDomain = false;         // the bounds hold for each failure domain, not for all together
 };
 
 // ---- The document ----------------------------------------------------------------------------------------------------------------------
--- a/include/chicoryrouter/usage_ledger.h
+++ b/include/chicoryrouter/usage_ledger.h
@@ -18,7 +18,7 @@
     explicit usage_ledger(duration window, std::size_t kept = 8); // keeps so many windows, the newest
 
     void count(const std::string &account, time_point wallNow);
-    void add(std::uint64_t window, const usage_counts &counts); // another daemon's
+    void replace(std::uint64_t window, const usage_counts &counts); // as another daemon told its own; counts only grow
 
     [[nodiscard]] std::uint64_t windowAt(time_point wallNow) const;
     [[nodiscard]] time_point endOf(std::uint64_t window) const;
--- a/src/core/agreement.cpp
+++ b/src/core/agreement.cpp
@@ -13,8 +13,6 @@
 constexpr std::uint32_t loadTimesTold = 3;
 constexpr std::uint32_t demandTimesTold = 3;
 constexpr double demandRipple = 0.2;
-constexpr std::uint32_t shareUnits = 100'000; // fineness of accountShare()
-constexpr double evenPart = 0.25;             // of a limit that is divided by demand
 constexpr std::size_t pollersPerEndpoint = 2;
 constexpr duration oneLossPer = std::chrono::seconds(10);
 constexpr std::uint64_t warmUpAnswers = 8; // first answers of an endpoint on trial: their slowness says nothing about the version
@@ -285,30 +283,15 @@
     return result;
 }
 
-std::vector<std::uint32_t> agreement::divide(std::uint32_t total, const std::string &account, std::size_t &own) const
+std::uint32_t agreement::accountPart(const client_account &account) const
 {
     const std::vector<std::uint64_t> origins = demandOrigins();
     std::vector<double> demand;
     for (const std::uint64_t origin : origins) {
-        demand.push_back(demandOf(origin, account));
+        demand.push_back(demandOf(origin, account.name));
     }
-    own = static_cast<std::size_t>(std::find(origins.begin(), origins.end(), m_self) - origins.begin());
-    return divideByDemand(total, demand);
-}
-
-std::uint32_t agreement::accountPart(const client_account &account) const
-{
-    std::size_t own = 0;
-    return divide(account.maxInFlight, account.name, own).at(own);
-}
-
-// A quarter is divided evenly, so that callers who come to another daemon all at once are served before demand is known there.
-double agreement::accountShare(const std::string &account) const
-{
-    std::size_t own = 0;
-    const std::vector<std::uint32_t> parts = divide(shareUnits, account, own);
-    const double byDemand = static_cast<double>(parts.at(own)) / shareUnits;
-    return evenPart / static_cast<double>(parts.size()) + (1.0 - evenPart) * byDemand;
+    const auto own = std::find(origins.begin(), origins.end(), m_self) - origins.begin();
+    return divideByDemand(account.maxInFlight, demand).at(static_cast<std::size_t>(own));
 }
 
 double agreement::demandOf(std::uint64_t origin, const std::string &account) const
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -22,14 +22,19 @@
 {
     asked.fetch_add(static_cast<std::uint64_t>(tokens), std::memory_order_relaxed);
     if (!rationed.load(std::memory_order_relaxed)) {
+        spent.fetch_add(static_cast<std::uint64_t>(tokens), std::memory_order_relaxed);
         return true;
     }
     std::int64_t left = tokensLeft.load(std::memory_order_relaxed);
     while (left > 0 && !tokensLeft.compare_exchange_weak(left, left - tokens, std::memory_order_relaxed)) { }
-    return left > 0;
+    if (left <= 0) {
+        return false;
+    }
+    spent.fetch_add(static_cast<std::uint64_t>(tokens), std::memory_order_relaxed);
+    return true;
 }
 
-void account_load::refill(std::int64_t perSecond, std::int64_t most, duration since)
+void account_load::refill(std::int64_t perSecond, std::int64_t most, duration since, std::int64_t takenElsewhere)
 {
     const bool first = !rationed.exchange(true);
     tokensPerSecond = perSecond;
@@ -37,7 +42,7 @@
     std::int64_t left = tokensLeft.load(std::memory_order_relaxed);
     std::int64_t fuller = 0;
     do {
-        fuller = first ? most : std::min(left + earned, most);
+        fuller = first ? most : std::min(left + earned, most) - takenElsewhere;
     } while (!tokensLeft.compare_exchange_weak(left, fuller, std::memory_order_relaxed));
 }
 
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -348,6 +348,7 @@
         endpoints.push_back(std::make_shared<endpoint>(item.facts));
     }
     m_dirty = false;
+    m_built = endpoints;
     return std::make_shared<routing_table>(buildRoutingTable(*m_inForce, m_ownDomain, endpoints, m_shares));
 }
 
--- /dev/null
+++ b/src/core/scaling.cpp
@@ -0,0 +1,137 @@
+// From load to orders.
+#include "chicoryrouter/scaling.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chicoryrouter {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double wantedUtilisation = 0.55; // of an endpoint's time by prompts; leaves room for a burst as long as new endpoints need to boot
+constexpr double wantedSlotsPart = 0.5;   // of its slots
+constexpr double promptPart = 0.75;       // of the endpoints: must be left after the loss of one failure domain's reclaimable ones
+constexpr std::uint32_t leastEndpoints = 3;
+constexpr duration learnFor = 4s;        // load is observed for so long before anything is ordered
+constexpr duration repeatAfter = 8s;     // boot time and more
+constexpr duration refusedFor = 4s;
+
+} // namespace
+
+std::uint32_t endpointsFor(const service_load &load, std::uint32_t endpoints, std::uint32_t slots)
+{
+    const double count = std::max(endpoints, 1U);
+    const double queue = load.awaiting / count;
+    const double utilisation = queue / (1.0 + queue);
+    const double byPrompts = utilisation * count / wantedUtilisation;
+    const double bySlots = load.open / (std::max(slots, 1U) * wantedSlotsPart);
+    return static_cast<std::uint32_t>(std::ceil(std::max(byPrompts, bySlots)));
+}
+
+void scale_planner::observe(const service_load &load, std::uint32_t endpoints, std::uint32_t slots, time_point now)
+{
+    if (load.open <= 0.0) {
+        return; // nothing to learn from, as before the first callers come
+    }
+    m_seenFrom = std::min(m_seenFrom, now);
+    m_wanted = std::max(m_demand.observe(endpointsFor(load, endpoints, slots), now), leastEndpoints);
+}
+
+// What the load asks for were everything to be had.
+std::map<scale_planner::place, std::uint32_t> scale_planner::plan(const scale_bounds &bounds, const std::vector<placement_offer> &offers) const
+{
+    std::map<place, std::uint32_t> counts;
+    std::map<std::string, std::uint32_t> inDomain;
+    for (const placement_offer &item : offers) {
+        counts[{item.failureDomain, item.cls}] = 0;
+        inDomain[item.failureDomain] = 0;
+    }
+    placement_demand demand;
+    demand.endpoints = m_wanted;
+    demand.promptEndpoints = static_cast<std::uint32_t>(std::ceil(m_wanted * promptPart));
+    demand.least = bounds.leastPerDomain * static_cast<std::uint32_t>(inDomain.size());
+    demand.most = bounds.mostPerDomain * static_cast<std::uint32_t>(inDomain.size());
+    for (const placement_share &item : planPlacement(demand, offers).shares) {
+        const std::uint32_t fits = bounds.mostPerDomain - std::min(bounds.mostPerDomain, inDomain[item.failureDomain]);
+        counts[{item.failureDomain, item.cls}] = std::min(item.count, fits);
+        inDomain[item.failureDomain] += std::min(item.count, fits);
+    }
+    // A failure domain that is cut off has to serve its callers with what it has.
+    for (const auto &[domain, count] : inDomain) {
+        const std::uint32_t least = std::max(bounds.leastPerDomain, 1U);
+        const bool reclaimable = counts.count({domain, instance_class::Reclaimable}) != 0;
+        const instance_class cls = reclaimable ? instance_class::Reclaimable : instance_class::OnDemand;
+        counts[{domain, cls}] += least - std::min(least, count);
+    }
+    return counts;
+}
+
+// Where reclaimable ones were refused lately, those that run are kept, and on-demand ones stand in for the others: in the same failure
+// domain as far as its bound allows.
+void scale_planner::standIn(std::map<place, std::uint32_t> &counts, const std::map<place, std::uint32_t> &present, std::uint32_t mostPerDomain, time_point now) const
+{
+    for (const auto &[where, until] : m_noneUntil) {
+        const auto planned = counts.find(where);
+        if (until <= now || planned == counts.end()) {
+            continue;
+        }
+        const auto running = present.find(where);
+        const std::uint32_t have = running == present.end() ? 0 : running->second;
+        const std::uint32_t missing = planned->second - std::min(planned->second, have);
+        planned->second -= missing;
+        std::uint32_t &onDemand = counts[{where.first, instance_class::OnDemand}];
+        const std::uint32_t room = mostPerDomain - std::min(mostPerDomain, planned->second + onDemand);
+        onDemand += std::min(missing, room);
+    }
+}
+
+std::vector<scale_order> scale_planner::next(
+    const scale_bounds &bounds, const std::vector<placement_offer> &offers, const std::vector<running_endpoint> &running, time_point now)
+{
+    std::vector<scale_order> orders;
+    if (m_seenFrom == noDeadline || now < m_seenFrom + learnFor) {
+        return orders;
+    }
+    std::map<place, std::uint32_t> present;
+    std::uint32_t all = 0;
+    for (const running_endpoint &item : running) {
+        present[{item.failureDomain, item.cls}] += item.leaving ? 0 : 1;
+        all += item.leaving ? 0 : 1;
+    }
+    std::map<place, std::uint32_t> wanted = plan(bounds, offers);
+    standIn(wanted, present, bounds.mostPerDomain, now);
+    std::uint32_t missing = 0;
+    for (const auto &[where, count] : wanted) {
+        missing += count - std::min(count, present[where]); // what was refused is not waited for
+    }
+    for (const auto &[where, count] : wanted) {
+        const std::uint32_t have = present[where];
+        standing_order &standing = m_ordered[where];
+        // Nothing is taken away, or called off, while something is still to come: capacity first.
+        const std::uint32_t asked = missing > 0 ? std::max({count, have, standing.count}) : count;
+        const bool same = standing.count == asked && standing.repeatAt != time_point{};
+        const bool due = asked != have && now >= standing.repeatAt;
+        const bool neverOrdered = standing.repeatAt == time_point{} && asked == have;
+        if (neverOrdered || (same && !due)) {
+            continue;
+        }
+        standing = {asked, now + repeatAfter};
+        orders.push_back({where.first, where.second, asked});
+    }
+    return orders;
+}
+
+void scale_planner::onAnswer(const scale_order &order, order_answer answer, time_point now)
+{
+    const place where{order.failureDomain, order.cls};
+    if (answer == order_answer::NoneToBeHad) {
+        m_noneUntil[where] = now + refusedFor;
+        m_ordered.erase(where);
+    } else if (answer == order_answer::Unanswered) {
+        m_ordered[where].repeatAt = time_point(duration(1)); // given again at once
+    }
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/core/spending.cpp
@@ -0,0 +1,158 @@
+// Totals told, totals assumed.
+#include "chicoryrouter/spending.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace chicoryrouter {
+
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+constexpr duration silentAfter = 700ms;         // several notes in a row did not come
+constexpr duration silentAfterPerMember = 30ms; // notes come more rarely in a large deployment
+constexpr duration goneAfter = 20s;     // neither heard nor present: whatever it was, it serves nobody any more
+
+} // namespace
+
+std::string encodeNote(const spending_note &note)
+{
+    json loads = json::object();
+    for (const auto &[service, load] : note.loads) {
+        loads[service] = {static_cast<float>(load.open), static_cast<float>(load.awaiting)};
+    }
+    const auto packed = json::to_msgpack({{"from", note.from}, {"start", note.start}, {"seq", note.sequence}, {"spent", note.spent}, {"loads", loads},
+        {"began", note.began}});
+    return {packed.begin(), packed.end()};
+}
+
+std::optional<spending_note> decodeNote(std::string_view bytes)
+{
+    if (bytes.size() > maxNoteBytes) {
+        return std::nullopt;
+    }
+    try {
+        const json value = json::from_msgpack(bytes);
+        spending_note note{value.at("from"), value.at("start"), value.at("seq"), value.at("spent").get<account_tokens>(), {}, {}};
+        note.began = value.at("began").get<std::map<std::uint64_t, usage_counts>>();
+        for (const auto &[service, load] : value.at("loads").items()) {
+            note.loads[service] = {load.at(0), load.at(1)};
+        }
+        return note;
+    } catch (const json::exception &) {
+        return std::nullopt; // not from one of us, or cut: the next note says the same
+    }
+}
+
+spending_tally::spending_tally(std::string self)
+    : m_self(std::move(self))
+{
+}
+
+void spending_tally::setMembers(const std::vector<std::string> &names, time_point now)
+{
+    m_silentAfter = std::max<duration>(silentAfter, silentAfterPerMember * static_cast<std::int64_t>(names.size()));
+    for (const std::string &name : names) {
+        if (name != m_self) {
+            m_peers[name].presentAt = now;
+        }
+    }
+    std::erase_if(m_peers, [&](const auto &item) { return now > std::max(item.second.presentAt, item.second.heardAt) + goneAfter; });
+}
+
+void spending_tally::take(const spending_note &note, time_point now)
+{
+    if (note.from == m_self) {
+        return;
+    }
+    peer &from = m_peers[note.from];
+    const bool unknown = from.start == 0; // what it spent before we knew it is behind us
+    const bool restarted = note.start != from.start;
+    if (!restarted && note.sequence <= from.sequence) {
+        return;
+    }
+    if (restarted && note.start < from.start) {
+        return; // of a life before the one we know
+    }
+    for (const auto &[account, total] : note.spent) {
+        const auto before = from.totals.find(account);
+        const bool first = restarted || before == from.totals.end();
+        const std::uint64_t known = first ? 0 : std::min(before->second, total);
+        m_unread[account] += unknown ? 0 : total - known;
+    }
+    if (restarted) {
+        from.totals.clear();
+    }
+    for (const auto &[account, total] : note.spent) {
+        from.totals[account] = total;
+    }
+    from.loads = note.loads;
+    usage_ledger &began = m_began.try_emplace({note.from, note.start}, std::chrono::seconds(1)).first->second;
+    for (const auto &[window, counts] : note.began) {
+        began.replace(window, counts);
+    }
+    from.start = note.start;
+    from.sequence = note.sequence;
+    from.heardAt = now;
+}
+
+bool spending_tally::isSilent(const peer &item, time_point now) const
+{
+    return now > item.heardAt + m_silentAfter;
+}
+
+std::size_t spending_tally::silent(time_point now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &item) { return isSilent(item.second, now); }));
+}
+
+usage_counts spending_tally::beganElsewhere(std::uint64_t window) const
+{
+    usage_counts sum;
+    for (const auto &[origin, ledger] : m_began) {
+        for (const auto &[account, number] : ledger.countsOf(window)) {
+            sum[account] += number;
+        }
+    }
+    return sum;
+}
+
+bool spending_tally::heardSince(time_point moment) const
+{
+    return std::all_of(m_peers.begin(), m_peers.end(), [&](const auto &item) { return item.second.heardAt > moment; });
+}
+
+service_load spending_tally::loadElsewhere(const std::string &service, time_point now) const
+{
+    service_load sum;
+    for (const auto &[name, item] : m_peers) {
+        const auto found = item.loads.find(service);
+        if (found != item.loads.end() && !isSilent(item, now)) {
+            sum.open += found->second.open;
+            sum.awaiting += found->second.awaiting;
+        }
+    }
+    return sum;
+}
+
+double spending_tally::takenElsewhere(const std::string &account, double perSecond, time_point now)
+{
+    const auto told = m_unread.find(account);
+    double taken = told == m_unread.end() ? 0.0 : static_cast<double>(told->second);
+    if (told != m_unread.end()) {
+        m_unread.erase(told);
+    }
+    const auto [asked, first] = m_askedAt.try_emplace(account, now);
+    if (!first) {
+        const double elapsed = std::chrono::duration<double>(now - asked->second).count();
+        const double part = perSecond / static_cast<double>(m_peers.size() + 1);
+        taken += part * elapsed * static_cast<double>(silent(now));
+    }
+    asked->second = now;
+    return taken;
+}
+
+} // namespace chicoryrouter
--- a/src/core/usage_ledger.cpp
+++ b/src/core/usage_ledger.cpp
@@ -19,12 +19,9 @@
     dropOld();
 }
 
-void usage_ledger::add(std::uint64_t window, const usage_counts &counts)
+void usage_ledger::replace(std::uint64_t window, const usage_counts &counts)
 {
-    usage_counts &held = m_windows[window];
-    for (const auto &[account, number] : counts) {
-        held[account] += number;
-    }
+    m_windows[window] = counts;
     dropOld();
 }
 
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
 
+#include <cmath>
 #include <random>
 
 namespace chicoryrouter {
@@ -26,9 +27,13 @@
 constexpr duration watchFor = 10s; // one waiting watch
 constexpr duration roleCheck = 1s; // whether this daemon is to watch
 constexpr duration callWithin = 2s;
+constexpr duration loadHalfLife = 700ms;  // of the averaged load
+constexpr std::uint64_t windowsTold = 2;  // of usage, before the present one
+constexpr duration toldWithin = 200ms;    // after a window's end its counts are in the next notes
+constexpr duration noteInterval = 100ms;  // between two notes of what is spent
+constexpr duration notePerMember = 10ms;  // the least for each member
 constexpr duration readyWithoutList = 5s;
 constexpr duration demandInterval = 5s;
-constexpr duration hostedDemandInterval = 1s; // accounts are limited by tokens there, which a burst spends in seconds
 constexpr std::size_t watchersPerDomain = 2; // of the configuration and of the instance list
 
 member_facts ownFacts(const settings &own)
@@ -64,7 +69,16 @@
     , m_agreement(ownFacts(own), optionsFor(own, m_source.reader), m_random.next())
     , m_fleet(own.failureDomain, hashBytes(own.instance))
     , m_placement(own, m_context, m_client, m_store)
+    , m_spending(own.instance)
+    , m_usage(own.usageWindow)
 {
+    if (own.hosted) {
+        m_notes = std::make_unique<note_link>(m_context, own.peer, own.peerKey, [this](std::string_view bytes) {
+            if (const std::optional<spending_note> note = decodeNote(bytes)) {
+                m_spending.take(*note, systemNow());
+            }
+        });
+    }
 }
 
 control::~control()
@@ -350,6 +364,9 @@
         takeOutcomes();
         m_fleet.onProbeTime(systemNow());
         m_fleet.onPaceTime(systemNow());
+        measureLoad();
+        takeBegan();
+        sendNotes();
         refillAccounts();
         measureDemand();
         refreshMembers();
@@ -497,6 +514,7 @@
         }
     }
     refreshAccounts();
+    refillAccounts(); // a new limit holds from the first request on
     m_front.front.publish(std::move(table));
 }
 
@@ -524,15 +542,116 @@
             found->second->rationed = false;
             continue;
         }
-        const double part = m_agreement.accountShare(account.name);
-        found->second->refill(static_cast<std::int64_t>(account.tokensPerSecond * part), static_cast<std::int64_t>(account.tokenBurst * part), since);
+        const double elsewhere = m_spending.takenElsewhere(account.name, account.tokensPerSecond, now);
+        const auto rate = static_cast<std::int64_t>(account.tokensPerSecond);
+        found->second->refill(rate, static_cast<std::int64_t>(account.tokenBurst), since, static_cast<std::int64_t>(elsewhere));
+    }
+}
+
+void control::onBegan(const std::string &account)
+{
+    if (account.empty()) {
+        return; // an open route: nobody is charged
+    }
+    const std::lock_guard guard(m_outcomesLock);
+    m_began.emplace_back(account, systemNow());
+}
+
+void control::takeBegan()
+{
+    std::vector<std::pair<std::string, time_point>> fresh;
+    {
+        const std::lock_guard guard(m_outcomesLock);
+        fresh.swap(m_began);
+    }
+    for (const auto &[account, when] : fresh) {
+        m_usage.count(account, when);
+    }
+}
+
+usage_counts control::usageOf(std::uint64_t window, bool &complete) const
+{
+    usage_counts sum = m_spending.beganElsewhere(window);
+    for (const auto &[account, number] : m_usage.countsOf(window)) {
+        sum[account] += number;
+    }
+    complete = m_spending.heardSince(m_usage.endOf(window) + toldWithin);
+    return sum;
+}
+
+// Averages by elapsed time what this daemon has open.
+void control::measureLoad()
+{
+    const time_point now = systemNow();
+    const double weight = 1.0 - std::exp2(-std::chrono::duration<double>(now - m_loadsAt) / std::chrono::duration<double>(loadHalfLife));
+    m_loadsAt = now;
+    std::map<std::string, service_load> present;
+    for (const endpoint_ptr &item : m_fleet.endpoints()) {
+        service_load &sum = present[item->service];
+        sum.open += item->load->inFlight;
+        sum.awaiting += item->load->awaiting;
+    }
+    for (const auto &[service, load] : present) {
+        service_load &held = m_loads[service];
+        held.open += weight * (load.open - held.open);
+        held.awaiting += weight * (load.awaiting - held.awaiting);
+    }
+}
+
+service_load control::loadOf(const std::string &service) const
+{
+    service_load sum = m_spending.loadElsewhere(service, systemNow());
+    const auto own = m_loads.find(service);
+    if (own != m_loads.end()) {
+        sum.open += own->second.open;
+        sum.awaiting += own->second.awaiting;
+    }
+    return sum;
+}
+
+// Tells the others what is spent here. In a large deployment less often, so that what a daemon receives stays bounded.
+void control::sendNotes()
+{
+    const time_point now = systemNow();
+    if (m_notes == nullptr || now < m_noteAt) {
+        return;
+    }
+    std::vector<std::string> names;
+    std::vector<address> peers;
+    for (const member_facts &item : m_agreement.members().living()) {
+        names.push_back(item.instance);
+        if (item.instance != m_own.instance) {
+            peers.push_back(item.peer);
+        }
+    }
+    m_spending.setMembers(names, now);
+    m_noteAt = now + std::max<duration>(noteInterval, notePerMember * static_cast<std::int64_t>(names.size()));
+    spending_note note;
+    note.from = m_own.instance;
+    note.start = m_agreement.members().self().incarnation + 1; // never zero
+    note.sequence = ++m_noteSequence;
+    for (const auto &[name, load] : m_accounts) {
+        note.spent[name] = load->spent;
+    }
+    note.loads = m_loads;
+    const std::uint64_t present = m_usage.windowAt(now);
+    for (std::uint64_t window = present - std::min(present, windowsTold); window <= present; ++window) {
+        if (usage_counts counts = m_usage.countsOf(window); !counts.empty()) {
+            note.began[window] = std::move(counts);
+        }
+    }
+    const std::string bytes = encodeNote(note);
+    if (bytes.size() <= maxNoteBytes) {
+        m_notes->send(peers, bytes);
+    } else {
+        logLine(log_part::Load, log_level::Error, "too many accounts for one note: " + std::to_string(note.spent.size()));
     }
 }
 
 void control::measureDemand()
 {
     const time_point now = systemNow();
-    if (now < m_demandFrom + (m_own.hosted ? hostedDemandInterval : demandInterval)) {
+    if (now < m_demandFrom + demandInterval) {
         return;
     }
     const double seconds = std::chrono::duration<double>(now - m_demandFrom).count();
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -5,7 +5,9 @@
 #include "chicoryrouter/agreement.h"
 #include "chicoryrouter/settings.h"
 #include "shell/copy_keeper.h"
+#include "chicoryrouter/spending.h"
 #include "shell/gateway.h"
+#include "shell/note_link.h"
 #include "shell/peer_link.h"
 #include "shell/placement_loop.h"
 #include "shell/platform_client.h"
@@ -63,6 +65,11 @@
     void refreshMoves();
     agreement &agreed() { return m_agreement; }
     void keepRunning(std::string name, std::function<boost::asio::awaitable<void>()> loop); // begun again should it end by a fault
+    void onBegan(const std::string &account); // any thread: an endpoint began to answer a request
+    // Requests that began to run in a window, over all daemons; `complete`: all that are present have told all of it.
+    usage_counts usageOf(std::uint64_t window, bool &complete) const;
+    [[nodiscard]] const usage_ledger &ownUsage() const { return m_usage; }
+    [[nodiscard]] service_load loadOf(const std::string &service) const; // over all daemons that are heard
     fleet &endpoints() { return m_fleet; }
     const settings &own() const { return m_own; }
 
@@ -83,7 +90,10 @@
 
     void takeReports(const std::vector<load_report> &reports);
     void takeOutcomes();
+    void measureLoad();
+    void takeBegan();
     void refillAccounts();
+    void sendNotes();
     void refreshMembers();
     void refreshAccounts();
     void measureDemand();
@@ -106,6 +116,14 @@
     placement_loop m_placement;
     std::map<std::string, std::shared_ptr<account_load>> m_accounts; // by name; kept over documents, so counts stay right
     std::map<std::string, std::uint64_t> m_askedBefore;              // by account, for the demand per second
+    spending_tally m_spending;                                       // of accounts that are limited by tokens
+    std::unique_ptr<note_link> m_notes;                              // null: accounts are not limited by tokens here
+    std::uint64_t m_noteSequence = 0;
+    usage_ledger m_usage;                                            // requests that began to run here
+    std::vector<std::pair<std::string, time_point>> m_began;         // guarded by m_outcomesLock: since the last tick
+    std::map<std::string, service_load> m_loads;                     // by service: what this daemon has open, averaged
+    time_point m_loadsAt{};                                          // when m_loads was last brought up to date
+    time_point m_noteAt{};                                           // when the next note is due
     time_point m_refilledAt{};                                       // when tokens of accounts were last handed out
     time_point m_demandFrom{};                                       // since when m_askedBefore counts
     std::map<std::string, move_state> m_announced;                   // by service: the last state logged
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -8,6 +8,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <netinet/tcp.h>
+
 #include <array>
 #include <map>
 #include <optional>
@@ -22,6 +24,10 @@
 namespace {
 
 constexpr std::size_t mostKeptPerAddress = 64;
+constexpr int probeAfterSeconds = 2; // of silence
+constexpr int probeEverySeconds = 1;
+constexpr int probesLost = 2; // then the connection is taken as dead
+constexpr unsigned unacknowledgedMilliseconds = 3000; // bytes sent and not acknowledged for so long: likewise
 constexpr duration keptFor = std::chrono::seconds(20); // shorter than servers keep theirs
 
 struct kept_connection
@@ -32,6 +38,18 @@
 
 using address_key = std::pair<std::string, std::uint16_t>;
 
+// A connection may go silent for good without a reset: the system's probes find out, and the reads and writes on it fail.
+void noticeSilence(tcp::socket &socket)
+{
+    const int on = 1;
+    const int handle = socket.native_handle();
+    setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+    setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &probeAfterSeconds, sizeof(probeAfterSeconds));
+    setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &probeEverySeconds, sizeof(probeEverySeconds));
+    setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &probesLost, sizeof(probesLost));
+    setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMilliseconds, sizeof(unacknowledgedMilliseconds));
+}
+
 bool stillOpen(beast::tcp_stream &stream)
 {
     char peeked = 0;
@@ -96,6 +114,7 @@
             throw http_failure(false, error_kind::EndpointRefused, "connect: " + code.message());
         }
         stream->socket().set_option(tcp::no_delay(true), code);
+        noticeSilence(stream->socket());
         co_return stream;
     }
 
--- /dev/null
+++ b/src/shell/note_link.cpp
@@ -0,0 +1,45 @@
+// Datagrams between daemons.
+#include "shell/note_link.h"
+
+#include "chicoryrouter/hash.h"
+
+#include <boost/asio/buffer.hpp>
+
+namespace chicoryrouter {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+
+note_link::note_link(asio::io_context &context, const address &where, std::string_view peerKey, std::function<void(std::string_view)> onNote)
+    : m_socket(context, udp::endpoint(asio::ip::make_address(where.ip), where.port))
+    , m_mark(std::to_string(hashBytes(peerKey)) + "\n")
+    , m_onNote(std::move(onNote))
+{
+    m_socket.non_blocking(true);
+    receive();
+}
+
+void note_link::send(const std::vector<address> &to, std::string_view note)
+{
+    const std::array<asio::const_buffer, 2> parts = {asio::buffer(m_mark), asio::buffer(note.data(), note.size())};
+    for (const address &peer : to) {
+        boost::system::error_code ignored; // a full buffer or a dead peer: the next note will do
+        m_socket.send_to(parts, udp::endpoint(asio::ip::make_address(peer.ip), peer.port), 0, ignored);
+    }
+}
+
+void note_link::receive()
+{
+    m_socket.async_receive_from(asio::buffer(m_buffer), m_sender, [this](const boost::system::error_code &code, std::size_t size) {
+        if (code == asio::error::operation_aborted) {
+            return;
+        }
+        const std::string_view bytes(m_buffer.data(), code ? 0 : size);
+        if (bytes.substr(0, m_mark.size()) == m_mark) {
+            m_onNote(bytes.substr(m_mark.size()));
+        }
+        receive();
+    });
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/shell/note_link.h
@@ -0,0 +1,36 @@
+// Notes between daemons as datagrams: small, sent often, never answered. A lost one costs nothing, since the next says the same and more.
+#pragma once
+
+#include "chicoryrouter/endpoint.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chicoryrouter {
+
+class note_link
+{
+public:
+    // Listens at `where` (the peers' port number, over UDP). `onNote` is called on the context's thread with what comes, except for what
+    // does not begin with the deployment's mark. Throws when it cannot listen.
+    note_link(boost::asio::io_context &context, const address &where, std::string_view peerKey, std::function<void(std::string_view)> onNote);
+
+    void send(const std::vector<address> &to, std::string_view note); // on the context's thread; drops what cannot be sent at once
+
+private:
+    void receive();
+
+    boost::asio::ip::udp::socket m_socket;
+    boost::asio::ip::udp::endpoint m_sender;
+    std::array<char, 2048> m_buffer{};
+    std::string m_mark; // of the deployment: keeps strangers' datagrams out, it is no protection against forgers inside
+    std::function<void(std::string_view)> m_onNote;
+};
+
+} // namespace chicoryrouter
--- a/src/shell/relay_gateway.h
+++ b/src/shell/relay_gateway.h
@@ -127,7 +127,9 @@
         const std::int64_t tokens = call.tokens.value_or(account.tokensPerPlainCall);
         if (!found->second.load->tryTakeTokens(tokens)) {
             comeBack = std::max(comeBack, found->second.load->backIn());
-            throw error(error_kind::AccountOverLimit);
+            throw error(error_kind::AccountOverLimit,
+                account.name + " asked for " + std::to_string(tokens) + " tokens at " + std::to_string(found->second.load->tokensLeft) + " left of "
+                    + std::to_string(static_cast<std::int64_t>(account.tokensPerSecond)) + " a second");
         }
         promised.rank = account.rank.value_or(promised.rank);
         return account.name;
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -271,6 +271,7 @@
     if (open->cancelled) {
         throw http_failure(false, error_kind::EndpointRefused, "cancelled before sending");
     }
+    open->awaiting = std::make_unique<scoped_count<std::uint32_t>>(open->where->load->awaiting);
     m_machine.onSent(number, systemNow());
 }
 
@@ -363,15 +364,13 @@
     }
 }
 
-void request_session::takeHead(const http_stream &answer)
+void request_session::takeHead(const std::shared_ptr<open_attempt> &open)
 {
+    const http_stream &answer = *open->stream;
     if (m_headTaken) {
         return; // resumed: the answer goes on under its first endpoint's head
     }
     m_headTaken = true;
-    if (m_host.onBegan) {
-        m_host.onBegan(facts().account);
-    }
     m_status = answer.status;
     m_contentType = std::string(findHeader(answer.headers, "Content-Type"));
     if (m_host.dialect->relaysAnswers) {
@@ -398,7 +397,7 @@
     if (!isStream) {
         co_return attempt_fault{attempt_reach::MayHaveRun, error_kind::EndpointFailed};
     }
-    takeHead(*open->stream);
+    takeHead(open);
     const bool ended = co_await readEvents(open, number, call);
     if (ended || open->cancelled) {
         co_return std::nullopt;
@@ -475,6 +474,12 @@
     const time_point now = systemNow();
     const token_verdict verdict = m_machine.onToken(number, event.requestId, event.index, now);
     if (verdict == token_verdict::Deliver) {
+        if (const auto open = m_open.find(number); open != m_open.end()) {
+            open->second->awaiting = nullptr;
+        }
+        if (m_tokens.empty() && m_host.onBegan) {
+            m_host.onBegan(facts().account);
+        }
         if (m_tokens.empty()) {
             m_host.counts.observeFirstToken(facts().promised.route, now - facts().arrival);
         }
@@ -513,7 +518,7 @@
         co_return std::nullopt;
     }
     m_open.erase(number);
-    takeHead(*open->stream);
+    takeHead(open);
     takeToken(number, {facts().id, number, 0, std::move(body), false});
     perform(m_machine.onEnd(number, facts().id, 1, systemNow()));
     co_return std::nullopt;
--- a/src/shell/request_session.h
+++ b/src/shell/request_session.h
@@ -2,6 +2,7 @@
 // Lives on one request thread; functions marked "any thread" may be called from others.
 #pragma once
 
+#include "chicoryrouter/bounded_counter.h"
 #include "chicoryrouter/claim.h"
 #include "chicoryrouter/request_machine.h"
 #include "shell/endpoint_dialect.h"
@@ -65,6 +66,7 @@
         endpoint_ptr where;
         std::shared_ptr<http_stream> stream; // null until the answer's head is there
         std::shared_ptr<call_handle> handle = std::make_shared<call_handle>(); // to let go before that
+        std::unique_ptr<scoped_count<std::uint32_t>> awaiting; // from the send to the answer's head
         bool cancelled = false;
     };
 
@@ -96,7 +98,7 @@
     boost::asio::awaitable<std::optional<attempt_fault>> readWhole(std::shared_ptr<open_attempt> open, std::uint32_t number);
     static boost::asio::awaitable<void> skipBody(std::shared_ptr<open_attempt> open);
     [[nodiscard]] engine_call callFor(const send_attempt &action) const;
-    void takeHead(const http_stream &answer);
+    void takeHead(const std::shared_ptr<open_attempt> &open);
     boost::asio::awaitable<bool> readEvents(std::shared_ptr<open_attempt> open, std::uint32_t number, engine_call call);
     void placePiece(engine_event &piece, std::uint32_t attempt);
     boost::asio::awaitable<void> runTransfer(transfer_kv action);
--- /dev/null
+++ b/tests/support/hosted_platform.h
@@ -0,0 +1,156 @@
+// The users' platform, small and in process: its store with watches, conditions and leases, its endpoints, its calls of duty.
+// Faults are knobs. What it saw is kept, so that tests judge by what callers and endpoints see.
+#pragma once
+
+#include "chicoryrouter/settings.h"
+#include "shell/http.h"
+#include "shell/worker_pool.h"
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace chicoryrouter {
+
+// ---- The store -------------------------------------------------------------------------------------------------------------------------
+
+struct hosted_store_faults
+{
+    std::atomic<bool> down{false};       // answers nothing
+    std::atomic<bool> refusing{false};   // 503 to everything
+    std::atomic<int> loseReplies{0};     // so many changes take effect and their answers are lost
+    std::atomic<bool> forgetful{false};  // watches are told that their history is gone, once each
+};
+
+class hosted_store
+{
+public:
+    explicit hosted_store(worker_pool &workers);
+
+    hosted_store_faults faults;
+
+    [[nodiscard]] address where() const { return {"127.0.0.1", m_server.port()}; }
+    void put(const std::string &key, const std::string &value);      // as operators and endpoints do
+    void remove(const std::string &key);
+    [[nodiscard]] std::string value(const std::string &key);         // decoded; empty when there is none
+    [[nodiscard]] std::vector<std::string> keys(const std::string &prefix);
+    void lapseLeases();                                              // all leases run out at once
+    [[nodiscard]] std::uint64_t calls() const { return m_calls; }
+
+private:
+    struct item
+    {
+        std::string value; // base64
+        std::uint64_t revision = 0;
+        std::uint64_t createdAt = 0;
+        std::uint64_t lease = 0;
+    };
+    struct change
+    {
+        std::string key;
+        std::uint64_t revision = 0;
+        bool deleted = false;
+        item now;
+    };
+    struct lease
+    {
+        time_point until{};
+        duration term{};
+    };
+
+    boost::asio::awaitable<void> handle(http_exchange &exchange);
+    boost::asio::awaitable<void> answerWatch(http_exchange &exchange);
+    boost::asio::awaitable<void> answerChange(http_exchange &exchange);
+    nlohmann::json itemJson(const std::string &key, const item &held) const;
+    void write(const std::string &key, std::string encoded, std::uint64_t lease); // the three below with the lock held
+    void erase(const std::string &key);
+    void endLapsed();
+
+    std::mutex m_lock;
+    std::map<std::string, item> m_items;
+    std::vector<change> m_changes;
+    std::map<std::uint64_t, lease> m_leases;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_nextLease = 1000;
+    std::set<std::uint64_t> m_forgotten; // revisions at which a watch was already told to list again
+    std::atomic<std::uint64_t> m_calls{0};
+    http_server m_server; // last: it serves from construction on
+};
+
+// ---- Endpoints -------------------------------------------------------------------------------------------------------------------------
+
+struct hosted_endpoint_faults
+{
+    std::atomic<int> refuseNext{0};       // so many requests are refused with the proof that they did not run
+    std::atomic<int> failNext{0};         // answered 500 after running
+    std::atomic<int> cutNext{0};          // cut after half of the answer
+    std::atomic<int> foreignNext{0};      // answered under another request's id
+    std::atomic<int> silentNext{0};       // run and never answered
+    std::atomic<bool> otherInstance{false}; // its address has another endpoint now
+    std::atomic<std::int64_t> workMillis{0}; // before the answer, and between two events
+};
+
+class hosted_endpoint
+{
+public:
+    hosted_endpoint(worker_pool &workers, std::string id);
+
+    hosted_endpoint_faults faults;
+
+    [[nodiscard]] const std::string &id() const { return m_id; }
+    [[nodiscard]] address where() const { return {"127.0.0.1", m_server.port()}; }
+    [[nodiscard]] std::map<std::string, int> runs();              // by request id
+    [[nodiscard]] std::vector<http_request> seen();               // requests as they arrived, refused ones too
+    [[nodiscard]] std::string entry(const std::string &service, const std::string &domain, const std::string &state = "ready") const;
+
+private:
+    boost::asio::awaitable<void> handle(http_exchange &exchange);
+    boost::asio::awaitable<void> stream(http_exchange &exchange, bool cut);
+
+    std::string m_id;
+    std::mutex m_lock;
+    std::map<std::string, int> m_runs;
+    std::vector<http_request> m_seen;
+    http_server m_server; // last
+};
+
+inline constexpr std::uint32_t hostedEvents = 6; // of every stream
+std::string hostedEvent(std::uint32_t number);
+
+// ---- Duties ----------------------------------------------------------------------------------------------------------------------------
+
+struct duty_call
+{
+    std::string path;
+    std::string holder;
+    std::uint64_t fencing = 0;
+    nlohmann::json body;
+};
+
+class hosted_cloud
+{
+public:
+    explicit hosted_cloud(worker_pool &workers);
+
+    std::atomic<int> status{200};
+    [[nodiscard]] address where() const { return {"127.0.0.1", m_server.port()}; }
+    [[nodiscard]] std::vector<duty_call> calls();
+
+private:
+    std::mutex m_lock;
+    std::vector<duty_call> m_calls;
+    http_server m_server; // last
+};
+
+// ---- A deployment ----------------------------------------------------------------------------------------------------------------------
+
+settings hostedSettings(const std::string &name, const std::string &domain, const hosted_store &store, const hosted_cloud *cloud);
+nlohmann::json hostedConfiguration(); // one model service "writer", one plain service "shop", three routes, one account with key "key-1"
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/tests/unit/hosted.cpp
@@ -0,0 +1,332 @@
+// Real daemons on the hosted platform's stand-ins, on loopback: judged by what callers, endpoints, the store and the cloud see.
+// Waits are bounded generously, and no check depends on how fast anything was.
+#include "support/hosted_platform.h"
+
+#include "hosted_daemon.h"
+#include "shell/clock.h"
+#include "standin/sync_client.h"
+
+#include <criterion/criterion.h>
+
+#include <functional>
+#include <thread>
+
+using namespace chicoryrouter;
+using namespace std::chrono_literals;
+using nlohmann::json;
+
+namespace {
+
+constexpr duration patience = 20s;
+
+bool eventually(const std::function<bool()> &holds)
+{
+    const time_point until = systemNow() + patience;
+    while (systemNow() < until) {
+        if (holds()) {
+            return true;
+        }
+        std::this_thread::sleep_for(5ms);
+    }
+    return holds();
+}
+
+// One daemon, two model endpoints and two plain ones.
+struct small_deployment
+{
+    explicit small_deployment(json configuration = hostedConfiguration())
+    {
+        store.put("op/config", configuration.dump());
+        for (hosted_endpoint *item : {&writer1, &writer2}) {
+            store.put("servers/" + item->id(), item->entry("writer", "west-1"));
+        }
+        for (hosted_endpoint *item : {&shop1, &shop2}) {
+            store.put("servers/" + item->id(), item->entry("shop", "west-1"));
+        }
+    }
+
+    void start(const std::string &name = "entry-1")
+    {
+        routers.push_back(std::make_unique<platform::hosted_daemon>(hostedSettings(name, "west-1", store, &cloud)));
+        cr_assert(eventually([this] { return routers.back()->isReady() && routers.back()->endpointsKnown() >= 4; }), "the daemon did not become ready");
+    }
+
+    sync_client::partial_response ask(const std::string &method, const std::string &target, const std::string &id, http_headers extra = {})
+    {
+        http_call call;
+        call.method = method;
+        call.target = target;
+        call.headers = {{"Host", "tassel.example"}, {"X-Request-Id", id}, {"X-Api-Key", "key-1"}, {"X-Deadline-Ms", "10000"}};
+        call.headers.insert(call.headers.end(), extra.begin(), extra.end());
+        sync_client client;
+        return client.callUntilCut(routers.front()->gateway(), call);
+    }
+
+    int runsOf(const std::string &id)
+    {
+        int all = 0;
+        for (hosted_endpoint *item : {&writer1, &writer2, &shop1, &shop2}) {
+            all += item->runs()[id];
+        }
+        return all;
+    }
+
+    worker_pool workers{2};
+    hosted_store store{workers};
+    hosted_cloud cloud{workers};
+    hosted_endpoint writer1{workers, "writer-1"};
+    hosted_endpoint writer2{workers, "writer-2"};
+    hosted_endpoint shop1{workers, "shop-1"};
+    hosted_endpoint shop2{workers, "shop-2"};
+    std::vector<std::unique_ptr<platform::hosted_daemon>> routers;
+};
+
+std::string wholeStream()
+{
+    std::string text;
+    for (std::uint32_t number = 1; number <= hostedEvents; ++number) {
+        text += hostedEvent(number);
+    }
+    return text;
+}
+
+} // namespace
+
+Test(hosted, each_kind_of_request_is_answered_byte_for_byte)
+{
+    small_deployment all;
+    all.start();
+    const auto draft = all.ask("POST", "/write/long?x=1", "d1");
+    cr_assert_eq(draft.response.status, 200);
+    cr_assert(draft.whole && draft.response.body == wholeStream(), "got: %s", draft.response.body.c_str());
+    cr_assert(findHeader(draft.response.headers, "X-Response-Seal").substr(0, 5) == "seal-");
+    const auto order = all.ask("POST", "/order/1", "o1");
+    cr_assert_eq(order.response.status, 200);
+    cr_assert(order.response.body == "answer to /order/1");
+    const auto look = all.ask("GET", "/look/cord?colour=teal", "l1");
+    cr_assert(look.response.body == "answer to /look/cord?colour=teal");
+    cr_assert_eq(all.runsOf("d1") + all.runsOf("o1") + all.runsOf("l1"), 3);
+}
+
+Test(hosted, what_endpoints_are_told_is_the_routers_own_word)
+{
+    small_deployment all;
+    all.start();
+    all.ask("POST", "/order/1", "o1", {{"X-Tenant", "forged"}, {"X-Target-Instance", "forged"}, {"Connection", "X-Secret"}, {"X-Secret", "s"}, {"X-Other", "kept"}});
+    std::vector<http_request> seen = all.shop1.seen();
+    const std::vector<http_request> more = all.shop2.seen();
+    seen.insert(seen.end(), more.begin(), more.end());
+    cr_assert_eq(seen.size(), 1);
+    cr_assert(seen[0].header("X-Tenant") == "guild");
+    cr_assert(seen[0].header("X-Target-Instance").substr(0, 5) == "shop-");
+    cr_assert(seen[0].header("X-Api-Key").empty() && seen[0].header("X-Secret").empty());
+    cr_assert(seen[0].header("X-Other") == "kept" && seen[0].header("Host") == "tassel.example");
+    cr_assert_leq(std::stoi(std::string(seen[0].header("X-Deadline-Ms"))), 3000);
+}
+
+Test(hosted, a_proved_refusal_goes_elsewhere_and_an_order_runs_once)
+{
+    small_deployment all;
+    all.start();
+    all.shop1.faults.refuseNext = 1;
+    all.shop2.faults.refuseNext = 1;
+    const auto order = all.ask("POST", "/order/1", "o1");
+    cr_assert_eq(order.response.status, 200);
+    cr_assert_eq(all.runsOf("o1"), 1);
+}
+
+Test(hosted, a_failed_order_is_never_repeated_and_never_called_not_run)
+{
+    small_deployment all;
+    all.start();
+    all.shop1.faults.cutNext = 1;
+    all.shop2.faults.cutNext = 1;
+    const auto cut = all.ask("POST", "/order/1", "o1");
+    cr_assert_eq(cut.response.status, 502);
+    cr_assert_eq(all.runsOf("o1"), 1);
+    all.shop1.faults.cutNext = 0;
+    all.shop2.faults.cutNext = 0;
+    all.shop1.faults.failNext = 1;
+    all.shop2.faults.failNext = 1;
+    const auto failed = all.ask("POST", "/order/2", "o2");
+    cr_assert_eq(failed.response.status, 500, "the endpoint's own answer is passed on");
+    cr_assert_eq(all.runsOf("o2"), 1);
+}
+
+Test(hosted, a_lookup_that_failed_is_asked_elsewhere_once)
+{
+    small_deployment all;
+    all.start();
+    all.shop1.faults.failNext = 1;
+    all.shop2.faults.failNext = 1;
+    const auto look = all.ask("GET", "/look/1", "l1");
+    cr_assert_eq(look.response.status, 500);
+    cr_assert_eq(all.runsOf("l1"), 2);
+    all.shop1.faults.failNext = 1;
+    cr_assert_eq(all.ask("GET", "/look/2", "l2").response.status, 200);
+}
+
+Test(hosted, a_resumable_stream_goes_on_where_it_was_cut_and_another_is_seen_to_be_cut)
+{
+    small_deployment all;
+    all.start();
+    all.writer1.faults.cutNext = 1;
+    all.writer2.faults.cutNext = 1;
+    const auto draft = all.ask("POST", "/write/1", "d1");
+    cr_assert(!draft.whole, "a cut stream must not look whole");
+    cr_assert_eq(all.runsOf("d1"), 1);
+    all.writer1.faults.cutNext = 0;
+    all.writer2.faults.cutNext = 0;
+    all.writer1.faults.cutNext = 1;
+    const auto chat = all.ask("POST", "/chat/1", "c1");
+    const auto again = all.ask("POST", "/chat/2", "c2");
+    cr_assert(chat.whole && chat.response.body == wholeStream(), "got: %s", chat.response.body.c_str());
+    cr_assert(again.whole && again.response.body == wholeStream());
+}
+
+Test(hosted, another_requests_answer_is_never_passed_on)
+{
+    small_deployment all;
+    all.start();
+    all.shop1.faults.foreignNext = 1;
+    all.shop2.faults.foreignNext = 1;
+    const auto order = all.ask("POST", "/order/1", "o1");
+    cr_assert_eq(order.response.status / 100, 5);
+    cr_assert(findHeader(order.response.headers, "X-Response-Seal").empty());
+    cr_assert_eq(all.runsOf("o1"), 1);
+}
+
+Test(hosted, a_reused_address_is_noticed)
+{
+    small_deployment all;
+    all.start();
+    all.shop1.faults.otherInstance = true;
+    for (int i = 0; i < 4; ++i) {
+        cr_assert_eq(all.ask("POST", "/order/1", "o" + std::to_string(i)).response.status, 200);
+    }
+    cr_assert(all.shop1.runs().empty());
+}
+
+Test(hosted, keys_and_routes_come_and_go_with_the_configuration)
+{
+    small_deployment all;
+    all.start();
+    json next = hostedConfiguration();
+    next["Version"] = 2;
+    next["Tenants"][0]["ApiKeys"] = {"key-2"};
+    all.store.put("op/config", next.dump());
+    cr_assert(eventually([&] { return all.ask("POST", "/order/1", "k").response.status == 401; }));
+    next["Version"] = 3;
+    next["Tenants"][0]["ApiKeys"] = {"key-1"};
+    next["Routes"].erase(2);
+    all.store.put("op/config", next.dump());
+    cr_assert(eventually([&] { return all.ask("POST", "/order/1", "r").response.status == 404; }));
+    cr_assert_eq(all.ask("GET", "/look/1", "l").response.status, 200);
+}
+
+Test(hosted, an_account_over_its_tokens_is_told_when_to_come_back)
+{
+    json configuration = hostedConfiguration();
+    configuration["Tenants"][0]["RatePerS"] = 10;
+    configuration["Tenants"][0]["Burst"] = 300;
+    small_deployment all(configuration);
+    all.start();
+    int refused = 0;
+    for (int i = 0; i < 6; ++i) {
+        const auto answer = all.ask("POST", "/order/1", "o" + std::to_string(i));
+        if (answer.response.status == 429) {
+            ++refused;
+            cr_assert(!findHeader(answer.response.headers, "Retry-After").empty());
+            cr_assert_eq(all.runsOf("o" + std::to_string(i)), 0);
+        }
+    }
+    cr_assert_geq(refused, 3);
+}
+
+Test(hosted, a_leaving_endpoint_gets_no_new_work)
+{
+    small_deployment all;
+    all.start();
+    all.store.put("servers/shop-1", all.shop1.entry("shop", "west-1", "draining"));
+    all.store.put("servers/broken", "not JSON");
+    all.store.put("servers/odd", R"({"Service":"shop","Address":7})");
+    cr_assert(eventually([&] { return all.routers.front()->leaving("shop-1"); }));
+    for (int i = 0; i < 5; ++i) {
+        cr_assert_eq(all.ask("POST", "/order/1", "o" + std::to_string(i)).response.status, 200);
+    }
+    cr_assert(all.shop1.runs().empty());
+}
+
+Test(hosted, the_last_good_state_serves_while_the_store_is_away)
+{
+    small_deployment all;
+    all.start();
+    all.store.faults.down = true;
+    std::this_thread::sleep_for(1500ms);
+    cr_assert_eq(all.ask("POST", "/order/1", "o1").response.status, 200);
+    cr_assert(all.routers.front()->isReady());
+    all.store.lapseLeases();
+    json next = hostedConfiguration();
+    next["Version"] = 2;
+    next["Routes"].erase(2);
+    all.store.put("op/config", next.dump());
+    all.store.faults.down = false;
+    cr_assert(eventually([&] { return all.ask("POST", "/order/1", "o2").response.status == 404; }));
+    cr_assert(eventually([&] { return all.store.keys("chicory/member/").size() == 1; }), "its entry is back");
+}
+
+Test(hosted, a_forgotten_history_is_listed_again)
+{
+    small_deployment all;
+    all.start();
+    all.store.faults.forgetful = true;
+    json next = hostedConfiguration();
+    next["Version"] = 2;
+    next["Routes"].erase(2);
+    all.store.put("op/config", next.dump());
+    cr_assert(eventually([&] { return all.ask("POST", "/order/1", "o2").response.status == 404; }));
+}
+
+Test(hosted, one_daemon_carries_the_duties_and_each_window_is_reported_once)
+{
+    small_deployment all;
+    all.start("entry-1");
+    all.start("entry-2");
+    for (int i = 0; i < 5; ++i) {
+        all.ask("POST", "/order/1", "o" + std::to_string(i));
+    }
+    std::map<std::uint64_t, json> reports;
+    const auto counted = [&] {
+        std::uint64_t sum = 0;
+        for (const duty_call &call : all.cloud.calls()) {
+            if (call.path == "/usage") {
+                const auto [place, fresh] = reports.try_emplace(call.body.at("Window"), call.body.at("Counts"));
+                cr_assert(fresh || place->second == call.body.at("Counts"), "two different reports of one window");
+            }
+        }
+        for (const auto &[window, counts] : reports) {
+            sum += counts.value("guild", std::uint64_t{0});
+        }
+        return sum;
+    };
+    cr_assert(eventually([&] { return counted() == 5; }), "counted %lu", static_cast<unsigned long>(counted()));
+    std::set<std::string> holders;
+    for (const duty_call &call : all.cloud.calls()) {
+        holders.insert(call.holder);
+    }
+    cr_assert_eq(holders.size(), 1);
+}
+
+Test(hosted, a_planned_stop_finishes_what_is_open)
+{
+    small_deployment all;
+    all.start();
+    all.writer1.faults.workMillis = 150;
+    all.writer2.faults.workMillis = 150;
+    sync_client::partial_response answer;
+    std::thread caller([&] { answer = all.ask("POST", "/write/1", "d1"); });
+    cr_assert(eventually([&] { return all.runsOf("d1") == 1; }));
+    all.routers.front()->stop();
+    caller.join();
+    cr_assert(answer.whole && answer.response.body == wholeStream());
+}
