--- a/include/chicoryrouter/agreement.h
+++ b/include/chicoryrouter/agreement.h
@@ -67,7 +67,7 @@
     std::size_t cellsPerMessage = 12;
     std::size_t demandsPerMessage = 8;
     document_reader reader = parseDocument; // of the documents that are offered and pulled
-    std::size_t smallDeployment = 16; // members up to which every daemon hears everything; above, domains hear sums of each other
+    std::size_t smallDeployment = 16;       // members up to which every daemon hears everything; above, domains hear sums of each other
 };
 
 class agreement
--- a/include/chicoryrouter/dispatcher.h
+++ b/include/chicoryrouter/dispatcher.h
@@ -34,7 +34,7 @@
     void giveBack();
     bool tryTakeTokens(std::int64_t tokens); // takes them when any are left, also more than are left; false when none are
     void refill(std::int64_t perSecond, std::int64_t most, duration since, std::int64_t takenElsewhere); // control strand only
-    [[nodiscard]] duration backIn() const;   // time until tokens are left again
+    [[nodiscard]] duration backIn() const;                                                               // time until tokens are left again
 };
 
 struct slot_request
--- a/include/chicoryrouter/document.h
+++ b/include/chicoryrouter/document.h
@@ -88,17 +88,17 @@
 // What a route promises its callers. The spans are promises relative to a request's arrival; a request stores the deadlines made of them.
 struct contract
 {
-    std::string route;        // unique name; for model services also the `model` callers ask for
-    std::string service;      // name of the service behind it
+    std::string route;                // unique name; for model services also the `model` callers ask for
+    std::string service;              // name of the service behind it
     std::vector<service_share> split; // the services behind it when there are several; empty: `service` alone
-    std::string host;         // the Host that callers name; empty: any
-    std::string path;         // plain services and relayed ones: path prefix; empty for model services by name
-    bool open = false;        // true: needs no client account
-    bool streamed = false;    // true: the answer is a stream of numbered events
-    std::uint32_t maxAttempts = 0; // endpoints that may run one request; 0: three retries at most
-    bool repeatable = false;  // true: idempotent, may be sent again or hedged
-    bool mustFinish = false;  // true: goes on although the caller left, and is copied to a peer before it is accepted
-    bool keyRequired = false; // true: callers must send an Idempotency-Key
+    std::string host;                 // the Host that callers name; empty: any
+    std::string path;                 // plain services and relayed ones: path prefix; empty for model services by name
+    bool open = false;                // true: needs no client account
+    bool streamed = false;            // true: the answer is a stream of numbered events
+    std::uint32_t maxAttempts = 0;    // endpoints that may run one request; 0: three retries at most
+    bool repeatable = false;          // true: idempotent, may be sent again or hedged
+    bool mustFinish = false;          // true: goes on although the caller left, and is copied to a peer before it is accepted
+    bool keyRequired = false;         // true: callers must send an Idempotency-Key
     priority rank = priority::Normal;
     duration firstTokenTarget{};    // from arrival to the first token; zero: none stated
     duration betweenTokensTarget{}; // between two tokens; zero: none stated
@@ -111,13 +111,13 @@
 struct version_move
 {
     std::string service;
-    std::string from;     // version that serves now
-    std::string to;       // version that should serve
-    time_point startAt{}; // no share before this moment
-    time_point doneBy{};  // by this moment the move is done or taken back
-    duration lasts{}; // where no moment is stated: the move is to be over so long after a daemon learns of it; zero: see above
+    std::string from;              // version that serves now
+    std::string to;                // version that should serve
+    time_point startAt{};          // no share before this moment
+    time_point doneBy{};           // by this moment the move is done or taken back
+    duration lasts{};              // where no moment is stated: the move is to be over so long after a daemon learns of it; zero: see above
     std::optional<bool> settled{}; // already decided before this daemon learnt of it: true, done; false, taken back
-    std::uint64_t order = 0; // the operators' order that it comes from, the same at every daemon; 0: identified by its dates
+    std::uint64_t order = 0;       // the operators' order that it comes from, the same at every daemon; 0: identified by its dates
 };
 
 // ---- Placement -------------------------------------------------------------------------------------------------------------------------
@@ -131,7 +131,7 @@
 {
     std::string failureDomain;
     instance_class cls = instance_class::Reclaimable;
-    double perHour = 0.0; // in the operators' currency
+    double perHour = 0.0;  // in the operators' currency
     std::string service{}; // the one it holds for; empty: all
 };
 
@@ -158,10 +158,10 @@
     [[nodiscard]] const service *findService(std::string_view name) const; // null when there is none
     [[nodiscard]] const failure_domain *findFailureDomain(std::string_view name) const;
     [[nodiscard]] const client_account *findAccountByTokenHash(std::string_view hash) const;
-    [[nodiscard]] const contract *findModelRoute(std::string_view model) const; // route of a model service by name
-    [[nodiscard]] const contract *findPlainRoute(std::string_view path) const;  // longest matching path prefix
+    [[nodiscard]] const contract *findModelRoute(std::string_view model) const;                         // route of a model service by name
+    [[nodiscard]] const contract *findPlainRoute(std::string_view path) const;                          // longest matching path prefix
     [[nodiscard]] const contract *findRelayedRoute(std::string_view host, std::string_view path) const; // of this host, longest matching path prefix
-    [[nodiscard]] const version_move *findMove(std::string_view service) const; // a service has at most one open move
+    [[nodiscard]] const version_move *findMove(std::string_view service) const;                         // a service has at most one open move
 };
 
 // A document as it is in force: with its place in the order of all documents.
@@ -175,13 +175,13 @@
 
 inline constexpr std::size_t maxDocumentBytes = 900 * 1000; // the key-value service holds values up to 1 MB; the rest is envelope
 
-document parseDocument(std::string_view yaml);                                                 // throws error(InvalidDocument) naming every fault
-using document_reader = document (*)(std::string_view text);                                  // parseDocument, or a platform's own
+document parseDocument(std::string_view yaml);               // throws error(InvalidDocument) naming every fault
+using document_reader = document (*)(std::string_view text); // parseDocument, or a platform's own
 revisioned_document makeRevisioned(std::uint64_t revision, std::string text, document_reader reader = parseDocument); // read and hash; same errors
-std::vector<std::string> documentDifferences(std::string_view before, std::string_view after); // one line for each changed field
-std::string documentJson(std::string_view yaml);                                               // the same document as JSON, for forms; comments are lost
-std::string documentSchema();                                                                  // the published JSON schema
-std::string hashToken(std::string_view token);                                                 // SHA-256 in lower-case hex
+std::vector<std::string> documentDifferences(std::string_view before, std::string_view after);                        // one line for each changed field
+std::string documentJson(std::string_view yaml); // the same document as JSON, for forms; comments are lost
+std::string documentSchema();                    // the published JSON schema
+std::string hashToken(std::string_view token);   // SHA-256 in lower-case hex
 
 std::string_view toText(priority rank);
 std::string_view toText(instance_class cls);
--- a/include/chicoryrouter/endpoint.h
+++ b/include/chicoryrouter/endpoint.h
@@ -40,8 +40,8 @@
     std::atomic<std::uint32_t> firstTokenMicros{0}; // moving average of observed times to the first token, in microseconds; 0: not measured
     std::atomic<std::uint32_t> reportedPermille{0}; // moving average of reported load over what it runs at once, over all daemons; 0: not measured
 
-    std::atomic<bool> paced{false};            // cold: new work only against `paceTokens`
-    std::atomic<std::uint32_t> paceTokens{0};  // requests this daemon may start there while it is cold; refilled by the control strand
+    std::atomic<bool> paced{false};           // cold: new work only against `paceTokens`
+    std::atomic<std::uint32_t> paceTokens{0}; // requests this daemon may start there while it is cold; refilled by the control strand
 
     std::atomic<bool> leaving{false}; // on notice: whoever holds a slot and has not sent yet goes elsewhere
 
--- a/include/chicoryrouter/fleet.h
+++ b/include/chicoryrouter/fleet.h
@@ -25,10 +25,10 @@
     address where;
     std::string startToken{}; // of the start that made it; empty: not started by a placer
     bool leaving = false;
-    time_point leaveBy = noDeadline;  // when it will be gone, if leaving
-    std::uint32_t slots = 0;          // requests it runs at once, as it says itself; 0: the document says
-    std::uint64_t bornAt = 0;         // tells its starts apart: a new start holds and knows nothing; 0: not stated
-    time_point coldUntil{};           // bears less until then
+    time_point leaveBy = noDeadline; // when it will be gone, if leaving
+    std::uint32_t slots = 0;         // requests it runs at once, as it says itself; 0: the document says
+    std::uint64_t bornAt = 0;        // tells its starts apart: a new start holds and knows nothing; 0: not stated
+    time_point coldUntil{};          // bears less until then
 };
 
 // An endpoint of which it became known that it leaves: open streams must be moved by `leaveBy`.
@@ -46,8 +46,8 @@
     std::string version;
     std::string route;
     attempt_result result = attempt_result::Answered;
-    duration firstToken{}; // zero: none was seen
-    std::uint32_t openThere = 0;                // requests that the endpoint said it held, running and waiting; with `reportsLoad` only
+    duration firstToken{};       // zero: none was seen
+    std::uint32_t openThere = 0; // requests that the endpoint said it held, running and waiting; with `reportsLoad` only
     bool reportsLoad = false;
 };
 
@@ -75,8 +75,8 @@
     void onPaceTime(time_point now);  // hands out new work for cold endpoints; call at least ten times a second
     void barVersion(const std::string &service, const std::string &version, bool barred); // services whose versions come with their endpoints
 
-    std::shared_ptr<const routing_table> buildTable();     // also sets every endpoint's slots
-    [[nodiscard]] bool isDirty() const { return m_dirty; } // something changed since the last buildTable()
+    std::shared_ptr<const routing_table> buildTable();                                   // also sets every endpoint's slots
+    [[nodiscard]] bool isDirty() const { return m_dirty; }                               // something changed since the last buildTable()
     [[nodiscard]] const std::vector<endpoint_ptr> &endpoints() const { return m_built; } // as of the last buildTable(); cheap
     [[nodiscard]] std::vector<endpoint_status> status() const;
 
@@ -118,9 +118,9 @@
     std::shared_ptr<const revisioned_document> m_inForce = std::make_shared<revisioned_document>();
     std::vector<std::uint64_t> m_members;
     std::vector<version_share> m_shares;
-    std::map<std::string, known_endpoint> m_endpoints; // by id
+    std::map<std::string, known_endpoint> m_endpoints;      // by id
     std::set<std::pair<std::string, std::string>> m_barred; // service and version that a move took back
-    std::map<std::string, duration> m_usual;           // service -> moving average of first-token times
+    std::map<std::string, duration> m_usual;                // service -> moving average of first-token times
     std::vector<endpoint_ptr> m_built;
     bool m_dirty = true;
 };
--- a/include/chicoryrouter/request_machine.h
+++ b/include/chicoryrouter/request_machine.h
@@ -162,7 +162,7 @@
     [[nodiscard]] bool isOver() const { return m_over; }
     [[nodiscard]] bool isAccepted() const { return m_sends > 0 || m_facts.wasAccepted; }
     [[nodiscard]] bool mayTryAgain() const; // a failed answer is better not shown: another attempt is allowed
-    [[nodiscard]] bool mayHaveRun() const; // a byte may have left and nothing proved that it did not run
+    [[nodiscard]] bool mayHaveRun() const;  // a byte may have left and nothing proved that it did not run
     [[nodiscard]] std::uint32_t delivered() const { return m_delivered; }
     [[nodiscard]] std::uint32_t recomputedTokens() const { return m_recomputed; }
     [[nodiscard]] const request_facts &facts() const { return m_facts; }
@@ -218,7 +218,7 @@
     std::uint32_t m_sends = 0; // attempts sent; also the newest attempt's number
     std::uint32_t m_retries = 0;
     std::uint32_t m_provedNotRun = 0; // attempts of which no byte left, or that the endpoint proved not to have run; <= m_sends
-    std::uint32_t m_delivered = 0; // tokens given to the caller; only grows
+    std::uint32_t m_delivered = 0;    // tokens given to the caller; only grows
     std::uint32_t m_recomputed = 0;
     bool m_ranUnknown = false; // an attempt is over that may have run; only ever goes from false to true
     bool m_hedged = false;
--- a/include/chicoryrouter/scaling.h
+++ b/include/chicoryrouter/scaling.h
@@ -83,10 +83,10 @@
     void standIn(std::map<place, std::uint32_t> &counts, const std::map<place, std::uint32_t> &present, std::uint32_t mostPerDomain, time_point now) const;
 
     demand_meter m_demand{std::chrono::seconds(8)};
-    time_point m_seenFrom = noDeadline;           // since when load was observed
+    time_point m_seenFrom = noDeadline; // since when load was observed
     std::uint32_t m_wanted = 0;
     std::map<place, standing_order> m_ordered;
-    std::map<place, time_point> m_noneUntil;      // refused: not asked again before
+    std::map<place, time_point> m_noneUntil; // refused: not asked again before
 };
 
 } // namespace chicoryrouter
--- a/include/chicoryrouter/usage_ledger.h
+++ b/include/chicoryrouter/usage_ledger.h
@@ -22,7 +22,7 @@
 
     [[nodiscard]] std::uint64_t windowAt(time_point wallNow) const;
     [[nodiscard]] time_point endOf(std::uint64_t window) const;
-    [[nodiscard]] usage_counts countsOf(std::uint64_t window) const;                            // empty when nothing began in it
+    [[nodiscard]] usage_counts countsOf(std::uint64_t window) const; // empty when nothing began in it
     [[nodiscard]] const std::map<std::uint64_t, usage_counts> &windows() const { return m_windows; }
 
 private:
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -26,7 +26,8 @@
         return true;
     }
     std::int64_t left = tokensLeft.load(std::memory_order_relaxed);
-    while (left > 0 && !tokensLeft.compare_exchange_weak(left, left - tokens, std::memory_order_relaxed)) { }
+    while (left > 0 && !tokensLeft.compare_exchange_weak(left, left - tokens, std::memory_order_relaxed)) {
+    }
     if (left <= 0) {
         return false;
     }
--- a/src/core/endpoint.cpp
+++ b/src/core/endpoint.cpp
@@ -13,7 +13,8 @@
         return tryCountIn(inFlight, slots);
     }
     std::uint32_t left = paceTokens.load(std::memory_order_relaxed);
-    while (left > 0 && !paceTokens.compare_exchange_weak(left, left - 1, std::memory_order_relaxed)) { }
+    while (left > 0 && !paceTokens.compare_exchange_weak(left, left - 1, std::memory_order_relaxed)) {
+    }
     return left > 0 && tryCountIn(inFlight, slots);
 }
 
--- a/src/core/request_machine.cpp
+++ b/src/core/request_machine.cpp
@@ -15,8 +15,8 @@
 constexpr duration firstRetryDelay = 50ms;
 constexpr duration longestRetryDelay = 2s;
 constexpr duration shortestQuietLimit = 2s;
-constexpr std::int64_t quietTargets = 20; // an attempt silent for this many between-token targets is taken as failed
-constexpr std::uint32_t mostRetries = 3;  // for requests that need not finish
+constexpr std::int64_t quietTargets = 20;       // an attempt silent for this many between-token targets is taken as failed
+constexpr std::uint32_t mostRetries = 3;        // for requests that need not finish
 constexpr std::uint32_t mostProvedRefusals = 2; // sends beyond the route's own bound, all to endpoints that proved not to have run it
 
 template<typename... Parts>
--- a/src/core/scaling.cpp
+++ b/src/core/scaling.cpp
@@ -11,11 +11,11 @@
 using namespace std::chrono_literals;
 
 constexpr double wantedUtilisation = 0.55; // of an endpoint's time by prompts; leaves room for a burst as long as new endpoints need to boot
-constexpr double wantedSlotsPart = 0.5;   // of its slots
-constexpr double promptPart = 0.75;       // of the endpoints: must be left after the loss of one failure domain's reclaimable ones
+constexpr double wantedSlotsPart = 0.5;    // of its slots
+constexpr double promptPart = 0.75;        // of the endpoints: must be left after the loss of one failure domain's reclaimable ones
 constexpr std::uint32_t leastEndpoints = 3;
-constexpr duration learnFor = 4s;        // load is observed for so long before anything is ordered
-constexpr duration repeatAfter = 8s;     // boot time and more
+constexpr duration learnFor = 4s;    // load is observed for so long before anything is ordered
+constexpr duration repeatAfter = 8s; // boot time and more
 constexpr duration refusedFor = 4s;
 
 } // namespace
@@ -70,7 +70,8 @@
 
 // Where reclaimable ones were refused lately, those that run are kept, and on-demand ones stand in for the others: in the same failure
 // domain as far as its bound allows.
-void scale_planner::standIn(std::map<place, std::uint32_t> &counts, const std::map<place, std::uint32_t> &present, std::uint32_t mostPerDomain, time_point now) const
+void scale_planner::standIn(
+    std::map<place, std::uint32_t> &counts, const std::map<place, std::uint32_t> &present, std::uint32_t mostPerDomain, time_point now) const
 {
     for (const auto &[where, until] : m_noneUntil) {
         const auto planned = counts.find(where);
--- a/src/core/spending.cpp
+++ b/src/core/spending.cpp
@@ -14,7 +14,7 @@
 
 constexpr duration silentAfter = 700ms;         // several notes in a row did not come
 constexpr duration silentAfterPerMember = 30ms; // notes come more rarely in a large deployment
-constexpr duration goneAfter = 20s;     // neither heard nor present: whatever it was, it serves nobody any more
+constexpr duration goneAfter = 20s;             // neither heard nor present: whatever it was, it serves nobody any more
 
 } // namespace
 
@@ -24,8 +24,8 @@
     for (const auto &[service, load] : note.loads) {
         loads[service] = {static_cast<float>(load.open), static_cast<float>(load.awaiting)};
     }
-    const auto packed = json::to_msgpack({{"from", note.from}, {"start", note.start}, {"seq", note.sequence}, {"spent", note.spent}, {"loads", loads},
-        {"began", note.began}});
+    const auto packed = json::to_msgpack(
+        {{"from", note.from}, {"start", note.start}, {"seq", note.sequence}, {"spent", note.spent}, {"loads", loads}, {"began", note.began}});
     return {packed.begin(), packed.end()};
 }
 
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -27,11 +27,11 @@
 constexpr duration watchFor = 10s; // one waiting watch
 constexpr duration roleCheck = 1s; // whether this daemon is to watch
 constexpr duration callWithin = 2s;
-constexpr duration loadHalfLife = 700ms;  // of the averaged load
-constexpr std::uint64_t windowsTold = 2;  // of usage, before the present one
-constexpr duration toldWithin = 200ms;    // after a window's end its counts are in the next notes
-constexpr duration noteInterval = 100ms;  // between two notes of what is spent
-constexpr duration notePerMember = 10ms;  // the least for each member
+constexpr duration loadHalfLife = 700ms; // of the averaged load
+constexpr std::uint64_t windowsTold = 2; // of usage, before the present one
+constexpr duration toldWithin = 200ms;   // after a window's end its counts are in the next notes
+constexpr duration noteInterval = 100ms; // between two notes of what is spent
+constexpr duration notePerMember = 10ms; // the least for each member
 constexpr duration readyWithoutList = 5s;
 constexpr duration demandInterval = 5s;
 constexpr std::size_t watchersPerDomain = 2; // of the configuration and of the instance list
@@ -54,8 +54,12 @@
 
 } // namespace
 
-control::control(
-    const settings &own, request_host &host, gateway &front, copy_keeper &copies, std::shared_ptr<store_counters> stores, std::shared_ptr<peer_counters> links,
+control::control(const settings &own,
+    request_host &host,
+    gateway &front,
+    copy_keeper &copies,
+    std::shared_ptr<store_counters> stores,
+    std::shared_ptr<peer_counters> links,
     control_source source)
     : m_own(own)
     , m_source(std::move(source))
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -4,8 +4,8 @@
 
 #include "chicoryrouter/agreement.h"
 #include "chicoryrouter/settings.h"
-#include "shell/copy_keeper.h"
 #include "chicoryrouter/spending.h"
+#include "shell/copy_keeper.h"
 #include "shell/gateway.h"
 #include "shell/note_link.h"
 #include "shell/peer_link.h"
@@ -29,8 +29,8 @@
 struct control_source
 {
     document_reader reader = parseDocument;
-    std::function<void(control &)> begin; // starts its loops on the control strand; empty: the standard ones run
-    std::function<void()> leave;          // this instance is about to stop
+    std::function<void(control &)> begin;                   // starts its loops on the control strand; empty: the standard ones run
+    std::function<void()> leave;                            // this instance is about to stop
     std::function<void(const attempt_outcome &)> onOutcome; // on the control strand; may stay empty
 };
 
@@ -65,7 +65,7 @@
     void refreshMoves();
     agreement &agreed() { return m_agreement; }
     void keepRunning(std::string name, std::function<boost::asio::awaitable<void>()> loop); // begun again should it end by a fault
-    void onBegan(const std::string &account); // any thread: an endpoint began to answer a request
+    void onBegan(const std::string &account);                                               // any thread: an endpoint began to answer a request
     // Requests that began to run in a window, over all daemons; `complete`: all that are present have told all of it.
     usage_counts usageOf(std::uint64_t window, bool &complete) const;
     [[nodiscard]] const usage_ledger &ownUsage() const { return m_usage; }
@@ -119,14 +119,14 @@
     spending_tally m_spending;                                       // of accounts that are limited by tokens
     std::unique_ptr<note_link> m_notes;                              // null: accounts are not limited by tokens here
     std::uint64_t m_noteSequence = 0;
-    usage_ledger m_usage;                                            // requests that began to run here
-    std::vector<std::pair<std::string, time_point>> m_began;         // guarded by m_outcomesLock: since the last tick
-    std::map<std::string, service_load> m_loads;                     // by service: what this daemon has open, averaged
-    time_point m_loadsAt{};                                          // when m_loads was last brought up to date
-    time_point m_noteAt{};                                           // when the next note is due
-    time_point m_refilledAt{};                                       // when tokens of accounts were last handed out
-    time_point m_demandFrom{};                                       // since when m_askedBefore counts
-    std::map<std::string, move_state> m_announced;                   // by service: the last state logged
+    usage_ledger m_usage;                                    // requests that began to run here
+    std::vector<std::pair<std::string, time_point>> m_began; // guarded by m_outcomesLock: since the last tick
+    std::map<std::string, service_load> m_loads;             // by service: what this daemon has open, averaged
+    time_point m_loadsAt{};                                  // when m_loads was last brought up to date
+    time_point m_noteAt{};                                   // when the next note is due
+    time_point m_refilledAt{};                               // when tokens of accounts were last handed out
+    time_point m_demandFrom{};                               // since when m_askedBefore counts
+    std::map<std::string, move_state> m_announced;           // by service: the last state logged
     std::mutex m_outcomesLock;
     std::vector<attempt_outcome> m_outcomes;  // of request threads, since the last tick
     std::string m_listText;                   // the newest instance list, for peers that do not poll it
--- a/src/shell/endpoint_dialect.h
+++ b/src/shell/endpoint_dialect.h
@@ -22,9 +22,9 @@
 public:
     virtual ~piece_reader() = default;
     virtual void feed(std::string_view bytes) = 0;
-    virtual std::optional<engine_event> next() = 0;               // throws error(EndpointGarbage) on what is no piece
-    [[nodiscard]] virtual bool wholeAtEnd() const = 0;            // the transport ended the answer properly: was it all of it?
-    [[nodiscard]] virtual bool statesRequest() const = 0;         // pieces carry request id and attempt, which are then checked
+    virtual std::optional<engine_event> next() = 0;       // throws error(EndpointGarbage) on what is no piece
+    [[nodiscard]] virtual bool wholeAtEnd() const = 0;    // the transport ended the answer properly: was it all of it?
+    [[nodiscard]] virtual bool statesRequest() const = 0; // pieces carry request id and attempt, which are then checked
 };
 
 // What an endpoint's answer says beside its bytes.
@@ -36,12 +36,23 @@
 };
 
 template<typename T>
-concept endpoint_dialect = requires(const request_payload &payload, const engine_call &call, const endpoint &to, int status, const http_headers &headers) {
-    { T::modelCall(payload, call, to) } -> std::same_as<http_call>;
-    { T::plainCall(payload, call, to) } -> std::same_as<http_call>;
-    { T::readAnswer(status, headers, std::string_view{}) } -> std::same_as<answer_facts>;
-    { T::newReader(call) } -> std::same_as<std::unique_ptr<piece_reader>>;
-    { T::relaysAnswers } -> std::convertible_to<bool>;
+concept endpoint_dialect = requires(const request_payload &payload, const engine_call &call, const endpoint &to, int status, const http_headers &headers)
+{
+    {
+        T::modelCall(payload, call, to)
+        } -> std::same_as<http_call>;
+    {
+        T::plainCall(payload, call, to)
+        } -> std::same_as<http_call>;
+    {
+        T::readAnswer(status, headers, std::string_view{})
+        } -> std::same_as<answer_facts>;
+    {
+        T::newReader(call)
+        } -> std::same_as<std::unique_ptr<piece_reader>>;
+    {
+        T::relaysAnswers
+        } -> std::convertible_to<bool>;
 };
 
 // The same as functions, so that one session type serves every dialect.
--- a/src/shell/http.h
+++ b/src/shell/http.h
@@ -32,8 +32,8 @@
 struct http_request
 {
     std::string method;
-    std::string path;  // target without its query
-    std::string query; // what stands behind '?'
+    std::string path;   // target without its query
+    std::string query;  // what stands behind '?'
     std::string target; // path and query as they were sent
     http_headers headers;
     std::string body;
@@ -57,9 +57,9 @@
     // The same with the headers as they are, for answers that are passed on.
     virtual boost::asio::awaitable<void> respondAs(int status, http_headers headers, std::string body) = 0;
     virtual boost::asio::awaitable<bool> startStreamAs(int status, http_headers headers) = 0; // false: caller gone
-    virtual void abandon() = 0;                                 // closes without an end: the caller sees that the answer is cut
-    virtual void watchCaller(std::function<void()> onGone) = 0; // tells once when the caller closes; until the handler returns
-    [[nodiscard]] virtual bool started() const = 0;             // a status was written
+    virtual void abandon() = 0;                                                               // closes without an end: the caller sees that the answer is cut
+    virtual void watchCaller(std::function<void()> onGone) = 0;                               // tells once when the caller closes; until the handler returns
+    [[nodiscard]] virtual bool started() const = 0;                                           // a status was written
     [[nodiscard]] virtual boost::asio::any_io_executor executor() const = 0;
 };
 
@@ -82,11 +82,11 @@
     http_server(const http_server &) = delete;
     http_server &operator=(const http_server &) = delete;
 
-    [[nodiscard]] std::uint16_t port() const; // the one in use, also when 0 was asked for
+    [[nodiscard]] std::uint16_t port() const;         // the one in use, also when 0 was asked for
     void setLimits(const http_server_limits &limits); // any thread; for requests that begin from now on
-    void lastAnswers();                       // any thread: every answer from now on ends its connection
-    void close();                             // accepts no more; open requests go on, kept connections close after their answer
-    void abortAll();                          // closes every connection at once; used to play a crash
+    void lastAnswers();                               // any thread: every answer from now on ends its connection
+    void close();                                     // accepts no more; open requests go on, kept connections close after their answer
+    void abortAll();                                  // closes every connection at once; used to play a crash
 
 private:
     struct state;
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -26,9 +26,10 @@
 constexpr std::size_t mostKeptPerAddress = 64;
 constexpr int probeAfterSeconds = 2; // of silence
 constexpr int probeEverySeconds = 1;
-constexpr int probesLost = 2; // then the connection is taken as dead
-constexpr unsigned unacknowledgedMilliseconds = 3000; // bytes sent and not acknowledged for so long: likewise
-constexpr duration keptFor = std::chrono::seconds(20); // shorter than servers keep theirs
+constexpr int probesLost = 2;                                      // then the connection is taken as dead
+constexpr unsigned unacknowledgedMilliseconds = 3000;              // bytes sent and not acknowledged for so long: likewise
+constexpr duration connectWithin = std::chrono::milliseconds(700); // a lost opening packet is sent again only after a second
+constexpr duration keptFor = std::chrono::seconds(20);             // shorter than servers keep theirs
 
 struct kept_connection
 {
@@ -106,7 +107,7 @@
             }
         }
         auto stream = std::make_unique<beast::tcp_stream>(executor);
-        stream->expires_at(steadyAt(deadline));
+        stream->expires_at(steadyAt(std::min(deadline, systemNow() + connectWithin)));
         const tcp::endpoint place(asio::ip::make_address(where.ip), where.port);
         beast::error_code code;
         co_await stream->async_connect(place, into(code));
@@ -115,6 +116,9 @@
         }
         stream->socket().set_option(tcp::no_delay(true), code);
         noticeSilence(stream->socket());
+        // Closing resets: what a partition holds up must not arrive after we gave up on it.
+        stream->socket().set_option(asio::socket_base::linger(true, 0), code);
+        stream->expires_at(steadyAt(deadline));
         co_return stream;
     }
 
--- a/src/shell/relay_gateway.h
+++ b/src/shell/relay_gateway.h
@@ -26,10 +26,17 @@
 };
 
 template<typename T>
-concept callers_dialect = requires(const http_request &request, const http_headers &headers, time_point now, error_kind kind, duration span) {
-    { T::decode(request, now) } -> std::same_as<relayed_call>;                                  // throws error(BadRequest)
-    { T::answerHeaders(headers) } -> std::same_as<http_headers>;                                // of an endpoint's answer: those that are passed on
-    { T::refusalHeaders(std::string{}, kind, span) } -> std::same_as<http_headers>; // `span`: when to come back; zero: nothing is said
+concept callers_dialect = requires(const http_request &request, const http_headers &headers, time_point now, error_kind kind, duration span)
+{
+    {
+        T::decode(request, now)
+        } -> std::same_as<relayed_call>; // throws error(BadRequest)
+    {
+        T::answerHeaders(headers)
+        } -> std::same_as<http_headers>; // of an endpoint's answer: those that are passed on
+    {
+        T::refusalHeaders(std::string{}, kind, span)
+        } -> std::same_as<http_headers>; // `span`: when to come back; zero: nothing is said
 };
 
 // How a refused caller is told when to come back: long enough for the queue to move, spread so that not all return together, and within a
@@ -37,7 +44,8 @@
 inline duration comeBackIn(duration least, duration spread, time_point now, time_point deadline, seeded_random &random)
 {
     constexpr std::int64_t leftPart = 3;
-    const duration drawn = least + duration(static_cast<std::int64_t>(uniformBelow(random, static_cast<std::uint64_t>(std::max<std::int64_t>(spread.count(), 1)))));
+    const duration drawn
+        = least + duration(static_cast<std::int64_t>(uniformBelow(random, static_cast<std::uint64_t>(std::max<std::int64_t>(spread.count(), 1)))));
     const duration most = deadline == noDeadline ? drawn : std::max((deadline - now) / leftPart, duration{});
     return std::min(drawn, most);
 }
--- a/src/shell/request_host.h
+++ b/src/shell/request_host.h
@@ -70,11 +70,11 @@
 
     dispatcher slots;
     metrics counts;
-    std::function<void(const attempt_outcome &)> onOutcome; // set before the first request; called on request threads
+    std::function<void(const attempt_outcome &)> onOutcome;         // set before the first request; called on request threads
     const dialect_table *dialect = &dialectTable<engine_dialect>(); // set before the first request
-    bool keepsAnswers = true;                               // false: what is over is forgotten, since no caller can ask for it again
-    std::function<void(const std::string &account)> onBegan; // an endpoint began to answer a request; may stay empty
-    request_copier *copier = nullptr;                       // null: no peers. Outlives every request
+    bool keepsAnswers = true;                                       // false: what is over is forgotten, since no caller can ask for it again
+    std::function<void(const std::string &account)> onBegan;        // an endpoint began to answer a request; may stay empty
+    request_copier *copier = nullptr;                               // null: no peers. Outlives every request
 
     retry_budget &budgetOf(const std::string &service); // any thread; lives as long as the host
     std::uint64_t nextTicket() { return m_tickets.fetch_add(1) + 1; }
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -23,8 +23,8 @@
 constexpr std::size_t maxPlainAnswerBytes = 8 * 1024 * 1024;
 constexpr std::size_t maxHistoryBytes = 4096;
 constexpr std::size_t mostSkippedBytes = 64 * 1024; // of an answer that is read only to keep its connection
-constexpr std::uint32_t mostForeignAnswers = 3; // answers to older calls that are passed over on one connection
-constexpr std::uint32_t bytesPerPromptToken = 4; // rough; only orders moves by cost
+constexpr std::uint32_t mostForeignAnswers = 3;     // answers to older calls that are passed over on one connection
+constexpr std::uint32_t bytesPerPromptToken = 4;    // rough; only orders moves by cost
 
 } // namespace
 
@@ -303,8 +303,7 @@
     auto onSending = [this, open, number] {
         sent(open, number);
     };
-    std::unique_ptr<http_stream> stream
-        = co_await m_thread.client.open(open->where->where, std::move(call), facts().deadline, fresh, onSending, open->handle);
+    std::unique_ptr<http_stream> stream = co_await m_thread.client.open(open->where->where, std::move(call), facts().deadline, fresh, onSending, open->handle);
     open->stream = std::move(stream);
 }
 
--- a/src/shell/request_session.h
+++ b/src/shell/request_session.h
@@ -36,12 +36,12 @@
     [[nodiscard]] int status() const { return m_status; } // of a plain service's answer
     [[nodiscard]] const std::string &contentType() const { return m_contentType; }
     [[nodiscard]] const http_headers &answerHeaders() const { return m_answerHeaders; } // of the first endpoint that answered; relayed answers only
-    [[nodiscard]] bool answeredByEndpoint() const { return m_headTaken; }              // status and headers are an endpoint's
-    [[nodiscard]] std::string text(std::uint32_t tokens = UINT32_MAX) const; // the whole answer
-    [[nodiscard]] bool replayed() const { return m_replayed; }               // the answer is an earlier call's with the same key
-    boost::asio::awaitable<void> changed();                                  // until there is more to read or it is over
-    void readerAt(std::uint32_t index);                                      // for back-pressure: the newest reader has written up to here
-    boost::asio::awaitable<void> changedOrAt(time_point deadline);           // the same, but no longer than `deadline`
+    [[nodiscard]] bool answeredByEndpoint() const { return m_headTaken; }               // status and headers are an endpoint's
+    [[nodiscard]] std::string text(std::uint32_t tokens = UINT32_MAX) const;            // the whole answer
+    [[nodiscard]] bool replayed() const { return m_replayed; }                          // the answer is an earlier call's with the same key
+    boost::asio::awaitable<void> changed();                                             // until there is more to read or it is over
+    void readerAt(std::uint32_t index);                                                 // for back-pressure: the newest reader has written up to here
+    boost::asio::awaitable<void> changedOrAt(time_point deadline);                      // the same, but no longer than `deadline`
     void callerGone();
     void callerGoneBeforeStart() { m_readers = false; } // taken over: callers come back later, if at all
     boost::asio::awaitable<bool> handOver();            // a peer goes on in our place; false: it stays here
@@ -64,9 +64,9 @@
     struct open_attempt
     {
         endpoint_ptr where;
-        std::shared_ptr<http_stream> stream; // null until the answer's head is there
+        std::shared_ptr<http_stream> stream;                                   // null until the answer's head is there
         std::shared_ptr<call_handle> handle = std::make_shared<call_handle>(); // to let go before that
-        std::unique_ptr<scoped_count<std::uint32_t>> awaiting; // from the send to the answer's head
+        std::unique_ptr<scoped_count<std::uint32_t>> awaiting;                 // from the send to the answer's head
         bool cancelled = false;
     };
 
@@ -136,12 +136,12 @@
     error_kind m_failure = error_kind::Internal;
     int m_status = 200;
     std::string m_contentType = "application/json";
-    http_headers m_answerHeaders;       // relayed answers: the first endpoint's, which all later pieces come under
-    bool m_headTaken = false;           // m_status and the headers are an endpoint's
-    std::uint32_t m_firstPiece = 0;     // number of the stream's first piece, as its first endpoint numbered it
+    http_headers m_answerHeaders;   // relayed answers: the first endpoint's, which all later pieces come under
+    bool m_headTaken = false;       // m_status and the headers are an endpoint's
+    std::uint32_t m_firstPiece = 0; // number of the stream's first piece, as its first endpoint numbered it
     bool m_firstPieceKnown = false;
     std::optional<std::uint32_t> m_openThere; // requests the newest answering endpoint said it holds
-    std::string m_history; // bounded by maxHistoryBytes
+    std::string m_history;                    // bounded by maxHistoryBytes
     std::atomic<std::uint64_t> m_servedByKey{0};
     std::atomic<std::uint32_t> m_tokenCount{0};
     std::atomic<bool> m_overFlag{false};
--- a/tests/support/hosted_platform.cpp
+++ b/tests/support/hosted_platform.cpp
@@ -18,7 +18,8 @@
 std::string encode(const std::string &bytes)
 {
     std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
-    const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(text.data()), reinterpret_cast<const unsigned char *>(bytes.data()), static_cast<int>(bytes.size()));
+    const int size = EVP_EncodeBlock(
+        reinterpret_cast<unsigned char *>(text.data()), reinterpret_cast<const unsigned char *>(bytes.data()), static_cast<int>(bytes.size()));
     text.resize(static_cast<std::size_t>(size));
     return text;
 }
@@ -26,7 +27,8 @@
 std::string decode(const std::string &text)
 {
     std::string bytes(text.size() + 4, '\0');
-    const int size = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()), reinterpret_cast<const unsigned char *>(text.data()), static_cast<int>(text.size()));
+    const int size
+        = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()), reinterpret_cast<const unsigned char *>(text.data()), static_cast<int>(text.size()));
     std::size_t padding = 0;
     while (padding < 2 && padding < text.size() && text[text.size() - 1 - padding] == '=') {
         ++padding;
@@ -61,7 +63,8 @@
 bool takeOne(std::atomic<int> &knob)
 {
     int left = knob.load();
-    while (left > 0 && !knob.compare_exchange_weak(left, left - 1)) { }
+    while (left > 0 && !knob.compare_exchange_weak(left, left - 1)) {
+    }
     return left > 0;
 }
 
--- a/tests/support/hosted_platform.h
+++ b/tests/support/hosted_platform.h
@@ -22,10 +22,10 @@
 
 struct hosted_store_faults
 {
-    std::atomic<bool> down{false};       // answers nothing
-    std::atomic<bool> refusing{false};   // 503 to everything
-    std::atomic<int> loseReplies{0};     // so many changes take effect and their answers are lost
-    std::atomic<bool> forgetful{false};  // watches are told that their history is gone, once each
+    std::atomic<bool> down{false};      // answers nothing
+    std::atomic<bool> refusing{false};  // 503 to everything
+    std::atomic<int> loseReplies{0};    // so many changes take effect and their answers are lost
+    std::atomic<bool> forgetful{false}; // watches are told that their history is gone, once each
 };
 
 class hosted_store
@@ -36,11 +36,11 @@
     hosted_store_faults faults;
 
     [[nodiscard]] address where() const { return {"127.0.0.1", m_server.port()}; }
-    void put(const std::string &key, const std::string &value);      // as operators and endpoints do
+    void put(const std::string &key, const std::string &value); // as operators and endpoints do
     void remove(const std::string &key);
-    [[nodiscard]] std::string value(const std::string &key);         // decoded; empty when there is none
+    [[nodiscard]] std::string value(const std::string &key); // decoded; empty when there is none
     [[nodiscard]] std::vector<std::string> keys(const std::string &prefix);
-    void lapseLeases();                                              // all leases run out at once
+    void lapseLeases(); // all leases run out at once
     [[nodiscard]] std::uint64_t calls() const { return m_calls; }
 
 private:
@@ -87,12 +87,12 @@
 
 struct hosted_endpoint_faults
 {
-    std::atomic<int> refuseNext{0};       // so many requests are refused with the proof that they did not run
-    std::atomic<int> failNext{0};         // answered 500 after running
-    std::atomic<int> cutNext{0};          // cut after half of the answer
-    std::atomic<int> foreignNext{0};      // answered under another request's id
-    std::atomic<int> silentNext{0};       // run and never answered
-    std::atomic<bool> otherInstance{false}; // its address has another endpoint now
+    std::atomic<int> refuseNext{0};          // so many requests are refused with the proof that they did not run
+    std::atomic<int> failNext{0};            // answered 500 after running
+    std::atomic<int> cutNext{0};             // cut after half of the answer
+    std::atomic<int> foreignNext{0};         // answered under another request's id
+    std::atomic<int> silentNext{0};          // run and never answered
+    std::atomic<bool> otherInstance{false};  // its address has another endpoint now
     std::atomic<std::int64_t> workMillis{0}; // before the answer, and between two events
 };
 
@@ -105,8 +105,8 @@
 
     [[nodiscard]] const std::string &id() const { return m_id; }
     [[nodiscard]] address where() const { return {"127.0.0.1", m_server.port()}; }
-    [[nodiscard]] std::map<std::string, int> runs();              // by request id
-    [[nodiscard]] std::vector<http_request> seen();               // requests as they arrived, refused ones too
+    [[nodiscard]] std::map<std::string, int> runs(); // by request id
+    [[nodiscard]] std::vector<http_request> seen();  // requests as they arrived, refused ones too
     [[nodiscard]] std::string entry(const std::string &service, const std::string &domain, const std::string &state = "ready") const;
 
 private:
--- a/tests/unit/hosted.cpp
+++ b/tests/unit/hosted.cpp
@@ -112,7 +112,8 @@
 {
     small_deployment all;
     all.start();
-    all.ask("POST", "/order/1", "o1", {{"X-Tenant", "forged"}, {"X-Target-Instance", "forged"}, {"Connection", "X-Secret"}, {"X-Secret", "s"}, {"X-Other", "kept"}});
+    all.ask("POST", "/order/1", "o1",
+        {{"X-Tenant", "forged"}, {"X-Target-Instance", "forged"}, {"Connection", "X-Secret"}, {"X-Secret", "s"}, {"X-Other", "kept"}});
     std::vector<http_request> seen = all.shop1.seen();
     const std::vector<http_request> more = all.shop2.seen();
     seen.insert(seen.end(), more.begin(), more.end());
