--- a/include/chicoryrouter/fleet.h
+++ b/include/chicoryrouter/fleet.h
@@ -91,6 +91,7 @@
         std::uint64_t coldSince = 0; // completed count at which it was last found cold
         cold_detector cold;
         std::uint32_t failuresInRow = 0;
+        double badShare = 0.0;           // of its answers, the newest weighing most
         std::uint32_t timesSetAside = 0; // in a row, for the probe's back-off
         time_point probeAt = noDeadline; // set aside until then
         bool probing = false;            // back for one request
@@ -107,6 +108,7 @@
     [[nodiscard]] double pacePerSecond(const known_endpoint &item) const;
     void averageReportedLoad(known_endpoint &item, time_point now);
     void setAsideIfAllowed(known_endpoint &item, time_point now);
+    [[nodiscard]] bool standsOut(const known_endpoint &item) const;
     void observeFirstToken(known_endpoint &item, duration firstToken);
     [[nodiscard]] const version_spec *versionOf(const endpoint &facts) const;
     [[nodiscard]] std::uint32_t limitOf(const known_endpoint &item) const;
--- a/include/chicoryrouter/request_machine.h
+++ b/include/chicoryrouter/request_machine.h
@@ -66,6 +66,7 @@
     Failed, // counts against the endpoint and its version
     Lost,   // the connection broke: its process or instance is gone, with everything that was open there
     Left,   // we turned away, or its end was announced: says nothing
+    Overdue, // no token for far longer than the target; it goes on, and this counts against the endpoint already now
 };
 
 enum class token_verdict : std::uint8_t {
@@ -118,6 +119,10 @@
     attempt_result result = attempt_result::Unused;
     duration firstToken{}; // observed time to the first token; zero: none was seen
 };
+struct report_overdue // nothing is reported back
+{
+    endpoint_ptr where;
+};
 struct finish_request
 {
     std::uint32_t tokens = 0; // in the whole answer
@@ -128,7 +133,7 @@
 };
 
 using request_action
-    = std::variant<acquire_slot, copy_to_peer, make_claim, transfer_kv, send_attempt, cancel_attempt, release_slot, finish_request, fail_request>;
+    = std::variant<acquire_slot, copy_to_peer, make_claim, transfer_kv, send_attempt, cancel_attempt, release_slot, report_overdue, finish_request, fail_request>;
 using request_actions = std::vector<request_action>;
 
 // ---- The machine -----------------------------------------------------------------------------------------------------------------------
@@ -183,6 +188,7 @@
         endpoint_ptr where;
         time_point sentAt{};                // when the send was asked for
         time_point quietUntil = noDeadline; // no token by then: taken as failed
+        time_point overdueAt = noDeadline;  // no token by then: told to the endpoint's record; noDeadline once it was
         duration firstToken{};              // zero until the first token
         bool byteMayHaveLeft = false;
         bool draining = false; // another endpoint takes over as soon as it has a slot
@@ -202,6 +208,7 @@
     [[nodiscard]] bool attemptsLeft() const;
     [[nodiscard]] time_point hedgeAt() const;
     [[nodiscard]] duration quietLimit() const;
+    [[nodiscard]] duration overdueLimit() const;
     [[nodiscard]] error_kind truthful(error_kind kind) const;
 
     request_facts m_facts;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -14,6 +14,9 @@
 using namespace std::chrono_literals;
 
 constexpr std::uint32_t failuresForSetAside = 3; // in a row
+constexpr double badShareStep = 0.15;            // one answer moves the share of bad ones by so much
+constexpr double badShareBound = 0.4;            // plain services fail a few answers in a hundred by themselves
+constexpr double badShareFactor = 2.0;           // times the others' mean
 constexpr std::size_t mostSetAsideFraction = 3;  // at most one in so many endpoints of a version
 constexpr duration firstProbeAfter = 5s;
 constexpr duration longestProbeAfter = 60s;
@@ -185,7 +188,9 @@
         item.reportedAt = now;
         shareSlots(item);
     }
-    if (outcome.result == attempt_result::Answered) {
+    const bool good = outcome.result == attempt_result::Answered;
+    item.badShare += badShareStep * ((good ? 0.0 : 1.0) - item.badShare);
+    if (good) {
         m_dirty = m_dirty || item.probing;
         item.failuresInRow = 0;
         item.timesSetAside = 0;
@@ -195,11 +200,27 @@
     }
     ++item.failuresInRow;
     const bool alreadyAside = item.probeAt != noDeadline;
-    if (!alreadyAside && (item.probing || item.failuresInRow >= failuresForSetAside)) {
+    if (!alreadyAside && (item.probing || item.failuresInRow >= failuresForSetAside || standsOut(item))) {
         setAsideIfAllowed(item, now);
     }
 }
 
+// An endpoint that fails or keeps silent on a part of its requests only, while the others of its service do not. Under overload all are
+// late, and setting some aside would leave more work to the rest.
+bool fleet::standsOut(const known_endpoint &item) const
+{
+    double sum = 0.0;
+    std::size_t others = 0;
+    for (const auto &[id, other] : m_endpoints) {
+        if (&other != &item && other.facts.service == item.facts.service && other.listed && !other.leaving) {
+            sum += other.badShare;
+            ++others;
+        }
+    }
+    const double mean = others == 0 ? 1.0 : sum / static_cast<double>(others);
+    return item.badShare > badShareBound && item.badShare > badShareFactor * mean;
+}
+
 void fleet::setAsideIfAllowed(known_endpoint &item, time_point now)
 {
     std::size_t all = 0;
--- a/src/core/request_machine.cpp
+++ b/src/core/request_machine.cpp
@@ -16,6 +16,8 @@
 constexpr duration longestRetryDelay = 2s;
 constexpr duration shortestQuietLimit = 2s;
 constexpr std::int64_t quietTargets = 20;       // an attempt silent for this many between-token targets is taken as failed
+constexpr std::int64_t overdueTargets = 3; // halves of the first-token target, after which an attempt is overdue
+constexpr duration shortestOverdue = 800ms;
 constexpr std::uint32_t mostRetries = 3;        // for requests that need not finish
 constexpr std::uint32_t mostProvedRefusals = 2; // sends beyond the route's own bound, all to endpoints that proved not to have run it
 
@@ -184,7 +186,7 @@
     if ((m_sends > 1 || m_facts.alreadyDelivered > 0) && !withKv) {
         m_recomputed += m_delivered;
     }
-    m_attempts.push_back({m_sends, where, now, now + quietLimit(), duration{}, false, false});
+    m_attempts.push_back({m_sends, where, now, now + quietLimit(), now + overdueLimit(), duration{}, false, false});
     append(actions, send_attempt{m_sends, where, m_delivered, withKv});
     return actions;
 }
@@ -216,6 +218,7 @@
     }
     if (open->firstToken == duration{}) {
         open->firstToken = std::max(now - open->sentAt, duration(1));
+        open->overdueAt = noDeadline;
     }
     open->quietUntil = now + quietLimit();
     ++m_delivered;
@@ -353,6 +356,11 @@
         appendAll(actions, onAttemptFailed(silent.number, left ? attempt_reach::MayHaveRun : attempt_reach::NotSent, error_kind::EndpointFailed, now));
         return actions;
     }
+    const auto overdue = std::find_if(m_attempts.begin(), m_attempts.end(), [&](const attempt &open) { return now >= open.overdueAt; });
+    if (overdue != m_attempts.end()) {
+        overdue->overdueAt = noDeadline;
+        return {report_overdue{overdue->where}};
+    }
     if (now >= m_retryAt && m_asking == slot_purpose::None) {
         const bool moving = !m_attempts.empty();
         if (moving || m_budget.trySpend(now)) {
@@ -378,7 +386,7 @@
     }
     time_point next = std::min(m_facts.deadline, std::min(m_retryAt, hedgeAt()));
     for (const attempt &open : m_attempts) {
-        next = std::min(next, open.quietUntil);
+        next = std::min({next, open.quietUntil, open.overdueAt});
     }
     return next;
 }
@@ -393,6 +401,12 @@
     return m_attempts.front().sentAt + m_facts.promised.firstTokenTarget;
 }
 
+duration request_machine::overdueLimit() const
+{
+    const duration target = m_facts.promised.firstTokenTarget;
+    return target > duration{} && m_facts.promised.maxAttempts > 0 ? std::max(target * overdueTargets / 2, shortestOverdue) : duration(std::chrono::hours(24));
+}
+
 duration request_machine::quietLimit() const
 {
     const bool nowhereElse = m_facts.promised.streamed && !mayRepeat(); // cutting it would save nobody anything
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -548,6 +548,15 @@
     m_open.erase(found);
 }
 
+void request_session::perform(const report_overdue &action)
+{
+    note(log_part::Request, "no token from " + action.where->id + " yet");
+    if (m_host.onOutcome) {
+        const request_facts &facts = m_machine.facts();
+        m_host.onOutcome({action.where->id, facts.promised.service, action.where->version, facts.promised.route, attempt_result::Overdue});
+    }
+}
+
 void request_session::perform(const release_slot &action)
 {
     action.where->load->giveBack();
--- a/src/shell/request_session.h
+++ b/src/shell/request_session.h
@@ -78,6 +78,7 @@
     void perform(const send_attempt &action);
     void perform(const cancel_attempt &action);
     void perform(const release_slot &action);
+    void perform(const report_overdue &action);
     void perform(const finish_request &action);
     void perform(const fail_request &action);
 
--- a/tests/support/hosted_platform.cpp
+++ b/tests/support/hosted_platform.cpp
@@ -167,6 +167,10 @@
         exchange.abandon();
         co_return;
     }
+    if (faults.silent) {
+        co_await pause(exchange, 60s);
+        co_return;
+    }
     if (faults.refusing) {
         const json nothing = json::object();
         co_await respondJson(exchange, 503, nothing);
@@ -226,7 +230,7 @@
     const time_point until = systemNow() + std::chrono::milliseconds(std::stoll(exchange.request.parameter("WaitMs")));
     json answer = {{"events", json::array()}, {"At", after}};
     int status = 200;
-    while (systemNow() < until && answer["events"].empty() && status == 200 && !faults.down) {
+    while (systemNow() < until && answer["events"].empty() && status == 200 && !faults.down && !faults.silent) {
         {
             const std::lock_guard guard(m_lock);
             endLapsed();
@@ -245,6 +249,9 @@
             co_await pause(exchange, 10ms);
         }
     }
+    if (faults.silent) {
+        co_await pause(exchange, 60s);
+    }
     if (faults.down) {
         exchange.abandon();
         co_return;
--- a/tests/support/hosted_platform.h
+++ b/tests/support/hosted_platform.h
@@ -23,6 +23,7 @@
 struct hosted_store_faults
 {
     std::atomic<bool> down{false};      // answers nothing
+    std::atomic<bool> silent{false};    // takes calls and never answers them, also when it is over
     std::atomic<bool> refusing{false};  // 503 to everything
     std::atomic<int> loseReplies{0};    // so many changes take effect and their answers are lost
     std::atomic<bool> forgetful{false}; // watches are told that their history is gone, once each
--- a/tests/unit/hosted.cpp
+++ b/tests/unit/hosted.cpp
@@ -276,6 +276,46 @@
     cr_assert(eventually([&] { return all.store.keys("chicory/member/").size() == 1; }), "its entry is back");
 }
 
+// A watch that the store swallowed while it was silent must not hide changes for as long as the watch would have waited.
+Test(hosted, a_store_that_was_silent_is_heard_again_soon)
+{
+    small_deployment all;
+    all.start();
+    all.store.faults.silent = true;
+    std::this_thread::sleep_for(4500ms); // longer than a watch waits: its loss is known, and another one was swallowed
+    json next = hostedConfiguration();
+    next["Version"] = 2;
+    next["Routes"].erase(2);
+    all.store.put("op/config", next.dump());
+    all.store.faults.silent = false;
+    const time_point back = systemNow();
+    cr_assert(eventually([&] { return all.ask("POST", "/order/1", "o2").response.status == 404; }));
+    cr_assert_lt((systemNow() - back).count(), duration(3s).count());
+}
+
+Test(hosted, a_daemon_asked_to_stop_soon_refuses_new_work_and_says_that_it_did_not_run)
+{
+    small_deployment all;
+    all.start();
+    all.writer1.faults.workMillis = 700;
+    all.writer2.faults.workMillis = 700;
+    std::thread caller([&] { all.ask("POST", "/write/1", "d1"); });
+    cr_assert(eventually([&] { return all.runsOf("d1") == 1; }));
+    std::thread stopping([&] { all.routers.front()->stop(); });
+    cr_assert(eventually([&] { return !all.routers.front()->isReady(); }));
+    const time_point until = systemNow() + patience;
+    int status = 200;
+    for (int i = 0; status == 200 && systemNow() < until; ++i) {
+        const std::string id = "o" + std::to_string(i);
+        status = all.ask("POST", "/order/1", id).response.status;
+        cr_assert(status == 200 || all.runsOf(id) == 0);
+        std::this_thread::sleep_for(50ms);
+    }
+    cr_assert_eq(status, 503);
+    caller.join();
+    stopping.join();
+}
+
 Test(hosted, a_forgotten_history_is_listed_again)
 {
     small_deployment all;
--- /dev/null
+++ b/tests/unit/http_client.cpp
@@ -0,0 +1,103 @@
+// The HTTP client against peers that misbehave below HTTP.
+#include "shell/http.h"
+
+#include "shell/clock.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <criterion/criterion.h>
+
+#include <array>
+#include <thread>
+
+using namespace chicoryrouter;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+// Accepts one connection, reads a request, writes `answer`, and tells how the other side ended it.
+struct raw_peer
+{
+    raw_peer()
+        : acceptor(context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    {
+    }
+
+    [[nodiscard]] address where() const { return {"127.0.0.1", acceptor.local_endpoint().port()}; }
+
+    boost::system::error_code serveOnce(const std::string &answer)
+    {
+        tcp::socket socket = acceptor.accept();
+        std::array<char, 4096> buffer{};
+        boost::system::error_code code;
+        socket.read_some(asio::buffer(buffer), code);
+        asio::write(socket, asio::buffer(answer), code);
+        while (!code) {
+            socket.read_some(asio::buffer(buffer), code);
+        }
+        return code;
+    }
+
+    asio::io_context context;
+    tcp::acceptor acceptor;
+};
+
+// One call; false when it failed. A free function, since g++ 12 gives coroutine lambdas in test bodies one name.
+asio::awaitable<void> callOnce(http_client &client, address where, duration within, std::vector<std::string> &bodies, int times)
+{
+    for (int i = 0; i < times; ++i) {
+        try {
+            http_call call;
+            const http_response response = co_await client.call(where, std::move(call), systemNow() + within);
+            bodies.push_back(response.body);
+        } catch (const http_failure &) {
+            bodies.emplace_back("failed");
+        }
+    }
+}
+
+} // namespace
+
+// Bytes that a partition holds up must not arrive after the sender gave up: only a reset takes them back.
+Test(http_client, a_call_that_is_given_up_resets_its_connection)
+{
+    raw_peer peer;
+    boost::system::error_code ended;
+    std::thread serving([&] { ended = peer.serveOnce(""); });
+    asio::io_context context;
+    http_client client(context.get_executor());
+    std::vector<std::string> bodies;
+    asio::co_spawn(context, callOnce(client, peer.where(), 200ms, bodies, 1), asio::detached);
+    context.run();
+    serving.join();
+    cr_assert(bodies.size() == 1 && bodies[0] == "failed");
+    cr_assert(ended == asio::error::connection_reset, "ended by: %s", ended.message().c_str());
+}
+
+// Bytes behind a whole answer belong to no request; the connection that brought them is not used again.
+Test(http_client, a_connection_with_bytes_left_over_is_not_kept)
+{
+    raw_peer peer;
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray";
+    int served = 0;
+    std::thread serving([&] {
+        for (; served < 2; ++served) {
+            peer.serveOnce(answer);
+        }
+    });
+    asio::io_context context;
+    http_client client(context.get_executor());
+    std::vector<std::string> bodies;
+    asio::co_spawn(context, callOnce(client, peer.where(), 5s, bodies, 2), asio::detached);
+    context.run();
+    serving.join();
+    cr_assert_eq(bodies.size(), 2);
+    cr_assert(bodies[0] == "ok" && bodies[1] == "ok");
+}
