Account limits survive a pause: what came in and what others spent meanwhile are balanced before the bound; tests of shared limits and scaling

Cause: after a freeze the bucket was filled to its bound first and then charged for all that others had spent in the whole pause: accounts within their limit were refused for seconds.

--- a/include/chicoryrouter/request_machine.h
+++ b/include/chicoryrouter/request_machine.h
@@ -63,9 +63,9 @@
 enum class attempt_result : std::uint8_t {
     Unused, // the slot was given back without sending
     Answered,
-    Failed, // counts against the endpoint and its version
-    Lost,   // the connection broke: its process or instance is gone, with everything that was open there
-    Left,   // we turned away, or its end was announced: says nothing
+    Failed,  // counts against the endpoint and its version
+    Lost,    // the connection broke: its process or instance is gone, with everything that was open there
+    Left,    // we turned away, or its end was announced: says nothing
     Overdue, // no token for far longer than the target; it goes on, and this counts against the endpoint already now
 };
 
@@ -132,8 +132,8 @@
     error_kind kind = error_kind::Internal;
 };
 
-using request_action
-    = std::variant<acquire_slot, copy_to_peer, make_claim, transfer_kv, send_attempt, cancel_attempt, release_slot, report_overdue, finish_request, fail_request>;
+using request_action = std::
+    variant<acquire_slot, copy_to_peer, make_claim, transfer_kv, send_attempt, cancel_attempt, release_slot, report_overdue, finish_request, fail_request>;
 using request_actions = std::vector<request_action>;
 
 // ---- The machine -----------------------------------------------------------------------------------------------------------------------
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -43,7 +43,7 @@
     std::int64_t left = tokensLeft.load(std::memory_order_relaxed);
     std::int64_t fuller = 0;
     do {
-        fuller = first ? most : std::min(left + earned, most) - takenElsewhere;
+        fuller = first ? most : std::min(left + earned - takenElsewhere, most); // after a pause both cover the same span
     } while (!tokensLeft.compare_exchange_weak(left, fuller, std::memory_order_relaxed));
 }
 
--- a/src/core/request_machine.cpp
+++ b/src/core/request_machine.cpp
@@ -15,7 +15,7 @@
 constexpr duration firstRetryDelay = 50ms;
 constexpr duration longestRetryDelay = 2s;
 constexpr duration shortestQuietLimit = 2s;
-constexpr std::int64_t quietTargets = 20;       // an attempt silent for this many between-token targets is taken as failed
+constexpr std::int64_t quietTargets = 20;  // an attempt silent for this many between-token targets is taken as failed
 constexpr std::int64_t overdueTargets = 3; // halves of the first-token target, after which an attempt is overdue
 constexpr duration shortestOverdue = 800ms;
 constexpr std::uint32_t mostRetries = 3;        // for requests that need not finish
--- a/src/core/scaling.cpp
+++ b/src/core/scaling.cpp
@@ -14,7 +14,7 @@
 constexpr double wantedSlotsPart = 0.5;    // of its slots
 constexpr double promptPart = 0.75;        // of the endpoints: must be left after the loss of one failure domain's reclaimable ones
 constexpr std::uint32_t leastEndpoints = 3;
-constexpr duration learnFor = 4s;    // load is observed for so long before anything is ordered
+constexpr duration learnFor = 2s;    // load is observed for so long before anything is ordered
 constexpr duration repeatAfter = 8s; // boot time and more
 constexpr duration refusedFor = 4s;
 
--- a/tests/unit/hosted.cpp
+++ b/tests/unit/hosted.cpp
@@ -316,6 +316,23 @@
     stopping.join();
 }
 
+// After an outage entries may come back, so what is missing is kept for a moment; but not for longer, and not what is removed later.
+Test(hosted, an_entry_that_lapsed_in_an_outage_is_gone_when_it_does_not_come_back)
+{
+    small_deployment all;
+    all.start();
+    all.store.faults.down = true;
+    std::this_thread::sleep_for(1500ms);
+    all.store.remove("servers/shop-1");
+    all.store.faults.down = false;
+    cr_assert(eventually([&] { return all.store.keys("chicory/member/").size() == 1; }));
+    const time_point back = systemNow();
+    cr_assert(eventually([&] { return all.routers.front()->leaving("shop-1"); }));
+    cr_assert_lt((systemNow() - back).count(), duration(4s).count());
+    all.store.remove("servers/writer-1");
+    cr_assert(eventually([&] { return all.routers.front()->leaving("writer-1"); }));
+}
+
 Test(hosted, a_forgotten_history_is_listed_again)
 {
     small_deployment all;
--- /dev/null
+++ b/tests/unit/scaling.cpp
@@ -0,0 +1,145 @@
+// How many endpoints of which kind are ordered: under waves, reclaims that come with refusals, and refusals that end.
+#include "chicoryrouter/scaling.h"
+
+#include <criterion/criterion.h>
+
+using namespace chicoryrouter;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point start{std::chrono::hours(1000)};
+constexpr scale_bounds bounds{1, 10, 64};
+
+std::vector<placement_offer> offers()
+{
+    std::vector<placement_offer> list;
+    for (const char *domain : {"a", "b", "c", "d"}) {
+        list.push_back({domain, instance_class::OnDemand, 1.0});
+        list.push_back({domain, instance_class::Reclaimable, 0.18});
+    }
+    return list;
+}
+
+// The platform: carries orders out at once, and may have no reclaimable ones.
+struct small_platform
+{
+    void obey(scale_planner &planner, time_point now)
+    {
+        for (const scale_order &order : planner.next(bounds, offers(), running(), now)) {
+            ++orders;
+            const bool refused = dry && order.cls == instance_class::Reclaimable && order.count > counts[{order.failureDomain, order.cls}];
+            if (!refused) {
+                counts[{order.failureDomain, order.cls}] = order.count;
+            }
+            planner.onAnswer(order, refused ? order_answer::NoneToBeHad : order_answer::Accepted, now);
+        }
+    }
+
+    [[nodiscard]] std::vector<running_endpoint> running() const
+    {
+        std::vector<running_endpoint> list;
+        for (const auto &[where, count] : counts) {
+            for (std::uint32_t i = 0; i < count; ++i) {
+                list.push_back({"e", where.first, where.second, "v1", {}, false});
+            }
+        }
+        return list;
+    }
+
+    [[nodiscard]] std::uint32_t total(instance_class cls) const
+    {
+        std::uint32_t sum = 0;
+        for (const auto &[where, count] : counts) {
+            sum += where.second == cls ? count : 0;
+        }
+        return sum;
+    }
+
+    std::map<std::pair<std::string, instance_class>, std::uint32_t> counts;
+    bool dry = false;
+    int orders = 0;
+};
+
+void run(scale_planner &planner, small_platform &platform, const service_load &load, time_point from, duration span)
+{
+    for (time_point now = from; now < from + span; now += 500ms) {
+        planner.observe(load, static_cast<std::uint32_t>(platform.running().size()), bounds.slots, now);
+        platform.obey(planner, now);
+    }
+}
+
+} // namespace
+
+Test(scaling, nothing_is_ordered_before_load_was_seen)
+{
+    scale_planner planner;
+    small_platform platform;
+    platform.counts[{"a", instance_class::OnDemand}] = 5;
+    run(planner, platform, {}, start, 20s);
+    cr_assert_eq(platform.orders, 0);
+}
+
+Test(scaling, cheap_endpoints_take_over_and_the_dear_ones_go_only_then)
+{
+    scale_planner planner;
+    small_platform platform;
+    for (const char *domain : {"a", "b", "c", "d"}) {
+        platform.counts[{domain, instance_class::OnDemand}] = 4;
+    }
+    run(planner, platform, {70.0, 8.0}, start, 20s);
+    cr_assert_eq(platform.total(instance_class::OnDemand), 0);
+    cr_assert_geq(platform.total(instance_class::Reclaimable), 6);
+    for (const char *domain : {"a", "b", "c", "d"}) {
+        cr_assert_geq(platform.counts[std::pair(std::string(domain), instance_class::Reclaimable)], 1, "each failure domain has one of its own");
+    }
+}
+
+Test(scaling, a_reclaim_with_none_to_be_had_is_stood_in_for_and_not_flapped)
+{
+    scale_planner planner;
+    small_platform platform;
+    run(planner, platform, {70.0, 8.0}, start, 20s);
+    const std::uint32_t before = platform.total(instance_class::Reclaimable);
+    platform.dry = true;
+    const std::uint32_t lost = platform.counts[{"b", instance_class::Reclaimable}];
+    platform.counts[{"b", instance_class::Reclaimable}] = 0;
+    run(planner, platform, {70.0, 8.0}, start + 20s, 6s);
+    cr_assert_geq(platform.total(instance_class::OnDemand) + platform.total(instance_class::Reclaimable), before);
+    cr_assert_eq(platform.total(instance_class::Reclaimable), before - lost, "what runs is kept");
+    const int orders = platform.orders;
+    run(planner, platform, {70.0, 8.0}, start + 26s, 12s);
+    cr_assert_leq(platform.orders - orders, 6, "asked again now and then only");
+    platform.dry = false;
+    run(planner, platform, {70.0, 8.0}, start + 38s, 20s);
+    cr_assert_eq(platform.total(instance_class::OnDemand), 0);
+}
+
+Test(scaling, the_number_follows_the_queue_and_never_leaves_the_bounds)
+{
+    cr_assert_gt(endpointsFor({50.0, 20.0}, 8, 64), endpointsFor({50.0, 5.0}, 8, 64));
+    cr_assert_geq(endpointsFor({600.0, 1.0}, 8, 64), 18, "slots bind too");
+    scale_planner planner;
+    small_platform platform;
+    run(planner, platform, {5000.0, 900.0}, start, 30s);
+    for (const auto &[where, count] : platform.counts) {
+        cr_assert_leq(count, bounds.mostPerDomain);
+    }
+}
+
+Test(scaling, an_order_without_an_answer_is_given_again)
+{
+    scale_planner planner;
+    small_platform platform;
+    platform.counts[{"a", instance_class::OnDemand}] = 4;
+    const service_load load{70.0, 8.0};
+    for (time_point now = start; now < start + 3s; now += 500ms) {
+        planner.observe(load, 4, bounds.slots, now);
+    }
+    const std::vector<scale_order> first = planner.next(bounds, offers(), platform.running(), start + 3s);
+    cr_assert(!first.empty());
+    planner.onAnswer(first.front(), order_answer::Unanswered, start + 3s);
+    const std::vector<scale_order> second = planner.next(bounds, offers(), platform.running(), start + 3500ms);
+    cr_assert_eq(second.size(), 1);
+    cr_assert(second.front() == first.front());
+}
--- /dev/null
+++ b/tests/unit/spending.cpp
@@ -0,0 +1,111 @@
+// Account limits that daemons share by notes, usage windows, and what is assumed of daemons that fell silent.
+#include "chicoryrouter/spending.h"
+#include "chicoryrouter/dispatcher.h"
+
+#include <criterion/criterion.h>
+
+using namespace chicoryrouter;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr time_point start{std::chrono::hours(1000)};
+
+spending_note noteOf(const std::string &from, std::uint64_t process, std::uint64_t sequence, std::uint64_t spent)
+{
+    spending_note note;
+    note.from = from;
+    note.start = process;
+    note.sequence = sequence;
+    note.spent["guild"] = spent;
+    return note;
+}
+
+} // namespace
+
+Test(spending, a_note_survives_its_encoding_and_garbage_is_none)
+{
+    spending_note note = noteOf("entry-1", 7, 3, 1200);
+    note.loads["writer"] = {2.5, 1.0};
+    note.began[41]["guild"] = 12;
+    const std::optional<spending_note> read = decodeNote(encodeNote(note));
+    cr_assert(read.has_value());
+    cr_assert(read->from == "entry-1" && read->start == 7 && read->sequence == 3 && read->spent == note.spent && read->began == note.began);
+    cr_assert_float_eq(read->loads.at("writer").open, 2.5, 0.001);
+    cr_assert(!decodeNote("not a note"));
+    cr_assert(!decodeNote(std::string(5000, 'x')));
+    std::string cut = encodeNote(note);
+    for (std::size_t size = 0; size < cut.size(); ++size) {
+        cr_assert(!decodeNote(cut.substr(0, size)), "cut at %zu", size);
+    }
+}
+
+Test(spending, lost_doubled_and_late_notes_change_nothing)
+{
+    spending_tally tally("entry-1");
+    tally.setMembers({"entry-1", "entry-2"}, start);
+    tally.take(noteOf("entry-2", 7, 1, 100), start);
+    cr_assert_float_eq(tally.takenElsewhere("guild", 1000.0, start), 0.0, 0.1, "what was spent before we knew it is behind us");
+    tally.take(noteOf("entry-2", 7, 3, 400), start + 100ms); // the second is lost
+    tally.take(noteOf("entry-2", 7, 3, 400), start + 110ms);
+    tally.take(noteOf("entry-2", 7, 2, 250), start + 120ms);
+    cr_assert_float_eq(tally.takenElsewhere("guild", 1000.0, start + 150ms), 300.0, 0.1);
+}
+
+Test(spending, a_restarted_daemon_counts_from_zero_and_its_earlier_life_is_over)
+{
+    spending_tally tally("entry-1");
+    tally.take(noteOf("entry-2", 7, 50, 5000), start);
+    tally.take(noteOf("entry-2", 9, 1, 80), start + 1s);
+    tally.take(noteOf("entry-2", 7, 51, 6000), start + 1s);
+    cr_assert_float_eq(tally.takenElsewhere("guild", 0.0, start + 1s), 80.0, 0.1);
+}
+
+// Two halves that cannot hear each other must not both take the whole limit.
+Test(spending, a_silent_daemon_is_taken_to_spend_its_part_until_it_must_be_gone)
+{
+    spending_tally tally("entry-1");
+    tally.setMembers({"entry-1", "entry-2"}, start);
+    tally.take(noteOf("entry-2", 7, 1, 0), start);
+    double taken = 0.0;
+    for (time_point now = start; now < start + 10s; now += 50ms) {
+        taken += tally.takenElsewhere("guild", 1000.0, now);
+    }
+    cr_assert(taken > 4000.0 && taken < 5000.0, "taken: %f", taken);
+    tally.setMembers({"entry-1"}, start + 40s);
+    tally.takenElsewhere("guild", 1000.0, start + 40s);
+    cr_assert_float_eq(tally.takenElsewhere("guild", 1000.0, start + 41s), 0.0, 0.1);
+}
+
+// A daemon that was paused gets back what came in meanwhile together with what the others spent of it: it is not left without tokens.
+Test(spending, a_pause_does_not_starve_an_account)
+{
+    account_load load;
+    load.refill(1000, 1000, 0s, 0);
+    cr_assert_eq(load.tokensLeft, 1000);
+    load.refill(1000, 1000, 6s, 4000);
+    cr_assert_eq(load.tokensLeft, 1000);
+    load.refill(1000, 1000, 1s, 2500);
+    cr_assert_eq(load.tokensLeft, -500);
+    cr_assert(!load.tryTakeTokens(10));
+    cr_assert_geq(load.backIn().count(), duration(500ms).count());
+}
+
+Test(spending, usage_is_summed_over_daemons_and_told_late_is_told_still)
+{
+    spending_tally tally("entry-1");
+    tally.setMembers({"entry-2", "entry-3"}, start);
+    spending_note note = noteOf("entry-2", 7, 1, 0);
+    note.began[41]["guild"] = 5;
+    tally.take(note, start);
+    cr_assert(!tally.heardSince(start - 1s), "entry-3 has told nothing");
+    note.sequence = 2;
+    note.began[41]["guild"] = 9;
+    tally.take(note, start + 1s);
+    spending_note other = noteOf("entry-3", 3, 1, 0);
+    other.began[41]["guild"] = 2;
+    tally.take(other, start + 1s);
+    cr_assert(tally.heardSince(start));
+    cr_assert_eq(tally.beganElsewhere(41).at("guild"), 11);
+    cr_assert(tally.beganElsewhere(40).empty());
+}
