--- a/src/core/agreement.cpp
+++ b/src/core/agreement.cpp
@@ -242,7 +242,9 @@
     const bool onTrial = outcome.version == mover.facts().to;
     const bool warmingUp = onTrial && ++m_seenWhileCold[outcome.endpointId] <= warmUpAnswers;
     const bool failed = outcome.result != attempt_result::Answered;
-    m_evidence.record({mover.id(), outcome.version, outcome.route}, failed, warmingUp ? duration{} : outcome.firstToken);
+    // A move that names no version it comes from is held against all others together.
+    const std::string &counted = onTrial || !mover.facts().from.empty() ? outcome.version : mover.facts().from;
+    m_evidence.record({mover.id(), counted, outcome.route}, failed, warmingUp ? duration{} : outcome.firstToken);
 }
 
 void agreement::setDemand(std::vector<account_demand> demand)
--- a/src/core/version_mover.cpp
+++ b/src/core/version_mover.cpp
@@ -22,8 +22,25 @@
     std::uint64_t perRouteBefore; // and on each route that has traffic
 };
 
-constexpr std::array<move_step, 5> steps = {{{10, 0, 0}, {50, 20, 3}, {200, 80, 8}, {500, 250, 15}, {wholeShare, 500, 20}}};
-constexpr std::uint64_t answersForDone = 800;
+// How a move climbs and what it takes to end it well.
+struct move_pace
+{
+    std::array<move_step, 5> steps;
+    std::uint64_t answersForDone; // of the new version, in all
+    double passAt;                // log likelihood ratio at or below which a route's failure test has passed
+    duration readyFor;            // full share without a doubt before the verdict; longer than a veto needs to reach everybody
+    duration lastMoment;          // before the time set: no more verdict but the one by default
+};
+
+constexpr move_pace longPace{{{{10, 0, 0}, {50, 20, 3}, {200, 80, 8}, {500, 250, 15}, {wholeShare, 500, 20}}}, 800, -9.2, 5s, 2s};
+// A move that has only seconds begins with all the exposure that is allowed, and is content with fewer answers.
+constexpr move_pace shortPace{{{{100, 0, 0}, {100, 10, 1}, {300, 25, 2}, {600, 60, 3}, {wholeShare, 100, 4}}}, 150, -1.0, 3s, 500ms};
+constexpr duration shortMove = 2min;
+
+const move_pace &paceOf(const version_move &facts)
+{
+    return facts.doneBy - facts.startAt < shortMove ? shortPace : longPace;
+}
 
 // Sequential test of failures: the new version fails as rarely as the old one, or by so many points more often.
 constexpr double leastFailureRate = 0.01;
@@ -33,16 +50,13 @@
 constexpr double slowPartGood = 0.35;
 constexpr double slowPartBad = 0.70;
 // Bounds of the log likelihood ratio. A good version crosses the upper one with probability below exp(-8) per test, a bad one crosses
-// the lower one with probability below exp(-9.2).
+// the lower one of a long move with probability below exp(-9.2).
 constexpr double condemnAt = 8.0;
-constexpr double passAt = -9.2;
 constexpr double leanAt = 2.0;                 // above: no higher step until more is known
 constexpr std::uint64_t oldAnswersNeeded = 30; // on a route, before its usual latency is known
 constexpr double routeWithTraffic = 0.02;      // part of the old version's answers that makes a route count
 
 constexpr duration longestSoak = 15min; // the verdict waits so long after the start, if the time set allows
-constexpr duration readyFor = 5s;       // longer than a veto needs to reach everybody
-constexpr duration lastMoment = 2s;     // before the time set: no more verdict but the one by default
 constexpr double wantedLoad = 0.7;      // of the new endpoints in use, so that faults under load show early
 
 double failureRatio(const evidence_counts &fresh, const evidence_counts &old)
@@ -157,11 +171,12 @@
         condemn("is slow on route " + route);
     }
     m_leaning = m_leaning || failures > leanAt || slowness > leanAt;
-    m_passed = m_passed && failures <= passAt;
+    m_passed = m_passed && failures <= paceOf(m_facts).passAt;
 }
 
 void version_mover::climb(const evidence_book &evidence, time_point now)
 {
+    const move_pace &pace = paceOf(m_facts);
     std::uint64_t answers = 0;
     std::uint64_t oldAnswers = 0;
     const std::vector<std::string> routes = evidence.routes(m_id);
@@ -176,17 +191,17 @@
             return !counts || evidence.total({m_id, m_facts.to, route}).answered >= wanted;
         });
     };
-    while (m_step + 1 < steps.size() && !m_leaning && answers >= steps[m_step + 1].answersBefore && everyRouteHas(steps[m_step + 1].perRouteBefore)) {
+    while (m_step + 1 < pace.steps.size() && !m_leaning && answers >= pace.steps[m_step + 1].answersBefore && everyRouteHas(pace.steps[m_step + 1].perRouteBefore)) {
         ++m_step;
     }
-    const bool fine = m_step + 1 == steps.size() && m_passed && !m_leaning && answers >= answersForDone && now >= earliestEnd();
+    const bool fine = m_step + 1 == pace.steps.size() && m_passed && !m_leaning && answers >= pace.answersForDone && now >= earliestEnd();
     if (!fine) {
         m_readySince = noDeadline;
         m_ready = false;
         return;
     }
     m_readySince = std::min(m_readySince, now);
-    m_ready = now >= m_readySince + readyFor && now < m_facts.doneBy - lastMoment;
+    m_ready = now >= m_readySince + pace.readyFor && now < m_facts.doneBy - pace.lastMoment;
 }
 
 // A small share spread over many endpoints would never load one of them; faults that show under load would come to light at full share only.
@@ -237,7 +252,7 @@
 {
     switch (m_state) {
     case move_state::Moving:
-        return steps[m_step].share;
+        return paceOf(m_facts).steps[m_step].share;
     case move_state::Done:
         return wholeShare;
     case move_state::Waiting:
--- a/tests/unit/hosted.cpp
+++ b/tests/unit/hosted.cpp
@@ -333,6 +333,65 @@
     cr_assert(eventually([&] { return all.routers.front()->leaving("writer-1"); }));
 }
 
+// The wish for a move, its status and its end, all through the store.
+Test(hosted, a_version_move_is_carried_out_and_recorded)
+{
+    small_deployment all;
+    hosted_endpoint newer(all.workers, "writer-3");
+    std::string entry = newer.entry("writer", "west-1");
+    entry.replace(entry.find("v1"), 2, "v2");
+    all.store.put("servers/writer-3", entry);
+    all.start();
+    all.store.put("op/rollout/writer", R"({"Service":"writer","Target":"v2","DurationS":8})");
+    const auto state = [&] {
+        const json status = json::parse(all.store.value("status/rollout/writer"), nullptr, false);
+        return status.is_object() ? status.value("State", std::string()) : std::string();
+    };
+    int asked = 0;
+    cr_assert(eventually([&] {
+        const std::string id = "m" + std::to_string(++asked);
+        cr_assert_eq(all.ask("POST", asked % 2 == 0 ? "/write/1" : "/chat/1", id).response.status, 200);
+        return state() == "completed" || state() == "rolled_back";
+    }));
+    cr_assert(state() == "completed", "after %d requests: %s", asked, state().c_str());
+    cr_assert_eq(json::parse(all.store.value("status/rollout/writer")).value("Target", std::string()), "v2");
+}
+
+// An unreadable wish or configuration leaves the last good state in force.
+Test(hosted, what_cannot_be_read_changes_nothing)
+{
+    small_deployment all;
+    all.start();
+    all.store.put("op/config", "{ this is no JSON");
+    all.store.put("op/rollout/writer", "neither is this");
+    all.store.put("op/evacuate/west-9", "{}");
+    std::this_thread::sleep_for(400ms);
+    cr_assert_eq(all.ask("POST", "/order/1", "o1").response.status, 200);
+    json odd = hostedConfiguration();
+    odd["Version"] = 2;
+    odd["Routes"].push_back({{"Name", "broken"}, {"Host", 7}});
+    odd["Services"].push_back("not a service");
+    all.store.put("op/config", odd.dump());
+    std::this_thread::sleep_for(400ms);
+    cr_assert_eq(all.ask("POST", "/order/1", "o2").response.status, 200);
+}
+
+Test(hosted, an_emptied_failure_domain_gets_no_new_work)
+{
+    small_deployment all;
+    hosted_endpoint other(all.workers, "shop-9");
+    all.store.put("servers/shop-9", other.entry("shop", "west-2"));
+    all.start();
+    all.store.put("op/evacuate/west-1", "{}");
+    cr_assert(eventually([&] { return all.routers.front()->leaving("shop-1"); }));
+    for (int i = 0; i < 4; ++i) {
+        cr_assert_eq(all.ask("POST", "/order/1", "o" + std::to_string(i)).response.status, 200);
+    }
+    cr_assert_eq(other.runs().size(), 4);
+    all.store.remove("op/evacuate/west-1");
+    cr_assert(eventually([&] { return !all.routers.front()->leaving("shop-1"); }));
+}
+
 Test(hosted, a_forgotten_history_is_listed_again)
 {
     small_deployment all;
