--- a/include/chicoryrouter/settings.h
+++ b/include/chicoryrouter/settings.h
@@ -35,8 +35,9 @@
     duration pollInterval = std::chrono::seconds(1);          // `poll_interval`: instance list and load reports, 50ms to 60s
     duration gossipInterval = std::chrono::milliseconds(500); // `gossip_interval`: 50ms to 10s
     duration stopWithin = std::chrono::seconds(20);           // `stop_within`: longest planned stop, 0s to 1h
-    std::string logLevel = "info";                            // `log.level`: error, warning, info or debug
-    std::string logFile;                                      // `log.file`: empty for standard output
+    duration handOverAfter{};      // `hand_over_after`: of a planned stop, until open requests are handed to peers; zero: half of `stop_within`
+    std::string logLevel = "info"; // `log.level`: error, warning, info or debug
+    std::string logFile;           // `log.file`: empty for standard output
 };
 
 settings parseSettings(std::string_view yaml, std::string_view fileName); // throws error(BadRequest): file, line, key, what was expected
--- a/src/core/scaling.cpp
+++ b/src/core/scaling.cpp
@@ -96,10 +96,8 @@
         return orders;
     }
     std::map<place, std::uint32_t> present;
-    std::uint32_t all = 0;
     for (const running_endpoint &item : running) {
         present[{item.failureDomain, item.cls}] += item.leaving ? 0 : 1;
-        all += item.leaving ? 0 : 1;
     }
     std::map<place, std::uint32_t> wanted = plan(bounds, offers);
     standIn(wanted, present, bounds.mostPerDomain, now);
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -201,6 +201,7 @@
     result.pollInterval = reader.span("/poll_interval", result.pollInterval, 50ms, 60s);
     result.gossipInterval = reader.span("/gossip_interval", result.gossipInterval, 50ms, 10s);
     result.stopWithin = reader.span("/stop_within", result.stopWithin, 0s, 1h);
+    result.handOverAfter = reader.span("/hand_over_after", result.handOverAfter, 0s, 1h);
     result.logLevel = reader.textOr("/log/level", result.logLevel, "error, warning, info or debug");
     result.logFile = reader.textOr("/log/file", result.logFile, "a file name");
     reader.failOnUnknown();
--- a/src/core/version_mover.cpp
+++ b/src/core/version_mover.cpp
@@ -191,7 +191,8 @@
             return !counts || evidence.total({m_id, m_facts.to, route}).answered >= wanted;
         });
     };
-    while (m_step + 1 < pace.steps.size() && !m_leaning && answers >= pace.steps[m_step + 1].answersBefore && everyRouteHas(pace.steps[m_step + 1].perRouteBefore)) {
+    while (m_step + 1 < pace.steps.size() && !m_leaning && answers >= pace.steps[m_step + 1].answersBefore
+        && everyRouteHas(pace.steps[m_step + 1].perRouteBefore)) {
         ++m_step;
     }
     const bool fine = m_step + 1 == pace.steps.size() && m_passed && !m_leaning && answers >= pace.answersForDone && now >= earliestEnd();
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -127,7 +127,7 @@
     });
 }
 
-void control::keepRunning(std::string name, std::function<asio::awaitable<void>()> loop)
+void control::keepRunning(const std::string &name, const std::function<asio::awaitable<void>()> &loop)
 {
     asio::co_spawn(m_context, loop(), [this, name, loop](const std::exception_ptr &fault) {
         if (fault == nullptr) {
@@ -535,8 +535,9 @@
 void control::refillAccounts()
 {
     const time_point now = systemNow();
-    const duration since = m_refilledAt == time_point{} ? duration{} : now - m_refilledAt;
-    m_refilledAt = now;
+    const time_point awake = awakeNow(); // tokens come in while this machine is suspended, and the others' notes tell what they spent of them
+    const duration since = m_refilledAt == time_point{} ? duration{} : awake - m_refilledAt;
+    m_refilledAt = awake;
     for (const client_account &account : m_agreement.documents().inForce()->content.accounts) {
         const auto found = m_accounts.find(account.name);
         if (found == m_accounts.end()) {
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -64,8 +64,8 @@
     void offerDocument(const document_envelope &envelope, const std::string &source);
     void refreshMoves();
     agreement &agreed() { return m_agreement; }
-    void keepRunning(std::string name, std::function<boost::asio::awaitable<void>()> loop); // begun again should it end by a fault
-    void onBegan(const std::string &account);                                               // any thread: an endpoint began to answer a request
+    void keepRunning(const std::string &name, const std::function<boost::asio::awaitable<void>()> &loop); // begun again should it end by a fault
+    void onBegan(const std::string &account);                                                             // any thread: an endpoint began to answer a request
     // Requests that began to run in a window, over all daemons; `complete`: all that are present have told all of it.
     usage_counts usageOf(std::uint64_t window, bool &complete) const;
     [[nodiscard]] const usage_ledger &ownUsage() const { return m_usage; }
@@ -124,7 +124,7 @@
     std::map<std::string, service_load> m_loads;             // by service: what this daemon has open, averaged
     time_point m_loadsAt{};                                  // when m_loads was last brought up to date
     time_point m_noteAt{};                                   // when the next note is due
-    time_point m_refilledAt{};                               // when tokens of accounts were last handed out
+    time_point m_refilledAt{};                               // when tokens of accounts were last handed out; on the clock that counts suspension
     time_point m_demandFrom{};                               // since when m_askedBefore counts
     std::map<std::string, move_state> m_announced;           // by service: the last state logged
     std::mutex m_outcomesLock;
--- a/src/shell/daemon.cpp
+++ b/src/shell/daemon.cpp
@@ -188,8 +188,9 @@
     const time_point giveUpAt = systemNow() + m_parts->own.stopWithin;
     m_parts->front.stopping = true;
     m_parts->steering->leave();
-    // Half of the time for requests to end by themselves, the rest for those that peers go on with to reach their callers through us.
-    waitForEnd(systemNow() + m_parts->own.stopWithin / 2);
+    // First requests may end by themselves; the rest of the time is for those that peers go on with to reach their callers through us.
+    const duration alone = m_parts->own.handOverAfter > duration{} ? m_parts->own.handOverAfter : m_parts->own.stopWithin / 2;
+    waitForEnd(systemNow() + std::min(alone, m_parts->own.stopWithin));
     m_parts->handOverOpen();
     waitForEnd(giveUpAt);
     logLine(
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -26,13 +26,20 @@
 constexpr std::uint32_t mostForeignAnswers = 3;     // answers to older calls that are passed over on one connection
 constexpr std::uint32_t bytesPerPromptToken = 4;    // rough; only orders moves by cost
 
+// The budget is looked up before the facts are moved from.
+request_machine machineFor(request_host &host, request_facts facts)
+{
+    retry_budget &budget = host.budgetOf(facts.promised.service);
+    return {std::move(facts), budget};
+}
+
 } // namespace
 
 request_session::request_session(request_host &host, request_thread &thread, request_facts facts, request_payload payload)
     : m_host(host)
     , m_thread(thread)
     , m_payload(std::move(payload))
-    , m_machine(facts, host.budgetOf(facts.promised.service))
+    , m_machine(machineFor(host, std::move(facts)))
     , m_wake(thread.context, asio::steady_timer::time_point::max())
     , m_room(thread.context, asio::steady_timer::time_point::max())
     , m_timer(thread.context)
@@ -225,6 +232,8 @@
         co_return m_machine.isOver();
     }
     m_copied = upTo;
+    m_tokens.resize(upTo); // what came while the peer was asked is the peer's to give: it goes on from here
+    m_tokenCount = upTo;
     note(log_part::Peer, "handed over at token " + std::to_string(upTo));
     perform(m_machine.onHandedOver(systemNow()));
     notifyReaders();
--- a/src/standin/deployment.cpp
+++ b/src/standin/deployment.cpp
@@ -94,6 +94,7 @@
     own.pollInterval = m_options.pollInterval;
     own.gossipInterval = m_options.gossipInterval;
     own.stopWithin = m_options.stopWithin;
+    own.handOverAfter = m_options.handOverAfter;
     m_daemons.push_back(std::make_unique<daemon>(own));
     m_platform->addEntry({own.instance, own.failureDomain, m_daemons.back()->peer()});
     return *m_daemons.back();
--- a/src/standin/deployment.h
+++ b/src/standin/deployment.h
@@ -25,6 +25,7 @@
     std::uint32_t accountLimit = 200;
     duration pollInterval = std::chrono::milliseconds(100);
     duration gossipInterval = std::chrono::milliseconds(100);
+    duration handOverAfter{}; // of a planned stop; zero: half of it
     duration stopWithin = std::chrono::seconds(20);
     std::string move; // YAML of a version move's entry; empty: none
 };
--- a/tests/unit/daemons.cpp
+++ b/tests/unit/daemons.cpp
@@ -374,7 +374,8 @@
 Test(daemons, a_caller_attached_at_a_stopping_instance_reads_on_after_the_handover)
 {
     deployment_options options = slowEngines(10ms);
-    options.stopWithin = 8s;
+    options.handOverAfter = 1s; // the stream lasts six seconds or more: it is handed over on any machine
+    options.stopWithin = 60s;   // and nothing but a fault keeps it from ending in this time
     deployment all(options);
     cr_assert(all.waitReady());
     const auto left = sync_client().callUntilCut(all.at(0).gateway(), completionCall("write-up", "attached", 600), 300);
