Numbers of endpoints: nothing taken away on the first seconds of load, and only what is over the wanted number in all

And while dear endpoints stood in for refused cheap ones nothing was taken away at all as long as one order was not met, so both kinds were paid. Test scaling/a_short_look_takes_nothing_away failed before.

--- a/src/core/scaling.cpp
+++ b/src/core/scaling.cpp
@@ -14,8 +14,9 @@
 constexpr double wantedSlotsPart = 0.5;    // of its slots
 constexpr double promptPart = 0.75;        // of the endpoints: must be left after the loss of one failure domain's reclaimable ones
 constexpr std::uint32_t leastEndpoints = 3;
-constexpr duration learnFor = 2s;    // load is observed for so long before anything is ordered
-constexpr duration repeatAfter = 8s; // boot time and more
+constexpr duration learnFor = 2s;         // load is observed for so long before anything is ordered
+constexpr duration learnToReduceFor = 8s; // callers come back one by one after a start: the first seconds show too little
+constexpr duration repeatAfter = 8s;      // boot time and more
 constexpr duration refusedFor = 4s;
 
 } // namespace
@@ -102,14 +103,23 @@
     std::map<place, std::uint32_t> wanted = plan(bounds, offers);
     standIn(wanted, present, bounds.mostPerDomain, now);
     std::uint32_t missing = 0;
+    std::uint32_t wantedInAll = 0;
+    std::uint32_t presentInAll = 0;
     for (const auto &[where, count] : wanted) {
         missing += count - std::min(count, present[where]); // what was refused is not waited for
+        wantedInAll += count;
+        presentInAll += present[where];
     }
+    // Capacity first: only what is over the wanted number in all may go, whichever kind is still to come.
+    const bool mayReduce = now >= m_seenFrom + learnToReduceFor;
+    std::uint32_t surplus = mayReduce ? presentInAll - std::min(presentInAll, wantedInAll) : 0;
     for (const auto &[where, count] : wanted) {
         const std::uint32_t have = present[where];
         standing_order &standing = m_ordered[where];
-        // Nothing is taken away, or called off, while something is still to come: capacity first.
-        const std::uint32_t asked = missing > 0 ? std::max({count, have, standing.count}) : count;
+        const std::uint32_t goes = std::min(have - std::min(have, count), surplus);
+        surplus -= goes;
+        const bool calledOff = standing.count > std::max(have, count) && (missing > 0 || !mayReduce); // it is on its way: let it come
+        const std::uint32_t asked = calledOff ? standing.count : std::max(count, have - goes);
         const bool same = standing.count == asked && standing.repeatAt != time_point{};
         const bool due = asked != have && now >= standing.repeatAt;
         const bool neverOrdered = standing.repeatAt == time_point{} && asked == have;
--- a/tests/unit/scaling.cpp
+++ b/tests/unit/scaling.cpp
@@ -95,6 +95,21 @@
     }
 }
 
+// A service that has just started sees only its first callers: nothing is taken away on the strength of that.
+Test(scaling, a_short_look_takes_nothing_away)
+{
+    scale_planner planner;
+    small_platform platform;
+    for (const char *domain : {"a", "b", "c", "d"}) {
+        platform.counts[{domain, instance_class::OnDemand}] = 3;
+    }
+    platform.dry = true;
+    run(planner, platform, {18.0, 2.8}, start, 7s);
+    cr_assert_eq(platform.total(instance_class::OnDemand), 12);
+    run(planner, platform, {70.0, 12.0}, start + 7s, 20s);
+    cr_assert_geq(platform.total(instance_class::OnDemand), 8);
+}
+
 Test(scaling, a_reclaim_with_none_to_be_had_is_stood_in_for_and_not_flapped)
 {
     scale_planner planner;
