--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -355,9 +355,6 @@
     for (const attempt_outcome &outcome : fresh) {
         m_fleet.onOutcome(outcome, systemNow());
         m_agreement.onOutcome(outcome, systemNow());
-        if (m_source.onOutcome) {
-            m_source.onOutcome(outcome);
-        }
     }
 }
 
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -29,9 +29,8 @@
 struct control_source
 {
     document_reader reader = parseDocument;
-    std::function<void(control &)> begin;                   // starts its loops on the control strand; empty: the standard ones run
-    std::function<void()> leave;                            // this instance is about to stop
-    std::function<void(const attempt_outcome &)> onOutcome; // on the control strand; may stay empty
+    std::function<void(control &)> begin; // starts its loops on the control strand; empty: the standard ones run
+    std::function<void()> leave;          // this instance is about to stop
 };
 
 class control
--- a/src/shell/control_moves.cpp
+++ b/src/shell/control_moves.cpp
@@ -61,6 +61,8 @@
             logLine(log_part::Move, log_level::Info, describe(mover));
         }
         states[service] = mover.state();
+        // Also when the wish is withdrawn while the endpoints of that version still stand.
+        m_fleet.barVersion(service, mover.facts().to, mover.state() == move_state::TakenBack);
     }
     changed = changed || states.size() != m_announced.size();
     m_announced = std::move(states);
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -283,6 +283,9 @@
     }
     beast::error_code code;
     co_await http::async_write(*connection, message, into(code));
+    if (code && handle != nullptr) {
+        handle->cancel = nullptr; // the connection may end with this function
+    }
     const bool endpointMayHaveAnswered = code == asio::error::connection_reset || code == asio::error::broken_pipe;
     if (code && !endpointMayHaveAnswered) {
         throw http_failure(true, error_kind::EndpointLost, "send: " + code.message());
--- a/tests/unit/hosted.cpp
+++ b/tests/unit/hosted.cpp
@@ -357,6 +357,36 @@
     cr_assert_eq(json::parse(all.store.value("status/rollout/writer")).value("Target", std::string()), "v2");
 }
 
+// A bad version is taken back; its endpoints get nothing more, also when the wish is withdrawn while they still stand.
+Test(hosted, a_version_that_was_taken_back_gets_no_more_work)
+{
+    small_deployment all;
+    hosted_endpoint newer(all.workers, "writer-3");
+    newer.faults.failNext = 1'000'000;
+    std::string entry = newer.entry("writer", "west-1");
+    entry.replace(entry.find("v1"), 2, "v2");
+    all.start();
+    all.store.put("op/rollout/writer", R"({"Service":"writer","Target":"v2","DurationS":8})");
+    cr_assert(eventually([&] { return !all.store.value("status/rollout/writer").empty(); }));
+    all.store.put("servers/writer-3", entry);
+    const auto state = [&] {
+        const json status = json::parse(all.store.value("status/rollout/writer"), nullptr, false);
+        return status.is_object() ? status.value("State", std::string()) : std::string();
+    };
+    int asked = 0;
+    cr_assert(eventually([&] {
+        all.ask("POST", "/write/1", "b" + std::to_string(++asked));
+        return state() == "rolled_back";
+    }));
+    all.store.remove("op/rollout/writer");
+    std::this_thread::sleep_for(400ms);
+    const std::size_t seen = newer.seen().size();
+    for (int i = 0; i < 20; ++i) {
+        cr_assert_eq(all.ask("POST", "/write/1", "w" + std::to_string(i)).response.status, 200);
+    }
+    cr_assert_eq(newer.seen().size(), seen);
+}
+
 // An unreadable wish or configuration leaves the last good state in force.
 Test(hosted, what_cannot_be_read_changes_nothing)
 {
