Request threads are bound in one place; header names compared by the library

Both daemons made their request threads by the same twelve lines, and names of headers were compared by two own functions where the HTTP library has one. Behaviour as before: 151 tests green, format and the linter on the changed files clean.

--- a/src/shell/daemon.cpp
+++ b/src/shell/daemon.cpp
@@ -8,15 +8,14 @@
 #include "shell/log.h"
 #include "shell/operator_api.h"
 #include "shell/peer_link.h"
+#include "shell/request_threads.h"
 #include "shell/worker_pool.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
 
 #include <future>
-#include <random>
 #include <thread>
 
 namespace chicoryrouter {
@@ -33,7 +32,7 @@
     {
         host.copier = &copies;
         front.peers = &copies;
-        bindThreads();
+        threads = bindRequestThreads(workers, own, stores, links);
         peerServer = std::make_unique<peer_server>(
             workers, own.peer, own.peerKey, [this](std::string path, std::string body) { return onPeerCall(std::move(path), std::move(body)); }, links);
         own.peer.port = peerServer->port();
@@ -53,21 +52,6 @@
         steering->start();
     }
 
-    void bindThreads()
-    {
-        std::random_device seeds;
-        for (std::size_t i = 0; i < workers.size(); ++i) {
-            boost::asio::io_context &context = workers.at(i);
-            threads.push_back(std::make_unique<request_thread>(context, own.keyValue, stores, own.peerKey, links, seeds()));
-            std::promise<void> bound;
-            boost::asio::post(context, [this, i, &bound] {
-                gateway::bindThread(threads[i].get());
-                bound.set_value();
-            });
-            bound.get_future().wait();
-        }
-    }
-
     // Calls about requests stay on the request thread; those about the agreement go to the control strand.
     boost::asio::awaitable<std::optional<std::string>> onPeerCall(std::string path, std::string body)
     {
@@ -121,7 +105,7 @@
     std::shared_ptr<peer_counters> links;
     request_host host;
     worker_pool workers;
-    std::vector<std::unique_ptr<request_thread>> threads; // after `workers`: their connections end before the contexts do
+    request_threads threads; // after `workers`: their connections end before the contexts do
     chicoryrouter::gateway front;
     copy_keeper copies;
     std::unique_ptr<peer_server> peerServer;
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -22,19 +22,9 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
-namespace {
-
-bool sameName(std::string_view a, std::string_view b)
-{
-    return a.size() == b.size()
-        && std::equal(a.begin(), a.end(), b.begin(), [](unsigned char x, unsigned char y) { return std::tolower(x) == std::tolower(y); });
-}
-
-} // namespace
-
 std::string_view findHeader(const http_headers &headers, std::string_view name)
 {
-    const auto found = std::find_if(headers.begin(), headers.end(), [&](const http_header &item) { return sameName(item.name, name); });
+    const auto found = std::find_if(headers.begin(), headers.end(), [&](const http_header &item) { return beast::iequals(item.name, name); });
     return found == headers.end() ? std::string_view() : std::string_view(found->value);
 }
 
