--- a/include/chicoryrouter/fleet.h
+++ b/include/chicoryrouter/fleet.h
@@ -105,6 +105,7 @@
     void judge(known_endpoint &item) const;
     void takeRecord(known_endpoint &item, const instance_record &record);
     void shareSlots(const known_endpoint &item) const;
+    [[nodiscard]] std::uint32_t connectionShare(const known_endpoint &item) const; // requests at once, of this daemon
     [[nodiscard]] double pacePerSecond(const known_endpoint &item) const;
     void averageReportedLoad(known_endpoint &item, time_point now);
     void setAsideIfAllowed(known_endpoint &item, time_point now);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -296,6 +296,7 @@
 // used too: the parts alone would leave places empty where callers come unevenly to the daemons. It refuses what is too much, and proves it.
 void fleet::shareSlots(const known_endpoint &item) const
 {
+    const std::uint32_t connections = connectionShare(item);
     const std::uint32_t limit = item.facts.use == endpoint_use::Usable ? limitOf(item) : 0;
     std::uint32_t slots = slotShare(limit, item.facts.key, m_members, m_self);
     if (item.ownSlots > 0 && limit > 1) {
@@ -304,7 +305,18 @@
         const std::uint32_t others = all - std::min(all, own);
         slots = std::max({slots, limit - std::min(limit, others), 1U});
     }
-    item.facts.load->slots.store(slots, std::memory_order_relaxed);
+    item.facts.load->slots.store(std::min(slots, connections), std::memory_order_relaxed);
+}
+
+// Each request at an endpoint has a connection of its own there, kept ones are used first, and the endpoint resets what goes over its
+// bound: so the daemons' requests there together stay within it. One is always allowed, or a large deployment could not use it at all.
+std::uint32_t fleet::connectionShare(const known_endpoint &item) const
+{
+    const service *owner = m_inForce->content.findService(item.facts.service);
+    if (owner == nullptr || owner->maxConnections == 0) {
+        return UINT32_MAX;
+    }
+    return std::max<std::uint32_t>(owner->maxConnections / static_cast<std::uint32_t>(std::max<std::size_t>(m_members.size(), 1)), 1);
 }
 
 // While an endpoint is cold, all daemons together start no more there than it bears: each its even part, also of those who cannot be heard.
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -44,6 +44,8 @@
 
 namespace {
 
+constexpr std::size_t readAheadBytes = 4096; // at a time, of requests that come before their turn
+
 class connection;
 
 // What the server and its connections share.
@@ -60,6 +62,8 @@
         const std::lock_guard guard(lock);
         return limits;
     }
+
+    std::vector<std::shared_ptr<connection>> alive();
 };
 
 class connection : public http_exchange, public std::enable_shared_from_this<connection>
@@ -165,22 +169,21 @@
     void watchCaller(std::function<void()> onGone) override
     {
         m_onGone = std::move(onGone);
-        const std::uint64_t watch = ++m_watch;
-        m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this(), watch](beast::error_code code) { self->onReadable(watch, code); });
+        ++m_watch;
+        waitReadable();
     }
 
     [[nodiscard]] bool started() const override { return m_started; }
     [[nodiscard]] asio::any_io_executor executor() const override { return const_cast<connection *>(this)->m_stream.get_executor(); }
 
-    // Called with the set's lock held, so that this object exists; its last owner may just have let go.
-    void closeFromAnyThread()
+    // Any thread. Takes the caller's share in the connection, so that it is its own thread that lets go of it.
+    static void closeSoon(std::shared_ptr<connection> which)
     {
-        if (auto self = weak_from_this().lock()) {
-            asio::post(m_stream.get_executor(), [self] {
-                self->m_broken = true;
-                self->m_stream.close();
-            });
-        }
+        const asio::any_io_executor owner = which->m_stream.get_executor();
+        asio::post(owner, [self = std::move(which)] {
+            self->m_broken = true;
+            self->m_stream.close();
+        });
     }
 
 private:
@@ -250,6 +253,9 @@
         m_stream.expires_after(m_limits.receiveWithin);
         co_await http::async_read(m_stream, m_buffer, parser, into(code));
         m_started = false;
+        if (!code && !endIsCertain(parser.get())) {
+            code = http::error::bad_transfer_encoding;
+        }
         if (code) {
             co_return co_await answerReadError(code, parser.got_some());
         }
@@ -257,6 +263,13 @@
         co_return read_result::Request;
     }
 
+    // A coding that the library does not undo leaves the body's end to be guessed, and what is guessed wrongly becomes a request of its own.
+    static bool endIsCertain(const http::request<http::string_body> &message)
+    {
+        const auto coding = message[http::field::transfer_encoding];
+        return coding.empty() || beast::iequals(coding, "chunked");
+    }
+
     void take(http::request<http::string_body> message)
     {
         m_version = message.version();
@@ -329,17 +342,27 @@
         }
     }
 
+    void waitReadable()
+    {
+        m_stream.socket().async_wait(
+            tcp::socket::wait_read, [self = shared_from_this(), watch = m_watch](beast::error_code code) { self->onReadable(watch, code); });
+    }
+
+    // A caller may send its next requests ahead: they are taken in, up to a bound, since its close shows only behind them.
     void onReadable(std::uint64_t watch, beast::error_code code)
     {
         if (watch != m_watch || !m_onGone || code == asio::error::operation_aborted) {
             return;
         }
-        char peeked = 0;
-        beast::error_code peekError;
-        m_stream.socket().non_blocking(true, peekError);
-        const std::size_t got = m_stream.socket().receive(asio::buffer(&peeked, 1), tcp::socket::message_peek, peekError);
-        const bool pipelined = got > 0 && !peekError;
-        if (!pipelined && peekError != asio::error::would_block) {
+        beast::error_code fault;
+        m_stream.socket().non_blocking(true, fault);
+        while (!fault && m_buffer.size() < m_limits.maxHeaderBytes + m_limits.maxBodyBytes) {
+            const std::size_t got = m_stream.socket().read_some(m_buffer.prepare(readAheadBytes), fault);
+            m_buffer.commit(got);
+        }
+        if (fault == asio::error::would_block) {
+            waitReadable();
+        } else if (fault) {
             const auto tell = std::move(m_onGone);
             m_onGone = nullptr;
             m_broken = true;
@@ -367,6 +390,19 @@
     bool m_broken = false;
 };
 
+// Owners for all that are open. They are let go of without the lock, since the last owner's destructor takes it.
+std::vector<std::shared_ptr<connection>> connection_set::alive()
+{
+    std::vector<std::shared_ptr<connection>> owners;
+    const std::lock_guard guard(lock);
+    for (connection *item : open) {
+        if (auto owner = item->weak_from_this().lock()) {
+            owners.push_back(std::move(owner));
+        }
+    }
+    return owners;
+}
+
 } // namespace
 
 struct http_server::state : std::enable_shared_from_this<http_server::state>
@@ -463,9 +499,8 @@
 void http_server::abortAll()
 {
     close();
-    const std::lock_guard guard(m_state->connections->lock);
-    for (connection *item : m_state->connections->open) {
-        item->closeFromAnyThread();
+    for (std::shared_ptr<connection> &item : m_state->connections->alive()) {
+        connection::closeSoon(std::move(item));
     }
 }
 
--- a/tests/unit/limits.cpp
+++ b/tests/unit/limits.cpp
@@ -163,6 +163,32 @@
     cr_assert_gt(all.status()[0].limit, 1);
 }
 
+// Six daemons, an endpoint that runs more at once than it accepts connections: what all may have open there stays within its bound.
+Test(limits, connections_to_an_endpoint_are_bounded_over_all_daemons)
+{
+    constexpr std::uint32_t mostConnections = 20;
+    const std::vector<std::uint64_t> members = memberHashes(6);
+    std::uint32_t sum = 0;
+    for (const std::uint64_t self : members) {
+        fleet all("fd-1", self);
+        auto document = std::make_shared<revisioned_document>(makeRevisioned(1, test::worldDocument()));
+        for (service &item : document->content.services) {
+            item.anyVersion = true;
+            item.maxConnections = mostConnections;
+        }
+        all.setDocument(document);
+        all.setMembers(members);
+        instance_record record{"e0", "fd-1", instance_class::Reclaimable, "writer", "v1", {"10.0.0.1", 1}};
+        record.slots = 64;
+        all.onInstanceList({record}, someday);
+        const auto table = all.buildTable();
+        const endpoint_load &load = *table->find("writer")->groups[1].local[0]->load;
+        cr_assert_geq(load.slots, 1);
+        sum += load.slots;
+    }
+    cr_assert_leq(sum, mostConnections);
+}
+
 Test(limits, no_more_than_a_third_of_a_version_is_set_aside)
 {
     fleet all = fleetOf(6);
