Large failure domains follow the store through two of their daemons; retries saved up are shared over all; a claim's answer is waited for

From six daemons a failure domain on, two watch and the others ask those; what is told bears its age, and whoever hears nothing fresh within 0.9 s goes to the store itself (tests: change_log/*, hosted/in_a_large_failure_domain_*).

--- a/include/chicoryrouter/claim.h
+++ b/include/chicoryrouter/claim.h
@@ -86,6 +86,7 @@
     claim_record m_holder;
     time_point m_giveUpAt;
     time_point m_retryAt = noDeadline;
+    time_point m_awaitUntil = noDeadline; // how long the answer of the call that holds the key is waited for
     std::uint64_t m_version = 0;
     error_kind m_refusal = error_kind::PlatformUnavailable;
     bool m_readNext = false;
--- a/include/chicoryrouter/membership.h
+++ b/include/chicoryrouter/membership.h
@@ -77,8 +77,10 @@
     [[nodiscard]] std::vector<member_facts> living() const;                          // self included; Alive, Suspect and Leaving
     [[nodiscard]] std::vector<std::uint64_t> sharers(time_point now) const;          // hashes of those among whom limits are divided
     [[nodiscard]] bool isAmongFirst(std::string_view role, std::size_t count) const; // of the own domain's living members, by rendezvous for `role`
-    [[nodiscard]] std::uint64_t changes() const { return m_changes; }                // grows with every change of the membership
-    [[nodiscard]] std::uint64_t suspicions() const { return m_suspicions; }          // members this one suspected itself
+    [[nodiscard]] std::vector<member_facts> firstOf(std::string_view role, std::size_t count) const; // of the same, who they are
+    [[nodiscard]] std::size_t domainSize() const;                                                    // living members of the own domain, self included
+    [[nodiscard]] std::uint64_t changes() const { return m_changes; }                                // grows with every change of the membership
+    [[nodiscard]] std::uint64_t suspicions() const { return m_suspicions; }                          // members this one suspected itself
 
 private:
     struct known_member
@@ -103,6 +105,7 @@
     void expire(time_point now, std::vector<probe> &probes);
     void askHelpers(const std::string &target, std::vector<probe> &probes);
     void refuteIfAccused(const member_facts &statement);
+    [[nodiscard]] std::vector<member_facts> ownDomain() const;
     [[nodiscard]] std::vector<std::string> probeRing(bool ownDomain) const;
     [[nodiscard]] std::vector<std::string> bridgesOf(const std::string &domain) const;
     [[nodiscard]] bool isLiving(const known_member &item) const { return item.facts.state != member_state::Dead; }
--- a/include/chicoryrouter/settings.h
+++ b/include/chicoryrouter/settings.h
@@ -29,6 +29,7 @@
     std::vector<std::pair<std::string, std::string>> domains; // `failure_domains`: hosted only; name and region of each
     duration leaseTerm = std::chrono::seconds(3);             // `platform.lease_term`: hosted only; of this daemon's entry and of duties, 1s to 60s
     duration usageWindow = std::chrono::seconds(5);           // `platform.usage_window`: hosted only; requests are counted by account in spans of it
+    unsigned retryReserve = 0;                                // `platform.retry_reserve`: retries of a service that all daemons together may save up; 0: each 8
     std::string peerKey;                                      // `peer_key`: shared by all daemons of a deployment; at least 16 characters
     std::string operatorTokenHash;                            // `operator_token_hash`: SHA-256 of the operators' token, in hex
     unsigned threads = 2;                                     // `threads`: request threads, 1 to 64
--- a/src/core/claim.cpp
+++ b/src/core/claim.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 constexpr duration retryDelay = std::chrono::milliseconds(50);
-}
+constexpr duration awaitHolder = std::chrono::milliseconds(500); // a caller with its answer in hand may be faster than the record of it
+} // namespace
 
 std::string claimKey(std::string_view account, std::string_view route, std::string_view idempotencyKey)
 {
@@ -106,6 +107,14 @@
         return step::Replay;
     }
     const bool abandoned = now >= found.openUntil;
+    if (!found.done && !abandoned) {
+        m_awaitUntil = std::min({m_awaitUntil, now + awaitHolder, m_giveUpAt});
+        if (now + retryDelay < m_awaitUntil) {
+            m_readNext = true;
+            m_retryAt = now + retryDelay;
+            return step::Wait;
+        }
+    }
     m_refusal = found.done || abandoned ? error_kind::AnswerNotHeld : error_kind::ClaimedElsewhere;
     return step::Refused;
 }
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -327,16 +327,37 @@
     return names;
 }
 
-bool membership::isAmongFirst(std::string_view role, std::size_t count) const
+std::vector<member_facts> membership::ownDomain() const
 {
-    const std::uint64_t key = hashBytes(role);
-    const std::uint64_t own = rendezvousWeight(key, hashBytes(m_self.instance));
-    std::size_t ahead = 0;
+    std::vector<member_facts> result{m_self};
     for (const auto &[name, item] : m_members) {
-        const bool rival = item.facts.failureDomain == m_self.failureDomain && item.facts.state < member_state::Leaving;
-        ahead += rival && rendezvousWeight(key, hashBytes(name)) > own ? 1 : 0;
+        if (item.facts.failureDomain == m_self.failureDomain && item.facts.state < member_state::Leaving) {
+            result.push_back(item.facts);
+        }
     }
-    return ahead < count;
+    return result;
+}
+
+std::size_t membership::domainSize() const
+{
+    return ownDomain().size();
+}
+
+std::vector<member_facts> membership::firstOf(std::string_view role, std::size_t count) const
+{
+    const std::uint64_t key = hashBytes(role);
+    std::vector<member_facts> ranked = ownDomain();
+    std::sort(ranked.begin(), ranked.end(), [key](const member_facts &a, const member_facts &b) {
+        return rendezvousWeight(key, hashBytes(a.instance)) > rendezvousWeight(key, hashBytes(b.instance));
+    });
+    ranked.resize(std::min(ranked.size(), count));
+    return ranked;
+}
+
+bool membership::isAmongFirst(std::string_view role, std::size_t count) const
+{
+    const std::vector<member_facts> first = firstOf(role, count);
+    return std::any_of(first.begin(), first.end(), [&](const member_facts &item) { return item.instance == m_self.instance; });
 }
 
 std::string_view toText(member_state state)
--- a/src/core/retry_budget.cpp
+++ b/src/core/retry_budget.cpp
@@ -2,13 +2,14 @@
 #include "chicoryrouter/retry_budget.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace chicoryrouter {
 
 void retry_budget::earn(std::int64_t hundredths)
 {
     std::int64_t held = m_hundredths.load(std::memory_order_relaxed);
-    while (!m_hundredths.compare_exchange_weak(held, std::min(held + hundredths, mostHeld), std::memory_order_relaxed)) {
+    while (!m_hundredths.compare_exchange_weak(held, std::min(held + hundredths, m_mostHeld.load(std::memory_order_relaxed)), std::memory_order_relaxed)) {
     }
 }
 
@@ -17,6 +18,13 @@
     earn(earnedPerSend);
 }
 
+void retry_budget::setReserve(std::int64_t retries)
+{
+    assert(retries >= 1 && "a budget without any reserve could never repair a single failure");
+    m_mostHeld = retries * costOfRetry;
+    earn(0);
+}
+
 bool retry_budget::trySpend(time_point now)
 {
     const std::int64_t moment = now.time_since_epoch().count();
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -194,6 +194,7 @@
     result.domains = reader.names("/failure_domains", "a map from the name of each failure domain to its region");
     result.leaseTerm = reader.span("/platform/lease_term", result.leaseTerm, 1s, 60s);
     result.usageWindow = reader.span("/platform/usage_window", result.usageWindow, 1s, 1h);
+    result.retryReserve = reader.count("/platform/retry_reserve", result.retryReserve, 0, 100'000);
     result.cloud = reader.whereOr("/platform/cloud");
     result.peerKey = reader.text("/peer_key", "a secret of at least 16 characters");
     result.operatorTokenHash = reader.text("/operator_token_hash", "the SHA-256 of the operators' token in hex");
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -461,9 +461,17 @@
         }
         co_return same ? std::string() : m_listText;
     }
+    if (m_source.onPeerCall) {
+        co_return co_await m_source.onPeerCall(std::move(path), std::move(body));
+    }
     co_return std::nullopt;
 }
 
+asio::awaitable<std::optional<std::string>> control::callPeer(address where, std::string path, std::string body, time_point deadline)
+{
+    co_return co_await m_peers.call(std::move(where), std::move(path), std::move(body), deadline);
+}
+
 void control::refreshMembers()
 {
     const std::vector<std::uint64_t> sharers = m_agreement.members().sharers(systemNow());
@@ -472,6 +480,7 @@
         return;
     }
     m_membersSeen = m_agreement.members().changes();
+    m_host.shareRetries(m_own.retryReserve, m_agreement.members().living().size());
     auto view = std::make_shared<peer_view>();
     view->self = m_own.instance;
     view->ownDomain = m_own.failureDomain;
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -31,6 +31,8 @@
     document_reader reader = parseDocument;
     std::function<void(control &)> begin; // starts its loops on the control strand; empty: the standard ones run
     std::function<void()> leave;          // this instance is about to stop
+    // A peer's call that the control strand does not know itself; nothing: nobody knows it. May stay empty.
+    std::function<boost::asio::awaitable<std::optional<std::string>>(std::string path, std::string body)> onPeerCall;
 };
 
 class control
@@ -57,6 +59,7 @@
     // ---- On the control strand
     boost::asio::awaitable<std::uint64_t> applyDocument(std::string yaml, std::uint64_t expectedRevision); // throws error
     boost::asio::awaitable<std::optional<std::string>> onPeerCall(std::string path, std::string body);
+    boost::asio::awaitable<std::optional<std::string>> callPeer(address where, std::string path, std::string body, time_point deadline);
     [[nodiscard]] std::string composeStatus() const;
     boost::asio::awaitable<void> pause(duration span);
     void onInstances(const instance_list &list);
--- a/src/shell/request_host.cpp
+++ b/src/shell/request_host.cpp
@@ -6,6 +6,8 @@
 #include "shell/clock.h"
 #include "shell/request_session.h"
 
+#include <algorithm>
+
 namespace chicoryrouter {
 
 namespace {
@@ -22,10 +24,21 @@
     auto &budget = m_budgets[service];
     if (budget == nullptr) {
         budget = std::make_unique<retry_budget>();
+        budget->setReserve(m_retryReserve);
     }
     return *budget;
 }
 
+void request_host::shareRetries(unsigned all, std::size_t daemons)
+{
+    const auto part = static_cast<std::int64_t>(all / std::max<std::size_t>(daemons, 1));
+    const std::lock_guard guard(m_lock);
+    m_retryReserve = all == 0 ? retry_budget::usualReserve : std::clamp<std::int64_t>(part, 1, retry_budget::usualReserve);
+    for (const auto &[service, budget] : m_budgets) {
+        budget->setReserve(m_retryReserve);
+    }
+}
+
 void request_host::add(const std::shared_ptr<request_session> &session)
 {
     const std::lock_guard guard(m_lock);
--- a/src/shell/request_host.h
+++ b/src/shell/request_host.h
@@ -77,6 +77,8 @@
     request_copier *copier = nullptr;                               // null: no peers. Outlives every request
 
     retry_budget &budgetOf(const std::string &service); // any thread; lives as long as the host
+    // Any thread. Divides the retries that all daemons may save up for a service; `all` zero: each has the usual reserve.
+    void shareRetries(unsigned all, std::size_t daemons);
     std::uint64_t nextTicket() { return m_tickets.fetch_add(1) + 1; }
 
     void add(const std::shared_ptr<request_session> &session);                       // findable until remove()
@@ -100,6 +102,7 @@
 
     mutable std::mutex m_lock;
     std::map<std::string, std::unique_ptr<retry_budget>> m_budgets;
+    std::int64_t m_retryReserve = retry_budget::usualReserve;           // of each budget
     std::map<std::string, std::shared_ptr<request_session>> m_sessions; // open, or over and still held for callers
     std::deque<retired_session> m_retired;                              // oldest first; bounded in count and bytes
     std::size_t m_retiredBytes = 0;                                     // sum over m_retired
--- a/tests/support/hosted_platform.cpp
+++ b/tests/support/hosted_platform.cpp
@@ -1,6 +1,7 @@
 // The hosted platform's stand-ins.
 #include "support/hosted_platform.h"
 
+#include "chicoryrouter/bounded_counter.h"
 #include "shell/clock.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -230,6 +231,7 @@
     const time_point until = systemNow() + std::chrono::milliseconds(std::stoll(exchange.request.parameter("WaitMs")));
     json answer = {{"events", json::array()}, {"At", after}};
     int status = 200;
+    const scoped_count waiting(m_watching);
     while (systemNow() < until && answer["events"].empty() && status == 200 && !faults.down && !faults.silent) {
         {
             const std::lock_guard guard(m_lock);
--- a/tests/support/hosted_platform.h
+++ b/tests/support/hosted_platform.h
@@ -43,6 +43,7 @@
     [[nodiscard]] std::vector<std::string> keys(const std::string &prefix);
     void lapseLeases(); // all leases run out at once
     [[nodiscard]] std::uint64_t calls() const { return m_calls; }
+    [[nodiscard]] std::size_t watching() const { return m_watching; } // watches that wait for changes now
 
 private:
     struct item
@@ -81,6 +82,7 @@
     std::uint64_t m_nextLease = 1000;
     std::set<std::uint64_t> m_forgotten; // revisions at which a watch was already told to list again
     std::atomic<std::uint64_t> m_calls{0};
+    std::atomic<std::size_t> m_watching{0};
     http_server m_server; // last: it serves from construction on
 };
 
--- /dev/null
+++ b/tests/unit/change_log.cpp
@@ -0,0 +1,114 @@
+// Telling the store's changes from daemon to daemon.
+#include "change_log.h"
+
+#include "chicoryrouter/random.h"
+
+#include <criterion/criterion.h>
+
+#include <set>
+
+using namespace chicoryrouter;
+using namespace chicoryrouter::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+const time_point someday{std::chrono::hours(1)};
+
+store_item itemAt(std::uint64_t revision)
+{
+    store_item item;
+    item.key = "servers/e" + std::to_string(revision % 7);
+    item.value = std::string("value\0with a zero", 17);
+    item.revision = revision;
+    item.createdAt = revision - 1;
+    item.lease = 5;
+    return item;
+}
+
+membership membersOf(std::size_t inDomain, const std::string &self)
+{
+    membership all({self, "fd-1", {"10.0.0.1", 1}, 1, member_state::Alive}, {}, 1);
+    std::vector<member_facts> listed;
+    for (std::size_t i = 0; i < inDomain; ++i) {
+        const std::string name = "entry-" + std::to_string(i);
+        listed.push_back({name, "fd-1", {"10.0.1." + std::to_string(i), 1}, 0, member_state::Alive});
+        listed.push_back({"other-" + std::to_string(i), "fd-2", {"10.0.2.1", 1}, 0, member_state::Alive});
+    }
+    all.onListed(listed, someday);
+    return all;
+}
+
+} // namespace
+
+Test(change_log, changes_survive_their_encoding_and_garbage_is_none)
+{
+    told_changes told;
+    told.at = 12;
+    told.age = 250ms;
+    told.items = {itemAt(10), itemAt(12)};
+    told.items[1].deleted = true;
+    const std::string bytes = encodeChanges(told);
+    const std::optional<told_changes> back = decodeChanges(bytes);
+    cr_assert(back && back->at == 12 && back->age == duration(250ms) && back->items.size() == 2);
+    cr_assert(back->items[0].key == told.items[0].key && back->items[0].value == told.items[0].value && back->items[0].lease == 5);
+    cr_assert(back->items[1].deleted && back->items[1].revision == 12);
+    seeded_random random(7);
+    for (int i = 0; i < 3000; ++i) {
+        std::string broken = bytes.substr(0, uniformBelow(random, bytes.size()));
+        if (!broken.empty()) {
+            broken[uniformBelow(random, broken.size())] = static_cast<char>(uniformBelow(random, 256));
+        }
+        decodeChanges(broken); // throws nothing
+    }
+}
+
+Test(change_log, what_is_no_longer_held_is_not_passed_over)
+{
+    change_log log;
+    log.restart(100);
+    cr_assert_not(log.since(99));
+    cr_assert(log.since(100) && log.since(100)->empty());
+    for (std::uint64_t revision = 101; revision <= 5000; ++revision) {
+        log.add(itemAt(revision));
+    }
+    cr_assert_not(log.since(101), "the oldest changes are gone");
+    const auto newest = log.since(4998);
+    cr_assert(newest && newest->size() == 2 && newest->front().revision == 4999);
+}
+
+Test(change_log, all_daemons_of_a_domain_name_the_same_tellers)
+{
+    std::size_t tellers = 0;
+    std::set<std::string> asked;
+    for (int i = 0; i < 9; ++i) {
+        const membership all = membersOf(9, "entry-" + std::to_string(i));
+        const std::optional<address> teller = follow_choice().teller(all, someday);
+        tellers += follow_choice::tells(all) ? 1 : 0;
+        cr_assert_eq(teller.has_value(), !follow_choice::tells(all));
+        if (teller) {
+            asked.insert(teller->ip);
+        }
+    }
+    cr_assert_eq(tellers, 2);
+    cr_assert_eq(asked.size(), 1, "the first of the two");
+    cr_assert_not(follow_choice().teller(membersOf(4, "entry-9"), someday), "in a small domain everybody watches");
+}
+
+Test(change_log, a_teller_that_failed_is_left_for_the_store_and_then_for_the_other_one)
+{
+    const membership all = [] {
+        for (int i = 0;; ++i) {
+            membership some = membersOf(9, "entry-" + std::to_string(i));
+            if (!follow_choice::tells(some)) {
+                return some;
+            }
+        }
+    }();
+    follow_choice choice;
+    const std::optional<address> first = choice.teller(all, someday);
+    choice.failed(someday);
+    cr_assert_not(choice.teller(all, someday + 1s));
+    const std::optional<address> second = choice.teller(all, someday + 10s);
+    cr_assert(first && second && first->ip != second->ip);
+}
--- a/tests/unit/hosted.cpp
+++ b/tests/unit/hosted.cpp
@@ -478,3 +478,27 @@
     caller.join();
     cr_assert(answer.whole && answer.response.body == wholeStream());
 }
+
+// Seven daemons in one failure domain: two watch the store, the others hear of changes from those two.
+Test(hosted, in_a_large_failure_domain_only_some_daemons_watch_the_store_and_all_hear)
+{
+    small_deployment all;
+    for (int i = 1; i <= 7; ++i) {
+        all.start("entry-" + std::to_string(i));
+    }
+    const auto allKnow = [&](const std::string &id) {
+        return std::all_of(all.routers.begin(), all.routers.end(), [&](const auto &item) { return item->leaving(id); });
+    };
+    cr_assert(eventually([&] { return all.store.watching() == 2; }), "%zu daemons watch the store", all.store.watching());
+    all.store.put("servers/writer-2", all.writer2.entry("writer", "west-1", "draining"));
+    cr_assert(eventually([&] { return allKnow("writer-2"); }));
+    all.store.faults.forgetful = true; // the tellers list anew; whoever asks them for older changes goes to the store
+    all.store.put("servers/shop-2", all.shop2.entry("shop", "west-1", "draining"));
+    cr_assert(eventually([&] { return allKnow("shop-2"); }));
+    all.store.faults.forgetful = false;
+    for (int i = 0; i < 3; ++i) {
+        all.routers.erase(all.routers.begin()); // whoever asked those hears of changes all the same
+    }
+    all.store.remove("servers/writer-1");
+    cr_assert(eventually([&] { return allKnow("writer-1"); }));
+}
