--- a/include/chicoryrouter/request_machine.h
+++ b/include/chicoryrouter/request_machine.h
@@ -59,6 +59,8 @@
     MayHaveRun,   // a byte may have left
 };
 
+std::string_view toText(attempt_reach reach);
+
 // How an attempt ended, as far as its endpoint and its version are concerned.
 enum class attempt_result : std::uint8_t {
     Unused, // the slot was given back without sending
--- a/include/chicoryrouter/retry_budget.h
+++ b/include/chicoryrouter/retry_budget.h
@@ -20,8 +20,9 @@
     static constexpr std::int64_t usualReserve = 8; // retries at the start
     static constexpr duration slowEarning = std::chrono::seconds(30);
 
-    void onFirstSend();                    // any thread; earns 9 hundredths of a retry
-    bool trySpend(time_point now);         // any thread; takes one retry, false when there is none
+    void onFirstSend();            // any thread; earns 9 hundredths of a retry
+    bool trySpend(time_point now); // any thread; takes one retry, false when there is none
+    [[nodiscard]] std::int64_t left() const { return m_hundredths.load(std::memory_order_relaxed) / costOfRetry; } // whole retries
     void setReserve(std::int64_t retries); // any thread; at least 1. What is held above it is given up
 
 private:
--- a/include/chicoryrouter/settings.h
+++ b/include/chicoryrouter/settings.h
@@ -23,6 +23,7 @@
     address keyValue;                                         // `platform.key_value`
     address instanceList;                                     // `platform.instance_list`
     address cloud;                                            // `platform.cloud`; port 0: nothing is started or stopped by this daemon
+    address metrics;                                          // `metrics`: where /metrics is served; port 0: at `gateway` or `readiness` only
     address readiness;                                        // `readiness`: where the platform asks whether to send callers; port 0: at `gateway` only
     bool hosted = false;                                      // `platform.form`: standard (the protocols of docs/STANDINS.md) or hosted (those of platform/)
     std::string region;                                       // `region`: hosted only; where its failure domain lies
@@ -36,9 +37,10 @@
     duration pollInterval = std::chrono::seconds(1);          // `poll_interval`: instance list and load reports, 50ms to 60s
     duration gossipInterval = std::chrono::milliseconds(500); // `gossip_interval`: 50ms to 10s
     duration stopWithin = std::chrono::seconds(20);           // `stop_within`: longest planned stop, 0s to 1h
-    duration handOverAfter{};      // `hand_over_after`: of a planned stop, until open requests are handed to peers; zero: half of `stop_within`
-    std::string logLevel = "info"; // `log.level`: error, warning, info or debug
-    std::string logFile;           // `log.file`: empty for standard output
+    duration handOverAfter{};         // `hand_over_after`: of a planned stop, until open requests are handed to peers; zero: half of `stop_within`
+    std::string logLevel = "info";    // `log.level`: error, warning, info or debug
+    std::string logFile;              // `log.file`: empty for standard output
+    unsigned logLinesPerSecond = 500; // `log.lines_per_second`: of each kind; what goes over is counted, 1 to 100000
 };
 
 settings parseSettings(std::string_view yaml, std::string_view fileName); // throws error(BadRequest): file, line, key, what was expected
--- a/src/core/request_machine.cpp
+++ b/src/core/request_machine.cpp
@@ -4,6 +4,7 @@
 #include "chicoryrouter/retry_budget.h"
 
 #include <algorithm>
+#include <array>
 #include <cassert>
 
 namespace chicoryrouter {
@@ -495,4 +496,10 @@
     return m_attempts.empty() ? nullptr : m_attempts.back().where;
 }
 
+std::string_view toText(attempt_reach reach)
+{
+    constexpr std::array<std::string_view, 3> names = {"not_sent", "proved_not_run", "may_have_run"};
+    return names.at(static_cast<std::size_t>(reach));
+}
+
 } // namespace chicoryrouter
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -190,6 +190,7 @@
     result.hosted = form == "hosted";
     result.instanceList = result.hosted ? address{} : reader.where("/platform/instance_list");
     result.readiness = reader.whereOr("/readiness");
+    result.metrics = reader.whereOr("/metrics");
     result.region = reader.textOr("/region", result.region, "the name of a region");
     result.domains = reader.names("/failure_domains", "a map from the name of each failure domain to its region");
     result.leaseTerm = reader.span("/platform/lease_term", result.leaseTerm, 1s, 60s);
@@ -204,6 +205,7 @@
     result.stopWithin = reader.span("/stop_within", result.stopWithin, 0s, 1h);
     result.handOverAfter = reader.span("/hand_over_after", result.handOverAfter, 0s, 1h);
     result.logLevel = reader.textOr("/log/level", result.logLevel, "error, warning, info or debug");
+    result.logLinesPerSecond = reader.count("/log/lines_per_second", result.logLinesPerSecond, 1, 100'000);
     result.logFile = reader.textOr("/log/file", result.logFile, "a file name");
     reader.failOnUnknown();
 
--- a/src/programs/chicoryctl.cpp
+++ b/src/programs/chicoryctl.cpp
@@ -5,6 +5,7 @@
 #include "chicoryrouter/error.h"
 #include "chicoryrouter/units.h"
 #include "shell/clock.h"
+#include "shell/log_story.h"
 #include "standin/sync_client.h"
 
 #include <nlohmann/json.hpp>
@@ -22,6 +23,7 @@
 
 DEFINE_string(at, "127.0.0.1:8080", "gateway address of any entry instance, as IP:PORT");
 DEFINE_string(token, "", "operators' token (default: the environment variable CHICORY_OPERATOR_TOKEN)");
+DEFINE_string(log, "", "explain: a saved log to read in place of asking a daemon");
 DEFINE_bool(json, false, "print JSON for programs instead of tables for people");
 DEFINE_int64(expect_revision, -1, "apply: the revision that the change is based on");
 DEFINE_bool(yes, false, "apply, failure-domain, move: do it; without this flag only what would change is shown");
@@ -41,7 +43,8 @@
                               "  diff FILE                            what FILE would change\n"
                               "  apply FILE --expect_revision=N --yes put FILE in force, if revision N still is\n"
                               "  status                               members, moves, failure domains, endpoints and why each is or is not used\n"
-                              "  explain REQUEST_ID                   what was decided for one request, at the entry instance that served it\n"
+                              "  explain REQUEST_ID                   what was decided for one request, at the entry instance that served it;\n"
+                              "                                       with --log=FILE from a saved log; '~': what was believed meanwhile\n"
                               "  failure-domain out|in NAME --yes     take a failure domain out, or bring it back\n"
                               "  move start SERVICE VERSION --done_by=TIME --yes\n"
                               "  move back SERVICE --yes              end a move: all traffic stays with the old version\n"
@@ -235,8 +238,29 @@
     return exitGood;
 }
 
+// From a saved log; for a daemon that is gone, or one that does not serve the operators' interface.
+int explainFromLog(const std::string &request)
+{
+    std::ifstream file(FLAGS_log);
+    if (!file) {
+        throw error(error_kind::BadRequest, FLAGS_log + ": cannot be read");
+    }
+    const std::vector<std::string> story = storyOf(file, request);
+    if (story.empty()) {
+        std::cerr << FLAGS_log << " says nothing about request " << request << "\n";
+        return exitFailed;
+    }
+    for (const std::string &line : story) {
+        std::cout << line << "\n";
+    }
+    return exitGood;
+}
+
 int explain(const words &arguments)
 {
+    if (!FLAGS_log.empty()) {
+        return explainFromLog(arguments.at(0));
+    }
     const json answer = json::parse(call("GET", "/operator/explain/" + arguments.at(0)).body);
     if (FLAGS_json) {
         std::cout << answer.dump(2) << "\n";
--- a/src/programs/chicoryrouterd.cpp
+++ b/src/programs/chicoryrouterd.cpp
@@ -9,16 +9,40 @@
 #include <iostream>
 
 DEFINE_string(settings, "", "YAML file with this daemon's settings (examples/daemon.yaml shows every key)");
-DEFINE_bool(check, false, "only check the settings, then exit");
+DEFINE_bool(check_settings, false, "only check the settings, then exit");
+DEFINE_bool(check, false, "the same as --check_settings");
+DEFINE_bool(list_events, false, "print the kinds of log lines as a Markdown page, then exit");
+
+namespace {
+
+// The settings say who and where this daemon is: a running one keeps what it started with, but for the log's level.
+void readAgain()
+{
+    using namespace chicoryrouter;
+    try {
+        const settings fresh = readSettingsFile(FLAGS_settings);
+        setLogLevel(fresh.logLevel);
+        logEvent(log_event::SettingsRead, {{"changed", true}, {"why", "log level " + fresh.logLevel}});
+    } catch (const error &fault) {
+        logEvent(log_event::SettingsRead, {{"changed", false}, {"why", fault.detail()}});
+    }
+}
+
+} // namespace
 
 int main(int argc, char **argv)
 {
     using namespace chicoryrouter;
     startProgram(argc, argv,
         "serves callers of one entry instance.\n"
-        "  chicoryrouterd --settings=FILE [--check]\n"
+        "  chicoryrouterd --settings=FILE [--check-settings]\n"
+        "SIGHUP: reads the settings again; the log's level changes at once, everything else at the next start.\n"
         "SIGTERM: takes no new work, finishes or hands over what is open, then exits.\n"
         "Exit code: 0 stopped as asked, 1 could not serve, 2 the settings are wrong.");
+    if (FLAGS_list_events) {
+        std::cout << logEventsDocument();
+        return exitGood;
+    }
     const sigset_t signals = blockStopSignals();
     settings own;
     try {
@@ -27,18 +51,18 @@
         std::cerr << fault.detail() << "\n";
         return exitUsage;
     }
-    if (FLAGS_check) {
+    if (FLAGS_check || FLAGS_check_settings) {
         return exitGood;
     }
-    startLog(own.logLevel, own.logFile);
+    startLog(own.logLevel, own.logFile, own.logLinesPerSecond);
     try {
         if (own.hosted) {
             platform::hosted_daemon router(own);
-            waitForStop(signals);
+            waitForStop(signals, readAgain);
             router.stop();
         } else {
             chicoryrouter::daemon router(own);
-            waitForStop(signals);
+            waitForStop(signals, readAgain);
             router.stop();
         }
     } catch (const std::exception &fault) {
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -2,6 +2,7 @@
 #include "shell/control.h"
 
 #include "chicoryrouter/hash.h"
+#include "chicoryrouter/units.h"
 #include "shell/clock.h"
 #include "shell/log.h"
 
@@ -34,6 +35,7 @@
 constexpr duration notePerMember = 10ms; // the least for each member
 constexpr duration readyWithoutList = 5s;
 constexpr duration demandInterval = 5s;
+constexpr duration gaugeInterval = 1s;
 constexpr std::size_t watchersPerDomain = 2; // of the configuration and of the instance list
 
 member_facts ownFacts(const settings &own)
@@ -140,7 +142,7 @@
             what = known.what();
         } catch (...) {
         }
-        logLine(log_part::Daemon, log_level::Error, name + " ended by a fault and begins again: " + what);
+        logEvent(log_event::LoopFault, {{"loop", name}, {"why", what}});
         const auto timer = std::make_shared<asio::steady_timer>(m_context, callWithin);
         timer->async_wait([this, name, loop, timer](const boost::system::error_code &code) {
             if (!code) {
@@ -178,24 +180,24 @@
         if (envelope) {
             offerDocument(*envelope, "the key-value service");
         } else {
-            logLine(log_part::Config, log_level::Error, "the key-value service holds something that is no document");
+            logEvent(log_event::EntryUnreadable, {{"entry", key}, {"revision", reply.version}, {"why", "it is no document"}});
         }
     }
 }
 
 void control::offerDocument(const document_envelope &envelope, const std::string &source)
 {
-    const std::string name = "revision " + std::to_string(envelope.revision);
     switch (m_agreement.offerDocument(envelope.revision, envelope.text)) {
     case adoption::Adopted:
-        logLine(log_part::Config, log_level::Info, name + " in force, from " + source);
+        logEvent(log_event::DocumentInForce, {{"revision", envelope.revision}, {"source", source}});
+        m_documentAt = systemNow();
         m_fleet.setDocument(m_agreement.documents().inForce());
         refreshMoves();
         publishFront();
         publish();
         break;
     case adoption::Invalid:
-        logLine(log_part::Config, log_level::Error, name + " refused: " + m_agreement.documents().lastFault());
+        logEvent(log_event::DocumentRefused, {{"revision", envelope.revision}, {"source", source}, {"why", m_agreement.documents().lastFault()}});
         break;
     case adoption::NotNewer:
         break;
@@ -304,7 +306,8 @@
         publish(); // at once: new endpoints for those who wait, and no new work where a notice came before its streams move
     }
     for (const reclaim_notice &notice : notices) {
-        logLine(log_part::Load, log_level::Info, notice.endpointId + " is on notice");
+        const duration left = notice.leaveBy == noDeadline ? duration{} : notice.leaveBy - systemNow();
+        logEvent(log_event::EndpointNotice, {{"endpoint", notice.endpointId}, {"leaves_in_ms", inMilliseconds(left)}});
         if (notice.leaveBy != noDeadline) {
             m_host.moveStreams(notice); // without a deadline it finishes what it has
         }
@@ -370,6 +373,7 @@
         sendNotes();
         refillAccounts();
         measureDemand();
+        showGauges();
         refreshMembers();
         refreshMoves();
         if (m_fleet.isDirty()) {
@@ -487,7 +491,7 @@
     std::vector<std::string> gone;
     std::string line;
     for (const member_facts &item : m_agreement.members().all()) {
-        line += " " + item.instance + " " + std::string(toText(item.state));
+        line += (line.empty() ? "" : ", ") + item.instance + " " + std::string(toText(item.state));
         if (item.state == member_state::Dead) {
             gone.push_back(item.instance);
         } else if (item.instance != m_own.instance) {
@@ -495,7 +499,7 @@
         }
     }
     m_copies.view.publish(std::move(view));
-    logLine(log_part::Member, log_level::Info, "members:" + line);
+    logEvent(log_event::MembersChanged, {{"members", line}});
     refreshAccounts();
     m_copies.takeOverFrom(gone);
 }
@@ -505,11 +509,35 @@
 void control::publish()
 {
     m_host.slots.publish(m_fleet.buildTable());
+    tellUses();
     for (const std::string &service : m_host.slots.servicesWaiting()) {
         m_host.serve(service, m_random);
     }
 }
 
+// One line for each endpoint whose use changed, with what it was judged by.
+void control::tellUses()
+{
+    std::map<std::string, endpoint_use> uses;
+    for (const endpoint_ptr &item : m_fleet.endpoints()) {
+        const auto before = m_uses.find(item->id);
+        if (before == m_uses.end() || before->second != item->use) {
+            const endpoint_load &load = *item->load;
+            logEvent(log_event::EndpointUse,
+                {{"endpoint", item->id}, {"service", item->service}, {"version", item->version}, {"failure_domain", item->failureDomain},
+                    {"use", toText(item->use)}, {"before", before == m_uses.end() ? "unknown" : toText(before->second)}, {"slots", load.slots.load()},
+                    {"open_here", load.inFlight.load()}, {"first_token_us", load.firstTokenMicros.load()}});
+        }
+        uses[item->id] = item->use;
+    }
+    for (const auto &[id, use] : m_uses) {
+        if (uses.count(id) == 0) {
+            logEvent(log_event::EndpointUse, {{"endpoint", id}, {"use", "forgotten"}, {"before", toText(use)}});
+        }
+    }
+    m_uses = std::move(uses);
+}
+
 void control::publishFront()
 {
     auto table = std::make_shared<front_table>();
@@ -655,7 +683,48 @@
     if (bytes.size() <= maxNoteBytes) {
         m_notes->send(peers, bytes);
     } else {
-        logLine(log_part::Load, log_level::Error, "too many accounts for one note: " + std::to_string(note.spent.size()));
+        logEvent(log_event::AccountsNotTold, {{"accounts", note.spent.size()}});
+    }
+}
+
+// Once a second what this daemon believes, for the metrics.
+void control::showGauges()
+{
+    const time_point now = systemNow();
+    if (now < m_gaugesAt + gaugeInterval) {
+        return;
+    }
+    m_gaugesAt = now;
+    metrics &counts = m_host.counts;
+    const auto inForce = m_agreement.documents().inForce();
+    counts.setGauge("document_revision", static_cast<double>(inForce->revision));
+    counts.setGauge("document_age_seconds", std::chrono::duration<double>(now - m_documentAt).count());
+    counts.setGauge("members_living", static_cast<double>(m_agreement.members().living().size()));
+    counts.setGauge("resident_bytes", residentBytes());
+    counts.setGauge("open_requests", static_cast<double>(m_host.openCount()));
+    counts.setGauge("log_lines_dropped_total", static_cast<double>(droppedLogLines()));
+    counts.setGauge("log_lines_left_out_total", static_cast<double>(leftOutLogLines()));
+    counts.setGauge("accounts_silent_peers", static_cast<double>(m_spending.silent(now)));
+    std::map<std::pair<std::string, endpoint_use>, int> uses;
+    for (const endpoint_ptr &item : m_fleet.endpoints()) {
+        ++uses[{item->service, item->use}];
+    }
+    std::string text;
+    for (const auto &[what, number] : uses) {
+        text += "chicoryrouter_endpoints{service=\"" + what.first + "\",use=\"" + std::string(toText(what.second)) + "\"} " + std::to_string(number) + "\n";
+    }
+    for (const service &item : inForce->content.services) {
+        const std::string label = "{service=\"" + item.name + "\"} ";
+        text += "chicoryrouter_waiting" + label + std::to_string(m_host.slots.waiting(item.name)) + "\n";
+        text += "chicoryrouter_retries_left" + label + std::to_string(m_host.budgetOf(item.name).left()) + "\n";
+    }
+    for (const auto &[name, mover] : m_agreement.moves()) {
+        text += "chicoryrouter_move_share{service=\"" + name + "\",to=\"" + mover.facts().to + "\",state=\"" + std::string(toText(mover.state())) + "\"} "
+            + std::to_string(mover.share()) + "\n";
+    }
+    counts.setGauges("beliefs", text);
+    if (m_source.showGauges) {
+        m_source.showGauges(counts);
     }
 }
 
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -29,8 +29,9 @@
 struct control_source
 {
     document_reader reader = parseDocument;
-    std::function<void(control &)> begin; // starts its loops on the control strand; empty: the standard ones run
-    std::function<void()> leave;          // this instance is about to stop
+    std::function<void(control &)> begin;      // starts its loops on the control strand; empty: the standard ones run
+    std::function<void()> leave;               // this instance is about to stop
+    std::function<void(metrics &)> showGauges; // what it knows beside the control strand; once a second. May stay empty
     // A peer's call that the control strand does not know itself; nothing: nobody knows it. May stay empty.
     std::function<boost::asio::awaitable<std::optional<std::string>>(std::string path, std::string body)> onPeerCall;
 };
@@ -100,6 +101,8 @@
     void refreshAccounts();
     void measureDemand();
     void publish();
+    void tellUses();
+    void showGauges();
     void publishFront();
 
     settings m_own;
@@ -127,8 +130,11 @@
     time_point m_loadsAt{};                                  // when m_loads was last brought up to date
     time_point m_noteAt{};                                   // when the next note is due
     time_point m_refilledAt{};                               // when tokens of accounts were last handed out; on the clock that counts suspension
+    time_point m_gaugesAt{};                                 // when the gauges were last set
+    time_point m_documentAt{};                               // when the document in force came into force here
     time_point m_demandFrom{};                               // since when m_askedBefore counts
     std::map<std::string, move_state> m_announced;           // by service: the last state logged
+    std::map<std::string, endpoint_use> m_uses;              // by endpoint: as last told in the log
     std::mutex m_outcomesLock;
     std::vector<attempt_outcome> m_outcomes;  // of request threads, since the last tick
     std::string m_listText;                   // the newest instance list, for peers that do not poll it
--- a/src/shell/control_moves.cpp
+++ b/src/shell/control_moves.cpp
@@ -21,14 +21,12 @@
 constexpr duration verdictPoll = 5s;      // how often an open move's verdict is looked for
 constexpr duration storeWithin = 1s;
 
-std::string describe(const version_mover &mover)
+void logMove(const version_mover &mover)
 {
     const version_move &facts = mover.facts();
-    std::string line = facts.service + " " + facts.from + " to " + facts.to + " " + std::string(toText(mover.state()));
-    if (mover.state() == move_state::Moving) {
-        line += ", share " + std::to_string(mover.share()) + " in 1000";
-    }
-    return line + (mover.reason().empty() ? "" : ": " + mover.reason());
+    logEvent(log_event::MoveChanged,
+        {{"service", facts.service}, {"from", facts.from}, {"to", facts.to}, {"state", toText(mover.state())}, {"share", mover.share()},
+            {"why", mover.reason()}});
 }
 
 } // namespace
@@ -58,7 +56,7 @@
         const auto before = m_announced.find(service);
         if (before == m_announced.end() || before->second != mover.state()) {
             changed = true;
-            logLine(log_part::Move, log_level::Info, describe(mover));
+            logMove(mover);
         }
         states[service] = mover.state();
         // Also when the wish is withdrawn while the endpoints of that version still stand.
--- a/src/shell/copy_keeper.cpp
+++ b/src/shell/copy_keeper.cpp
@@ -278,7 +278,7 @@
         const document &content = m_front.front.read().inForce->content;
         const contract *route = content.findModelRoute(held.route);
         if (route == nullptr || m_host.find(held.id) != nullptr) {
-            logLine(log_part::Peer, log_level::Warning, held.id + " cannot be taken over: its route is gone, or it runs here already");
+            logEvent(log_event::NotTakenOver, {{"request", held.id}, {"from", held.owner}});
             return;
         }
         request_facts facts = makeFacts(held.id, held.account, *route, service_kind::Model, held.arrival);
@@ -287,7 +287,7 @@
         facts.prefix = prefixKey(held.payload.prompt);
         facts.needsCopy = route->mustFinish && available();
         facts.alreadyDelivered = static_cast<std::uint32_t>(held.tokens.size());
-        logLine(log_part::Peer, log_level::Info, held.id + " taken over from " + held.owner + " at token " + std::to_string(held.tokens.size()));
+        logEvent(log_event::TakenOver, {{"request", held.id}, {"from", held.owner}, {"pieces", held.tokens.size()}});
         const auto session = std::make_shared<request_session>(m_host, gateway::ownThread(), std::move(facts), std::move(held.payload));
         session->begin(std::move(held.tokens));
         session->callerGoneBeforeStart();
--- a/src/shell/daemon.cpp
+++ b/src/shell/daemon.cpp
@@ -84,8 +84,6 @@
         counts.setGauge("peer_bytes_received_total", static_cast<double>(links->bytesReceived));
         counts.setGauge("peer_calls_total", static_cast<double>(links->calls));
         counts.setGauge("peer_calls_refused_total", static_cast<double>(links->refused));
-        counts.setGauge("revision_in_force", static_cast<double>(steering->inForce()->revision));
-        counts.setGauge("log_lines_dropped_total", static_cast<double>(droppedLogLines()));
     }
 
     // Asks peers to go on with what is open; callers keep reading through us while we last.
@@ -117,7 +115,7 @@
 daemon::daemon(const settings &own)
     : m_parts(std::make_unique<parts>(own))
 {
-    logLine(log_part::Daemon, log_level::Info, own.instance + " serves in " + own.failureDomain);
+    logEvent(log_event::DaemonStarted, {{"instance", own.instance}, {"failure_domain", own.failureDomain}, {"version", CHICORY_VERSION}});
 }
 
 daemon::~daemon()
@@ -170,6 +168,7 @@
         }
     };
     const time_point giveUpAt = systemNow() + m_parts->own.stopWithin;
+    logEvent(log_event::DaemonStopAsked, {{"instance", m_parts->own.instance}, {"callers", m_parts->front.callersServed.load()}});
     m_parts->front.stopping = true;
     m_parts->steering->leave();
     // First requests may end by themselves; the rest of the time is for those that peers go on with to reach their callers through us.
@@ -177,8 +176,7 @@
     waitForEnd(systemNow() + std::min(alone, m_parts->own.stopWithin));
     m_parts->handOverOpen();
     waitForEnd(giveUpAt);
-    logLine(
-        log_part::Daemon, log_level::Info, m_parts->own.instance + " stops with " + std::to_string(m_parts->front.callersServed) + " callers still reading");
+    logEvent(log_event::DaemonStopped, {{"instance", m_parts->own.instance}, {"callers", m_parts->front.callersServed.load()}});
     crash();
 }
 
--- a/src/shell/gateway.cpp
+++ b/src/shell/gateway.cpp
@@ -250,7 +250,6 @@
         const bool ready = isReady();
         co_await exchange.respond(ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
     } else if (request.path == "/metrics") {
-        m_host.counts.setGauge("open_requests", static_cast<double>(m_host.openCount()));
         if (gauges) {
             gauges(m_host.counts);
         }
--- a/src/shell/log.cpp
+++ b/src/shell/log.cpp
@@ -1,9 +1,14 @@
 // The log writer, over easylogging++.
 #include "shell/log.h"
 
+#include "chicoryrouter/units.h"
+#include "shell/clock.h"
+
 #include <easylogging++.h>
+#include <nlohmann/json.hpp>
 
 #include <array>
+#include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <mutex>
@@ -16,25 +21,74 @@
 
     namespace {
 
-    constexpr std::size_t mostQueuedLines = 65536;
-    constexpr std::array<std::string_view, static_cast<std::size_t>(log_part::Count)> prefixes
-        = {"[route] ", "[request] ", "[config] ", "[member] ", "[move] ", "[place] ", "[load] ", "[claim] ", "[peer] ", "[daemon] "};
+    constexpr std::size_t mostQueuedLines = 16384;
+    constexpr std::size_t mostFieldBytes = 2000; // of one text
 
     struct log_line
     {
-        log_level level = log_level::Info;
-        std::string text;
+        log_event what = log_event::LinesLeftOut;
+        time_point at{};
+        std::vector<log_field> fields;
+    };
+
+    // So many lines a second for each kind.
+    class line_allowance
+    {
+    public:
+        // Lines of the second before that were left out, once it is over.
+        std::uint32_t begin(time_point now)
+        {
+            const auto second = std::chrono::duration_cast<std::chrono::seconds>(now.time_since_epoch()).count();
+            std::int64_t held = m_second.load(std::memory_order_relaxed);
+            const bool fresh = held != second && m_second.compare_exchange_strong(held, second, std::memory_order_relaxed);
+            if (!fresh) {
+                return 0;
+            }
+            m_used.store(0, std::memory_order_relaxed);
+            return m_leftOut.exchange(0, std::memory_order_relaxed);
+        }
+
+        bool take(std::uint32_t most)
+        {
+            if (m_used.fetch_add(1, std::memory_order_relaxed) < most) {
+                return true;
+            }
+            m_leftOut.fetch_add(1, std::memory_order_relaxed);
+            return false;
+        }
+
+    private:
+        std::atomic<std::int64_t> m_second{0};
+        std::atomic<std::uint32_t> m_used{0};
+        std::atomic<std::uint32_t> m_leftOut{0};
     };
 
+    std::string toJson(const log_line &line)
+    {
+        const log_event_row &row = rowOf(line.what);
+        nlohmann::ordered_json value;
+        value["at"] = preciseMomentText(line.at);
+        value["level"] = toText(row.level);
+        value["event"] = row.name;
+        value["text"] = "[" + std::string(toText(row.part)) + "] " + std::string(row.text);
+        for (const log_field &field : line.fields) {
+            std::visit([&](const auto &what) { value[std::string(field.name)] = what; }, field.value);
+        }
+        return value.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+    }
+
     class log_writer
     {
     public:
-        void start(log_level most)
+        void start(log_level most, std::uint32_t linesPerSecond)
         {
             m_most = most;
+            m_linesPerSecond = linesPerSecond;
             m_thread = std::thread([this] { run(); });
         }
 
+        void setLevel(log_level most) { m_most = most; }
+
         void stop()
         {
             {
@@ -51,6 +105,30 @@
 
         [[nodiscard]] bool wants(log_level level) const { return m_thread.joinable() && level <= m_most; }
 
+        void offer(log_line line)
+        {
+            line_allowance &allowance = m_allowances.at(static_cast<std::size_t>(line.what));
+            const std::uint32_t leftOut = allowance.begin(line.at);
+            if (leftOut > 0) {
+                m_leftOut += leftOut;
+                log_line told{log_event::LinesLeftOut, line.at, {}};
+                told.fields = {log_field("kind", rowOf(line.what).name), log_field("lines", leftOut)};
+                push(std::move(told));
+            }
+            if (allowance.take(m_linesPerSecond)) {
+                push(std::move(line));
+            }
+        }
+
+        [[nodiscard]] unsigned long leftOut() const { return m_leftOut; }
+
+        unsigned long dropped()
+        {
+            const std::lock_guard guard(m_lock);
+            return m_dropped;
+        }
+
+    private:
         void push(log_line line)
         {
             {
@@ -64,13 +142,6 @@
             m_wake.notify_one();
         }
 
-        unsigned long dropped()
-        {
-            const std::lock_guard guard(m_lock);
-            return m_dropped;
-        }
-
-    private:
         void run()
         {
             std::unique_lock guard(m_lock);
@@ -83,29 +154,16 @@
                 batch.swap(m_lines);
                 guard.unlock();
                 for (const log_line &line : batch) {
-                    write(line);
+                    LOG(INFO) << toJson(line);
                 }
                 guard.lock();
             }
         }
 
-        static void write(const log_line &line)
-        {
-            switch (line.level) {
-            case log_level::Error:
-                LOG(ERROR) << line.text;
-                break;
-            case log_level::Warning:
-                LOG(WARNING) << line.text;
-                break;
-            case log_level::Info:
-            case log_level::Debug:
-                LOG(INFO) << line.text;
-                break;
-            }
-        }
-
-        log_level m_most = log_level::Info;
+        std::atomic<log_level> m_most{log_level::Info};
+        std::atomic<std::uint32_t> m_linesPerSecond{0};
+        std::array<line_allowance, static_cast<std::size_t>(log_event::Count)> m_allowances;
+        std::atomic<unsigned long> m_leftOut{0};
         std::thread m_thread;
         std::mutex m_lock;
         std::condition_variable m_wake;
@@ -120,31 +178,45 @@
         return instance;
     }
 
-    log_level parseLevel(std::string_view level)
+    log_line bounded(log_line line)
     {
-        if (level == "error") {
-            return log_level::Error;
+        for (log_field &field : line.fields) {
+            if (auto *text = std::get_if<std::string>(&field.value); text != nullptr && text->size() > mostFieldBytes) {
+                text->resize(mostFieldBytes);
+            }
         }
-        if (level == "warning") {
-            return log_level::Warning;
+        return line;
+    }
+
+    log_level parseLevel(std::string_view level)
+    {
+        for (const log_level item : {log_level::Error, log_level::Warning, log_level::Debug}) {
+            if (toText(item) == level) {
+                return item;
+            }
         }
-        return level == "debug" ? log_level::Debug : log_level::Info;
+        return log_level::Info;
     }
 
     } // namespace
 
-    void startLog(std::string_view level, const std::string &file)
+    void startLog(std::string_view level, const std::string &file, unsigned linesPerSecond)
     {
         el::Configurations configuration;
         configuration.setToDefault();
-        configuration.setGlobally(el::ConfigurationType::Format, "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level %msg");
+        configuration.setGlobally(el::ConfigurationType::Format, "%msg");
         configuration.setGlobally(el::ConfigurationType::ToStandardOutput, file.empty() ? "true" : "false");
         configuration.setGlobally(el::ConfigurationType::ToFile, file.empty() ? "false" : "true");
         if (!file.empty()) {
             configuration.setGlobally(el::ConfigurationType::Filename, file);
         }
         el::Loggers::reconfigureAllLoggers(configuration);
-        writer().start(parseLevel(level));
+        writer().start(parseLevel(level), linesPerSecond);
+    }
+
+    void setLogLevel(std::string_view level)
+    {
+        writer().setLevel(parseLevel(level));
     }
 
     void stopLog()
@@ -152,17 +224,43 @@
         writer().stop();
     }
 
-    bool logs(log_level level)
+    bool logs(log_event what)
     {
-        return writer().wants(level);
+        return writer().wants(rowOf(what).level);
     }
 
-    void logLine(log_part part, log_level level, std::string text)
+    void logEvent(log_event what, log_fields fields)
     {
-        if (!logs(level)) {
+        if (!logs(what)) {
             return;
         }
-        writer().push({level, std::string(prefixes.at(static_cast<std::size_t>(part))) + std::move(text)});
+        writer().offer(bounded({what, systemNow(), fields}));
+    }
+
+    void logEventOf(log_event what, const std::string &request, log_fields fields)
+    {
+        if (!logs(what)) {
+            return;
+        }
+        log_line line{what, systemNow(), {}};
+        line.fields.reserve(fields.size() + 1);
+        line.fields.emplace_back("request", request);
+        line.fields.insert(line.fields.end(), fields);
+        writer().offer(bounded(std::move(line)));
+    }
+
+    std::string logText(log_event what, log_fields fields)
+    {
+        std::string text = "[" + std::string(toText(rowOf(what).part)) + "] " + std::string(rowOf(what).text);
+        for (const log_field &field : fields) {
+            text += " " + std::string(field.name) + "=";
+            if (const auto *word = std::get_if<std::string>(&field.value)) {
+                text += *word;
+            } else {
+                std::visit([&](const auto &item) { text += nlohmann::json(item).dump(); }, field.value);
+            }
+        }
+        return text;
     }
 
     unsigned long droppedLogLines()
@@ -170,4 +268,22 @@
         return writer().dropped();
     }
 
+    unsigned long leftOutLogLines()
+    {
+        return writer().leftOut();
+    }
+
+    std::string logEventsDocument()
+    {
+        std::string text = "# Log lines\n\nOne JSON object a line on standard output. Every line has `at` (UTC), `level`, `event` and `text`: the part of the\n"
+                           "daemon in brackets and a sentence that is the same for all lines of a kind. The facts stand beside it. Each kind has a\n"
+                           "number of lines a second (`log.lines_per_second`); what goes over is counted in `lines_left_out`.\n\n"
+                           "This page is printed by `chicoryrouterd --list-events`.\n\n| event | level | text | fields |\n|---|---|---|---|\n";
+        for (const log_event_row &row : logEvents()) {
+            text += "| `" + std::string(row.name) + "` | " + std::string(toText(row.level)) + " | [" + std::string(toText(row.part)) + "] "
+                + std::string(row.text) + " | " + std::string(row.fields) + " |\n";
+        }
+        return text;
+    }
+
 } // namespace chicoryrouter
--- a/src/shell/log.h
+++ b/src/shell/log.h
@@ -1,37 +1,69 @@
-// Log lines: one short sentence each, behind a fixed prefix for the part that speaks. Lines go through a bounded queue to one writing
-// thread, so a slow disk or terminal never holds up a request; when the queue is full, lines are dropped and counted.
+// Structured log lines: one JSON object each, of a kind from the table in log_events.h, with the facts beside its sentence.
+//
+// Lines go through a bounded queue to one writing thread, which also puts them into JSON, so a slow disk or terminal never holds up a
+// request. Each kind has so many lines a second; what goes over is counted and said. When the queue is full, lines are dropped and counted.
 #pragma once
 
+#include "shell/log_events.h"
+
+#include <concepts>
+#include <initializer_list>
 #include <string>
 #include <string_view>
+#include <variant>
+#include <vector>
 
 namespace chicoryrouter {
 
-enum class log_part {
-    Route,   // "[route] "  where an attempt goes
-    Request, // "[request] " what became of a request
-    Config,  // "[config] "
-    Member,  // "[member] "
-    Move,    // "[move] "
-    Place,   // "[place] "
-    Load,    // "[load] "
-    Claim,   // "[claim] "
-    Peer,    // "[peer] "
-    Daemon,  // "[daemon] "
-    Count
-};
+// One fact of a line. The name must outlive the process: a literal.
+struct log_field
+{
+    std::string_view name;
+    std::variant<std::string, std::int64_t, double, bool> value;
 
-enum class log_level {
-    Error,
-    Warning,
-    Info,
-    Debug,
+    log_field(std::string_view fieldName, std::string text)
+        : name(fieldName)
+        , value(std::move(text))
+    {
+    }
+    log_field(std::string_view fieldName, std::string_view text)
+        : name(fieldName)
+        , value(std::string(text))
+    {
+    }
+    log_field(std::string_view fieldName, const char *text)
+        : name(fieldName)
+        , value(std::string(text))
+    {
+    }
+    log_field(std::string_view fieldName, bool truth)
+        : name(fieldName)
+        , value(truth)
+    {
+    }
+    log_field(std::string_view fieldName, std::integral auto number)
+        : name(fieldName)
+        , value(static_cast<std::int64_t>(number))
+    {
+    }
+    log_field(std::string_view fieldName, double number)
+        : name(fieldName)
+        , value(number)
+    {
+    }
 };
 
-void startLog(std::string_view level, const std::string &file); // once per process; an empty file is standard output
-void stopLog();                                                 // writes what is queued; call before the process ends
-bool logs(log_level level);                                     // whether lines of this level are written
-void logLine(log_part part, log_level level, std::string text); // any thread
-unsigned long droppedLogLines();
+using log_fields = std::initializer_list<log_field>;
+
+void startLog(std::string_view level, const std::string &file, unsigned linesPerSecond = 500); // once per process; an empty file is standard output
+void setLogLevel(std::string_view level);                                                      // any thread: error, warning, info or debug
+void stopLog();                                                                                // writes what is queued; call before the process ends
+bool logs(log_event what);                                                                     // whether lines of this kind are written
+void logEventOf(log_event what, const std::string &request, log_fields fields);                // the same for one request, which is named first
+void logEvent(log_event what, log_fields fields);                                              // any thread
+std::string logText(log_event what, log_fields fields);                                        // the same as words, for people
+unsigned long droppedLogLines();                                                               // for want of room in the queue
+unsigned long leftOutLogLines();                                                               // for want of lines of their kind
+std::string logEventsDocument();                                                               // docs/LOGS.md
 
 } // namespace chicoryrouter
--- /dev/null
+++ b/src/shell/log_story.cpp
@@ -0,0 +1,77 @@
+// Reading saved log lines.
+#include "shell/log_story.h"
+
+#include <nlohmann/json.hpp>
+
+#include <set>
+
+namespace chicoryrouter {
+
+namespace {
+
+using nlohmann::ordered_json;
+
+// What the daemon believes about everything, not about one endpoint.
+const std::set<std::string> generalEvents = {"document_in_force", "document_refused", "store_lost", "store_back", "store_history_gone", "members_changed",
+    "move_changed", "daemon_stop_asked", "lines_left_out"};
+
+std::string wordsOf(const ordered_json &line)
+{
+    std::string words = line.value("at", std::string()) + " " + line.value("text", std::string());
+    for (const auto &[name, value] : line.items()) {
+        const bool shown = name != "at" && name != "text" && name != "level" && name != "event" && name != "request";
+        if (shown) {
+            words += " " + name + "=" + (value.is_string() ? value.get<std::string>() : value.dump());
+        }
+    }
+    return words;
+}
+
+ordered_json objectOn(const std::string &line)
+{
+    const auto begin = line.find('{');
+    return begin == std::string::npos ? ordered_json() : ordered_json::parse(line.begin() + static_cast<std::ptrdiff_t>(begin), line.end(), nullptr, false);
+}
+
+bool isOf(const ordered_json &line, const char *field, const std::string &value)
+{
+    const auto found = line.find(field);
+    return found != line.end() && found->is_string() && found->get<std::string>() == value;
+}
+
+} // namespace
+
+std::vector<std::string> storyOf(std::istream &log, const std::string &request)
+{
+    std::vector<ordered_json> lines;
+    std::size_t first = 0;
+    std::size_t last = 0;
+    std::set<std::string> met; // endpoints
+    bool found = false;
+    for (std::string text; std::getline(log, text);) {
+        ordered_json line = objectOn(text);
+        if (!line.is_object()) {
+            continue;
+        }
+        if (isOf(line, "request", request)) {
+            first = found ? first : lines.size();
+            last = lines.size();
+            found = true;
+            met.insert(line.value("endpoint", std::string()));
+        }
+        lines.push_back(std::move(line));
+    }
+    std::vector<std::string> story;
+    for (std::size_t i = first; found && i <= last; ++i) {
+        const ordered_json &line = lines[i];
+        const bool own = isOf(line, "request", request);
+        const bool general = generalEvents.count(line.value("event", std::string())) != 0;
+        const bool ofEndpoint = !line.contains("request") && met.count(line.value("endpoint", std::string("?"))) != 0;
+        if (own || general || ofEndpoint) {
+            story.push_back((own ? "  " : "~ ") + wordsOf(line));
+        }
+    }
+    return story;
+}
+
+} // namespace chicoryrouter
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -1,60 +1,105 @@
-// Metrics by Boost.Accumulators.
+// Metrics by Boost.Histogram and Boost.Accumulators.
 #include "shell/metrics.h"
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram.hpp>
 
+#include <unistd.h>
+
+#include <fstream>
 #include <map>
 #include <mutex>
 #include <sstream>
+#include <vector>
 
 namespace chicoryrouter {
 
 namespace acc = boost::accumulators;
+namespace hist = boost::histogram;
 
 namespace {
 
-constexpr std::array<double, 3> quantiles = {0.5, 0.95, 0.99};
-using latency_accumulator = acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::extended_p_square_quantile>>;
+const std::vector<double> boundsInSeconds = {0.0, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0};
 
-latency_accumulator makeAccumulator()
+// Times of one kind on one route.
+class latency_histogram
 {
-    return latency_accumulator(acc::extended_p_square_probabilities = quantiles);
-}
+public:
+    void add(double seconds)
+    {
+        m_buckets(seconds);
+        m_sum(seconds);
+    }
+
+    void print(std::ostream &out, std::string_view name, std::string_view route) const
+    {
+        const std::string label = "{route=\"" + std::string(route) + "\"";
+        double below = 0.0;
+        for (const auto &bucket : hist::indexed(m_buckets)) {
+            below += *bucket;
+            out << "chicoryrouter_" << name << "_bucket" << label << ",le=\"" << bucket.bin().upper() << "\"} " << below << "\n";
+        }
+        out << "chicoryrouter_" << name << "_bucket" << label << ",le=\"+Inf\"} " << acc::count(m_sum) << "\n";
+        out << "chicoryrouter_" << name << "_sum" << label << "} " << acc::sum(m_sum) << "\n";
+        out << "chicoryrouter_" << name << "_count" << label << "} " << acc::count(m_sum) << "\n";
+    }
+
+private:
+    decltype(hist::make_histogram(hist::axis::variable<>(boundsInSeconds))) m_buckets = hist::make_histogram(hist::axis::variable<>(boundsInSeconds));
+    acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum>> m_sum;
+};
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(latency::Count)> latencyNames
+    = {"wait_seconds", "first_token_seconds", "pause_seconds", "total_seconds"};
 
 } // namespace
 
-struct metrics::latencies
+struct metrics::labelled
 {
     std::mutex lock;
-    std::map<std::string, latency_accumulator, std::less<>> byRoute;
+    std::array<std::map<std::string, latency_histogram, std::less<>>, static_cast<std::size_t>(latency::Count)> latencies; // by route
+    std::map<std::pair<std::string, std::string>, std::uint64_t> ends;                                                     // by route and end
     std::map<std::string, double, std::less<>> gauges;
+    std::map<std::string, std::string, std::less<>> families; // lines ready to be shown
 };
 
 metrics::metrics()
-    : m_latencies(std::make_unique<latencies>())
+    : m_labelled(std::make_unique<labelled>())
 {
 }
 
 metrics::~metrics() = default;
 
-void metrics::observeFirstToken(std::string_view route, duration span)
+void metrics::countEnd(std::string_view route, std::string_view end)
+{
+    const std::lock_guard guard(m_labelled->lock);
+    ++m_labelled->ends[{std::string(route), std::string(end)}];
+}
+
+void metrics::observe(latency what, std::string_view route, duration span)
 {
-    const std::lock_guard guard(m_latencies->lock);
-    auto found = m_latencies->byRoute.find(route);
-    if (found == m_latencies->byRoute.end()) {
-        found = m_latencies->byRoute.emplace(std::string(route), makeAccumulator()).first;
+    const std::lock_guard guard(m_labelled->lock);
+    auto &byRoute = m_labelled->latencies.at(static_cast<std::size_t>(what));
+    auto found = byRoute.find(route);
+    if (found == byRoute.end()) {
+        found = byRoute.try_emplace(std::string(route)).first;
     }
-    found->second(std::chrono::duration<double>(span).count());
+    found->second.add(std::chrono::duration<double>(span).count());
 }
 
 void metrics::setGauge(std::string_view name, double value)
 {
-    const std::lock_guard guard(m_latencies->lock);
-    m_latencies->gauges[std::string(name)] = value;
+    const std::lock_guard guard(m_labelled->lock);
+    m_labelled->gauges[std::string(name)] = value;
+}
+
+void metrics::setGauges(std::string_view family, std::string_view labelledText)
+{
+    const std::lock_guard guard(m_labelled->lock);
+    m_labelled->families[std::string(family)] = labelledText;
 }
 
 std::string metrics::text() const
@@ -62,25 +107,38 @@
     std::ostringstream out;
     out << "chicoryrouter_answers_total " << m_answers << "\n";
     out << "chicoryrouter_attempts_total " << m_attempts << "\n";
+    out << "chicoryrouter_repeats_total " << m_repeats << "\n";
     out << "chicoryrouter_tokens_total " << m_tokens << "\n";
     out << "chicoryrouter_recomputed_tokens_total " << m_recomputed << "\n";
     out << "chicoryrouter_streams_moved_total " << m_moved << "\n";
     for (std::size_t i = 0; i < m_failures.size(); ++i) {
         out << "chicoryrouter_failures_total{kind=\"" << answerFor(static_cast<error_kind>(i)).name << "\"} " << m_failures.at(i) << "\n";
     }
-    const std::lock_guard guard(m_latencies->lock);
-    for (const auto &[name, value] : m_latencies->gauges) {
+    const std::lock_guard guard(m_labelled->lock);
+    for (const auto &[label, number] : m_labelled->ends) {
+        out << "chicoryrouter_requests_total{route=\"" << label.first << "\",end=\"" << label.second << "\"} " << number << "\n";
+    }
+    for (const auto &[name, value] : m_labelled->gauges) {
         out << "chicoryrouter_" << name << " " << value << "\n";
     }
-    for (const auto &[route, accumulator] : m_latencies->byRoute) {
-        for (const double quantile : quantiles) {
-            out << "chicoryrouter_first_token_seconds{route=\"" << route << "\",quantile=\"" << quantile << "\"} "
-                << acc::quantile(accumulator, acc::quantile_probability = quantile) << "\n";
+    for (const auto &[family, lines] : m_labelled->families) {
+        out << lines;
+    }
+    for (std::size_t i = 0; i < latencyNames.size(); ++i) {
+        for (const auto &[route, histogram] : m_labelled->latencies.at(i)) {
+            histogram.print(out, latencyNames.at(i), route);
         }
-        out << "chicoryrouter_first_token_seconds_sum{route=\"" << route << "\"} " << acc::sum(accumulator) << "\n";
-        out << "chicoryrouter_first_token_seconds_count{route=\"" << route << "\"} " << acc::count(accumulator) << "\n";
     }
     return out.str();
 }
 
+double residentBytes()
+{
+    std::ifstream file("/proc/self/statm");
+    std::uint64_t whole = 0;
+    std::uint64_t resident = 0;
+    file >> whole >> resident;
+    return static_cast<double>(resident) * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
 } // namespace chicoryrouter
--- a/src/shell/placement_loop.cpp
+++ b/src/shell/placement_loop.cpp
@@ -81,7 +81,7 @@
             }
             const placement_plan plan = planFor(state, agreed, endpoints, host, bounds);
             if (!samePlan(plan, state.plan)) {
-                logLine(log_part::Place, log_level::Info, bounds.service + " " + describe(plan));
+                logEvent(log_event::PlanChanged, {{"service", bounds.service}, {"plan", describe(plan)}});
             }
             state.plan = plan;
             const std::string version = inForce->content.findService(bounds.service)->currentVersion;
@@ -108,7 +108,7 @@
     }
     const bool heldNow = state.held.isHeld(systemNow());
     if (heldNow != heldBefore) {
-        logLine(log_part::Place, log_level::Info, service + " lease " + (heldNow ? "taken, fencing " + std::to_string(state.held.fencing()) : "lost"));
+        logEvent(log_event::LeaseChanged, {{"service", service}, {"held", heldNow}, {"fencing", state.held.fencing()}});
     }
 }
 
@@ -206,12 +206,12 @@
     http_call call;
     call.method = "POST";
     if (step.what == placement_step::kind::Stop) {
-        logLine(log_part::Place, log_level::Info, service + " stops " + step.stopId + ": " + step.reason);
+        logEvent(log_event::EndpointStop, {{"service", service}, {"endpoint", step.stopId}, {"why", step.reason}});
         call.target = "/cloud/stop?id=" + step.stopId;
     } else {
         const std::string cls(toText(step.start.cls));
-        logLine(
-            log_part::Place, log_level::Info, service + " starts " + step.start.token + ", " + cls + " in " + step.start.failureDomain + ": " + step.reason);
+        logEvent(log_event::EndpointStart,
+            {{"service", service}, {"token", step.start.token}, {"class", cls}, {"failure_domain", step.start.failureDomain}, {"why", step.reason}});
         call.target = "/cloud/start";
         call.body = json({{"token", step.start.token}, {"service", service}, {"version", step.start.version}, {"class", cls},
                              {"failure_domain", step.start.failureDomain}, {"fencing", state.held.fencing()}})
@@ -229,7 +229,7 @@
     if (step.what == placement_step::kind::Start) {
         state.starts.onStarted(step.start.token, accepted, answered, systemNow());
         if (answered && !accepted) {
-            logLine(log_part::Place, log_level::Warning, service + " start refused in " + step.start.failureDomain + "; going elsewhere for a while");
+            logEvent(log_event::EndpointStartRefused, {{"service", service}, {"failure_domain", step.start.failureDomain}});
         }
     }
 }
--- a/src/shell/relay_gateway.h
+++ b/src/shell/relay_gateway.h
@@ -4,6 +4,7 @@
 
 #include "chicoryrouter/bounded_counter.h"
 #include "chicoryrouter/hash.h"
+#include "chicoryrouter/units.h"
 #include "shell/clock.h"
 #include "shell/gateway.h"
 #include "shell/request_session.h"
@@ -166,8 +167,10 @@
     {
         m_host.counts.countFailure(kind);
         const error_answer &row = answerFor(kind);
-        logLine(log_part::Request, log_level::Info, call.id + " refused: " + std::string(row.name) + (detail.empty() ? "" : ", " + detail));
         const duration wait = row.mayAskAgain ? comeBack : duration{};
+        logEvent(log_event::RequestRefused,
+            {{"request", call.id}, {"error", row.name}, {"why", detail}, {"revision", m_front.front.read().inForce->revision},
+                {"come_back_ms", inMilliseconds(wait)}});
         co_await exchange.respondAs(row.httpStatus, Dialect::refusalHeaders(call.id, kind, wait), errorBody(kind, call.id, detail));
     }
 
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -1,6 +1,7 @@
 // Carrying out one request's actions.
 #include "shell/request_session.h"
 
+#include "chicoryrouter/units.h"
 #include "shell/asio_error.h"
 #include "shell/clock.h"
 
@@ -161,10 +162,13 @@
     wanted.accepted = action.accepted;
     wanted.query = action.query;
     m_ticket = wanted.ticket;
+    m_askedAt = systemNow();
     m_host.expect(wanted.ticket, shared_from_this());
     const slot_answer answer = m_host.slots.acquire(wanted, m_thread.random);
     if (answer.result == slot_answer::outcome::Queued) {
-        note(log_part::Route, "waits for a slot at " + facts.promised.service);
+        note(log_event::RequestWaits,
+            {{"service", facts.promised.service}, {"waiting", m_host.slots.waiting(facts.promised.service)},
+                {"wait_left_ms", inMilliseconds(action.waitUntil - systemNow())}});
         m_host.serve(facts.promised.service, m_thread.random); // a slot may have come free between look and queue
         return;
     }
@@ -180,16 +184,28 @@
 void request_session::onSlotAnswer(const slot_answer &answer)
 {
     m_ticket = 0;
+    m_host.counts.observe(latency::Wait, facts().promised.route, systemNow() - m_askedAt);
     if (answer.result == slot_answer::outcome::Granted) {
-        note(log_part::Route,
-            "to " + answer.where->id + " in " + answer.where->failureDomain + " version " + answer.where->version + ": " + std::string(toText(answer.reason)));
+        notePlaced(answer);
         perform(m_machine.onSlot(answer.where, systemNow()));
         return;
     }
-    note(log_part::Route, "no slot: " + std::string(answerFor(answer.kind).name));
+    note(log_event::RequestNotPlaced,
+        {{"service", facts().promised.service}, {"error", answerFor(answer.kind).name}, {"waiting", m_host.slots.waiting(facts().promised.service)}});
     perform(m_machine.onNoSlot(answer.kind, systemNow()));
 }
 
+// With what the choice was made by: this daemon's own requests there, and what the endpoint last said and showed of itself.
+void request_session::notePlaced(const slot_answer &answer)
+{
+    const endpoint &where = *answer.where;
+    const endpoint_load &load = *where.load;
+    note(log_event::RequestPlaced,
+        {{"endpoint", where.id}, {"failure_domain", where.failureDomain}, {"version", where.version}, {"reason", toText(answer.reason)},
+            {"open_here", load.inFlight.load()}, {"slots_here", load.slots.load()}, {"load_permille", load.reportedPermille.load()},
+            {"first_token_us", load.firstTokenMicros.load()}});
+}
+
 void request_session::perform(const copy_to_peer &)
 {
     asio::co_spawn(m_thread.context, copyLoop(true), asio::detached);
@@ -206,7 +222,7 @@
         m_copied = upTo;
         if (first) {
             first = false;
-            note(log_part::Peer, m_protected ? "copied to a peer" : "no peer to copy to");
+            note(log_event::CopyMade, {{"held", m_protected}});
             perform(m_machine.onCopied(systemNow()));
         }
         notifyReaders();
@@ -234,7 +250,7 @@
     m_copied = upTo;
     m_tokens.resize(upTo); // what came while the peer was asked is the peer's to give: it goes on from here
     m_tokenCount = upTo;
-    note(log_part::Peer, "handed over at token " + std::to_string(upTo));
+    note(log_event::HandedOver, {{"pieces", upTo}});
     perform(m_machine.onHandedOver(systemNow()));
     notifyReaders();
     co_return true;
@@ -259,7 +275,7 @@
     } catch (const http_failure &) {
         arrived = false;
     }
-    note(log_part::Route, std::string(arrived ? "KV cache moved to " : "KV cache not moved, computed again at ") + action.to->id);
+    note(log_event::KvMoved, {{"endpoint", action.to->id}, {"arrived", arrived}});
     perform(m_machine.onTransferred(arrived, systemNow()));
 }
 
@@ -269,8 +285,12 @@
     open->where = action.to;
     m_open[action.attempt] = open;
     m_host.counts.countAttempt();
+    m_attempts = action.attempt;
     if (action.attempt > 1) {
-        note(log_part::Request, "attempt " + std::to_string(action.attempt) + " from token " + std::to_string(action.resumeFrom));
+        m_host.counts.countRepeat();
+        note(log_event::AttemptSent,
+            {{"attempt", action.attempt}, {"endpoint", action.to->id}, {"from", action.resumeFrom},
+                {"deadline_left_ms", inMilliseconds(facts().deadline - systemNow())}});
     }
     asio::co_spawn(m_thread.context, runAttempt(open, action), asio::detached);
 }
@@ -489,8 +509,13 @@
             m_host.onBegan(facts().account);
         }
         if (m_tokens.empty()) {
-            m_host.counts.observeFirstToken(facts().promised.route, now - facts().arrival);
+            m_firstPieceAt = now;
+            m_host.counts.observe(latency::FirstToken, facts().promised.route, now - facts().arrival);
         }
+        if (!m_tokens.empty()) {
+            m_host.counts.observe(latency::Pause, facts().promised.route, now - m_newestPieceAt);
+        }
+        m_newestPieceAt = now;
         m_tokens.push_back(std::move(event.token));
         m_tokenCount = static_cast<std::uint32_t>(m_tokens.size());
         m_host.counts.countToken();
@@ -538,7 +563,9 @@
         return;
     }
     m_open.erase(number);
-    note(log_part::Request, "attempt " + std::to_string(number) + " at " + open->where->id + " failed: " + std::string(answerFor(kind).name));
+    note(log_event::AttemptFailed,
+        {{"attempt", number}, {"endpoint", open->where->id}, {"error", answerFor(kind).name}, {"reach", toText(reach)}, {"pieces", m_tokens.size()},
+            {"after_ms", inMilliseconds(systemNow() - facts().arrival)}});
     perform(m_machine.onAttemptFailed(number, reach, kind, systemNow()));
 }
 
@@ -559,7 +586,7 @@
 
 void request_session::perform(const report_overdue &action)
 {
-    note(log_part::Request, "no token from " + action.where->id + " yet");
+    note(log_event::AttemptOverdue, {{"endpoint", action.where->id}});
     if (m_host.onOutcome) {
         const request_facts &facts = m_machine.facts();
         m_host.onOutcome({action.where->id, facts.promised.service, action.where->version, facts.promised.route, attempt_result::Overdue});
@@ -587,7 +614,13 @@
 void request_session::perform(const finish_request &action)
 {
     m_host.counts.countAnswer();
-    note(log_part::Request, "answered in full, " + std::to_string(action.tokens) + " tokens");
+    m_host.counts.countEnd(facts().promised.route, "answered");
+    m_host.counts.observe(latency::Total, facts().promised.route, systemNow() - facts().arrival);
+    const time_point now = systemNow();
+    note(log_event::RequestAnswered,
+        {{"status", m_status}, {"pieces", action.tokens}, {"attempts", m_attempts},
+            {"first_ms", m_firstPieceAt == time_point{} ? -1 : inMilliseconds(m_firstPieceAt - facts().arrival)},
+            {"total_ms", inMilliseconds(now - facts().arrival)}});
     close();
 }
 
@@ -596,7 +629,10 @@
     m_failed = true;
     m_failure = action.kind;
     m_host.counts.countFailure(action.kind);
-    note(log_part::Request, "failed: " + std::string(answerFor(action.kind).name) + ", ran: " + std::string(toText(answerFor(action.kind).ran)));
+    m_host.counts.countEnd(facts().promised.route, answerFor(action.kind).name);
+    note(log_event::RequestFailed,
+        {{"error", answerFor(action.kind).name}, {"ran", toText(answerFor(action.kind).ran)}, {"pieces", m_tokens.size()}, {"attempts", m_attempts},
+            {"total_ms", inMilliseconds(systemNow() - facts().arrival)}});
     close();
 }
 
@@ -626,7 +662,7 @@
 {
     asio::post(m_thread.context, [self = shared_from_this(), endpointId, leaveBy, method] {
         if (!self->m_machine.isOver()) {
-            self->note(log_part::Request, "leaves " + endpointId + ", which is on notice");
+            self->note(log_event::RequestMoves, {{"endpoint", endpointId}, {"pieces", self->m_tokens.size()}});
             self->m_host.counts.countMoved();
             self->perform(self->m_machine.onNotice(endpointId, leaveBy, method, systemNow()));
         }
@@ -638,12 +674,12 @@
     return static_cast<std::uint32_t>(m_payload.prompt.size() / bytesPerPromptToken) + m_tokenCount;
 }
 
-void request_session::note(log_part part, const std::string &text)
+void request_session::note(log_event what, log_fields fields)
 {
-    if (m_history.size() < maxHistoryBytes) {
-        m_history += text + "\n";
+    if (m_host.keepsAnswers && m_history.size() < maxHistoryBytes) {
+        m_history += logText(what, fields) + "\n"; // for whoever asks this daemon; where nobody can, the log alone has it
     }
-    logLine(part, log_level::Info, facts().id + " " + text);
+    logEventOf(what, facts().id, fields);
 }
 
 } // namespace chicoryrouter
--- a/src/shell/request_session.h
+++ b/src/shell/request_session.h
@@ -112,7 +112,8 @@
     void close();
     void notifyReaders();
     void armTimer();
-    void note(log_part part, const std::string &text);
+    void note(log_event what, log_fields fields); // into the log, and into what explain() tells
+    void notePlaced(const slot_answer &answer);
 
     request_host &m_host;
     request_thread &m_thread;
@@ -126,6 +127,10 @@
     std::uint64_t m_ticket = 0;             // of the pending acquire_slot; 0: none
     std::unique_ptr<claim_machine> m_claim; // null unless the request needed one
     bool m_claimWon = false;
+    std::uint32_t m_attempts = 0; // sent so far
+    time_point m_askedAt{};       // when a place was last asked for
+    time_point m_newestPieceAt{}; // of the answer
+    time_point m_firstPieceAt{};  // of the answer; the epoch: none yet
     std::uint32_t m_copied = 0;   // tokens a peer holds
     bool m_copying = false;       // copyLoop() runs
     bool m_handedOver = false;    // a peer goes on with it, or is being asked to
--- a/src/shell/request_session_claims.cpp
+++ b/src/shell/request_session_claims.cpp
@@ -53,7 +53,7 @@
     }
     m_claimWon = next == step::Won;
     if (next == step::Won) {
-        note(log_part::Claim, "claimed");
+        note(log_event::ClaimWon, {});
         perform(m_machine.onClaimed(systemNow()));
         if (m_machine.isOver() && !m_machine.mayHaveRun()) {
             co_await settleClaim();
@@ -65,11 +65,11 @@
         m_contentType = m_claim->holder().contentType;
         m_tokens = {m_claim->holder().answer};
         m_replayed = true;
-        note(log_part::Claim, "answered by the earlier call " + m_claim->holder().requestId);
+        note(log_event::ClaimReplayed, {{"earlier", m_claim->holder().requestId}});
         perform(m_machine.onReplayed(systemNow()));
         co_return;
     }
-    note(log_part::Claim, "refused: " + std::string(answerFor(m_claim->refusal()).name));
+    note(log_event::ClaimRefused, {{"error", answerFor(m_claim->refusal()).name}});
     perform(m_machine.onClaimRefused(m_claim->refusal(), systemNow()));
     if (m_claim->mayStandUnused()) {
         co_await settleClaim();
@@ -113,7 +113,7 @@
         asio::steady_timer pause(m_thread.context, 200ms);
         co_await pause.async_wait(asio::use_awaitable);
     }
-    logLine(log_part::Claim, log_level::Warning, facts.id + " record not settled: the key-value service did not answer");
+    logEvent(log_event::ClaimNotSettled, {{"request", facts.id}});
 }
 
 } // namespace chicoryrouter
--- a/src/shell/store_client.h
+++ b/src/shell/store_client.h
@@ -15,6 +15,7 @@
     std::atomic<std::uint64_t> reads{0};
     std::atomic<std::uint64_t> writes{0};
     std::atomic<std::uint64_t> watches{0};
+    std::atomic<std::uint64_t> failures{0}; // of all of them: no answer, or none that can be read
 };
 
 class store_client
