--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,11 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: setup build demo test test-console golden sanitize format lint bench
+SEEDS ?= 50
+FROM ?= 1
+MINUTES ?= 0
+
+.PHONY: setup build demo test test-console golden sanitize format lint bench soak
 
 setup:
 	@scripts/setup
@@ -33,5 +37,9 @@
 	@scripts/format check
 	@scripts/lint $(BUILD)
 
+# Faults against real processes; make soak SEEDS=50 FROM=1 MINUTES=0
+soak: build
+	@$(BUILD)/chicory-soak --router=$(BUILD)/chicoryrouterd --from=$(FROM) --seeds=$(SEEDS) --minutes=$(MINUTES)
+
 bench: build
 	@for name in routing streams plain firsttoken moves slopes hundred; do $(BUILD)/chicory-bench $$name; done
--- a/include/chicoryrouter/dispatcher.h
+++ b/include/chicoryrouter/dispatcher.h
@@ -27,14 +27,16 @@
 
     std::atomic<bool> rationed{false};            // tokens are limited
     std::atomic<std::int64_t> tokensLeft{0};      // of the account's limit, as far as is known here; below zero: spent ahead
+    std::atomic<std::int64_t> tokensKept{0};      // not taken here: other daemons may have spent so many already and not told yet
     std::atomic<std::int64_t> tokensPerSecond{0}; // at which they come back
     std::atomic<std::uint64_t> spent{0};          // tokens of admitted requests, here, since the start
 
     bool tryTake(); // counts one request in; false when the limit is reached
     void giveBack();
     bool tryTakeTokens(std::int64_t tokens); // takes them when any are left, also more than are left; false when none are
-    void refill(std::int64_t perSecond, std::int64_t most, duration since, std::int64_t takenElsewhere); // control strand only
-    [[nodiscard]] duration backIn() const;                                                               // time until tokens are left again
+    // Control strand only. `untold`: what others may have spent beside what they told.
+    void refill(std::int64_t perSecond, std::int64_t most, duration since, std::int64_t takenElsewhere, std::int64_t untold = 0);
+    [[nodiscard]] duration backIn() const; // time until tokens are left again
 };
 
 struct slot_request
--- a/include/chicoryrouter/fleet.h
+++ b/include/chicoryrouter/fleet.h
@@ -100,12 +100,15 @@
         time_point coldUntil{};          // new work is paced until then
         time_point pacedAt{};            // when paceTokens were last handed out
         double paceDue = 0.0;            // fraction of a request earned since
+        time_point permitUntil{};        // the permit handed out last lapses then, where permits lapse
     };
 
     void judge(known_endpoint &item) const;
     void takeRecord(known_endpoint &item, const instance_record &record);
     void shareSlots(const known_endpoint &item) const;
     [[nodiscard]] std::uint32_t connectionShare(const known_endpoint &item) const; // requests at once, of this daemon
+    [[nodiscard]] double firstPaceDue(const known_endpoint &item) const;
+    [[nodiscard]] bool permitsLapse(const known_endpoint &item) const;
     [[nodiscard]] double pacePerSecond(const known_endpoint &item) const;
     void averageReportedLoad(known_endpoint &item, time_point now);
     void setAsideIfAllowed(known_endpoint &item, time_point now);
--- a/include/chicoryrouter/spending.h
+++ b/include/chicoryrouter/spending.h
@@ -44,7 +44,9 @@
 
     void setMembers(const std::vector<std::string> &names, time_point now); // those present; self may be among them
     void take(const spending_note &note, time_point now);
-    double takenElsewhere(const std::string &account, double perSecond, time_point now);        // tokens since the last call; asks once a tick for each account
+    double takenElsewhere(const std::string &account, double perSecond, time_point now); // tokens since the last call; asks once a tick for each account
+    // Tokens that the others may have spent of an account's limit and not told yet, at the rate of their newest notes.
+    [[nodiscard]] double untoldElsewhere(const std::string &account, time_point now) const;
     [[nodiscard]] std::size_t silent(time_point now) const;                                     // daemons whose spending is assumed
     usage_counts beganElsewhere(std::uint64_t window) const;                                    // of all daemons ever heard, also since gone
     [[nodiscard]] bool heardSince(time_point moment) const;                                     // every daemon present told something after it
@@ -56,8 +58,10 @@
         std::uint64_t start = 0;
         std::uint64_t sequence = 0;
         time_point heardAt{};
-        time_point presentAt{}; // when it was last among the members
-        account_tokens totals;  // as last told
+        time_point presentAt{};              // when it was last among the members
+        account_tokens totals;               // as last told
+        duration interval{};                 // between its two newest notes
+        std::map<std::string, double> rates; // by account: tokens a second between its two newest notes
         std::map<std::string, service_load> loads;
     };
 
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -26,19 +26,21 @@
         return true;
     }
     std::int64_t left = tokensLeft.load(std::memory_order_relaxed);
-    while (left > 0 && !tokensLeft.compare_exchange_weak(left, left - tokens, std::memory_order_relaxed)) {
+    const std::int64_t least = tokensKept.load(std::memory_order_relaxed);
+    while (left > least && !tokensLeft.compare_exchange_weak(left, left - tokens, std::memory_order_relaxed)) {
     }
-    if (left <= 0) {
+    if (left <= least) {
         return false;
     }
     spent.fetch_add(static_cast<std::uint64_t>(tokens), std::memory_order_relaxed);
     return true;
 }
 
-void account_load::refill(std::int64_t perSecond, std::int64_t most, duration since, std::int64_t takenElsewhere)
+void account_load::refill(std::int64_t perSecond, std::int64_t most, duration since, std::int64_t takenElsewhere, std::int64_t untold)
 {
     const bool first = !rationed.exchange(true);
     tokensPerSecond = perSecond;
+    tokensKept = std::clamp<std::int64_t>(untold, 0, most / 2);
     const auto earned = static_cast<std::int64_t>(static_cast<double>(perSecond) * std::chrono::duration<double>(since).count());
     std::int64_t left = tokensLeft.load(std::memory_order_relaxed);
     std::int64_t fuller = 0;
@@ -49,7 +51,7 @@
 
 duration account_load::backIn() const
 {
-    const double missing = static_cast<double>(1 - std::min<std::int64_t>(tokensLeft, 0));
+    const double missing = static_cast<double>(std::max<std::int64_t>(1 + tokensKept - tokensLeft, 1));
     const double rate = static_cast<double>(std::max<std::int64_t>(tokensPerSecond, 1));
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(missing / rate));
 }
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -20,6 +20,8 @@
 constexpr std::size_t mostSetAsideFraction = 3;  // at most one in so many endpoints of a version
 constexpr duration firstProbeAfter = 5s;
 constexpr duration longestProbeAfter = 60s;
+constexpr double savedPermits = 0.4;   // of what a cold endpoint bears in a second
+constexpr duration permitLife = 400ms; // of one permit, where all together could be too many
 constexpr duration sameRegionDelay = 1ms;
 constexpr duration otherRegionDelay = 30ms;
 constexpr double reportedHalfLifeSeconds = 2.0;
@@ -326,25 +328,44 @@
     return owner == nullptr ? 0.0 : owner->coldPerSecond / static_cast<double>(std::max<std::size_t>(m_members.size(), 1));
 }
 
+// How far a daemon is from its first request there: the daemons' turns follow each other as fast as the endpoint bears.
+double fleet::firstPaceDue(const known_endpoint &item) const
+{
+    const std::uint64_t own = rendezvousWeight(item.facts.key, m_self);
+    const auto ahead = std::count_if(m_members.begin(), m_members.end(), [&](std::uint64_t other) { return rendezvousWeight(item.facts.key, other) > own; });
+    return 1.0 - static_cast<double>(ahead) / static_cast<double>(std::max<std::size_t>(m_members.size(), 1));
+}
+
+// Permits that all daemons saved up could be used in the same second. A few are borne; of many daemons' none is kept for long.
+bool fleet::permitsLapse(const known_endpoint &item) const
+{
+    const service *owner = m_inForce->content.findService(item.facts.service);
+    return owner != nullptr && static_cast<double>(m_members.size()) > owner->coldPerSecond * savedPermits;
+}
+
 void fleet::onPaceTime(time_point now)
 {
     for (auto &[id, item] : m_endpoints) {
         endpoint_load &load = *item.facts.load;
         const double rate = pacePerSecond(item);
         const bool cold = now < item.coldUntil && rate > 0.0;
-        const bool begins = cold && !load.paced;
-        load.paced = cold;
-        if (!cold || begins) {
-            item.paceDue = 0.0;
-            load.paceTokens = begins ? 1 : 0;
-        } else {
-            item.paceDue += rate * std::chrono::duration<double>(now - item.pacedAt).count();
-            if (item.paceDue >= 1.0) {
-                item.paceDue = 0.0;
-                load.paceTokens = 1; // never more than one saved up: what was not used is gone
-            }
+        if (!cold) {
+            load.paced = false;
+            load.paceTokens = 0;
+            continue;
         }
+        const bool begins = !load.paced;
+        item.paceDue = begins ? firstPaceDue(item) : item.paceDue + rate * std::chrono::duration<double>(now - item.pacedAt).count();
         item.pacedAt = now;
+        if (permitsLapse(item) && now >= item.permitUntil) {
+            load.paceTokens = 0;
+        }
+        if (item.paceDue >= 1.0) {
+            item.paceDue -= std::floor(item.paceDue); // never more than one saved up: what was not used is gone
+            load.paceTokens = 1;
+            item.permitUntil = now + permitLife;
+        }
+        load.paced = true; // last: until then nothing may start against permits of an earlier spell
     }
 }
 
--- a/src/core/spending.cpp
+++ b/src/core/spending.cpp
@@ -77,11 +77,18 @@
     if (restarted && note.start < from.start) {
         return; // of a life before the one we know
     }
+    from.interval = now - from.heardAt;
+    const double since = std::chrono::duration<double>(from.interval).count();
+    const bool follows = !unknown && !restarted && since > 0.0 && !isSilent(from, now);
+    from.rates.clear();
     for (const auto &[account, total] : note.spent) {
         const auto before = from.totals.find(account);
         const bool first = restarted || before == from.totals.end();
         const std::uint64_t known = first ? 0 : std::min(before->second, total);
         m_unread[account] += unknown ? 0 : total - known;
+        if (follows && total > known) {
+            from.rates[account] = static_cast<double>(total - known) / since;
+        }
     }
     if (restarted) {
         from.totals.clear();
@@ -138,6 +145,18 @@
     return sum;
 }
 
+double spending_tally::untoldElsewhere(const std::string &account, time_point now) const
+{
+    double sum = 0.0;
+    for (const auto &[name, item] : m_peers) {
+        const auto found = item.rates.find(account);
+        if (found != item.rates.end() && !isSilent(item, now)) {
+            sum += found->second * std::chrono::duration<double>(item.interval).count();
+        }
+    }
+    return sum;
+}
+
 double spending_tally::takenElsewhere(const std::string &account, double perSecond, time_point now)
 {
     const auto told = m_unread.find(account);
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -32,7 +32,7 @@
 constexpr std::uint64_t windowsTold = 2; // of usage, before the present one
 constexpr duration toldWithin = 200ms;   // after a window's end its counts are in the next notes
 constexpr duration noteInterval = 100ms; // between two notes of what is spent
-constexpr duration notePerMember = 10ms; // the least for each member
+constexpr duration notePerMember = 5ms;  // the least for each member: so many notes a second reach a daemon at most, however many there are
 constexpr duration readyWithoutList = 5s;
 constexpr duration demandInterval = 5s;
 constexpr duration gaugeInterval = 1s;
@@ -45,6 +45,14 @@
     return {own.instance, own.failureDomain, own.peer, start, member_state::Alive};
 }
 
+// The daemons' notes are spread over the interval: if all told at the same moment, all would be blind together until the next.
+time_point nextTurn(time_point now, duration interval, std::string_view name)
+{
+    const duration phase(static_cast<std::int64_t>(hashBytes(name) % static_cast<std::uint64_t>(interval.count())));
+    const duration into = (now.time_since_epoch() - phase) % interval;
+    return now + interval - into;
+}
+
 agreement_options optionsFor(const settings &own, document_reader reader)
 {
     agreement_options options;
@@ -582,8 +590,10 @@
             continue;
         }
         const double elsewhere = m_spending.takenElsewhere(account.name, account.tokensPerSecond, now);
+        const double untold = m_spending.untoldElsewhere(account.name, now);
         const auto rate = static_cast<std::int64_t>(account.tokensPerSecond);
-        found->second->refill(rate, static_cast<std::int64_t>(account.tokenBurst), since, static_cast<std::int64_t>(elsewhere));
+        found->second->refill(
+            rate, static_cast<std::int64_t>(account.tokenBurst), since, static_cast<std::int64_t>(elsewhere), static_cast<std::int64_t>(untold));
     }
 }
 
@@ -664,7 +674,7 @@
         }
     }
     m_spending.setMembers(names, now);
-    m_noteAt = now + std::max<duration>(noteInterval, notePerMember * static_cast<std::int64_t>(names.size()));
+    m_noteAt = nextTurn(now, std::max<duration>(noteInterval, notePerMember * static_cast<std::int64_t>(names.size())), m_own.instance);
     spending_note note;
     note.from = m_own.instance;
     note.start = m_agreement.members().self().incarnation + 1; // never zero
--- a/src/shell/log_events.h
+++ b/src/shell/log_events.h
@@ -33,6 +33,7 @@
 
 enum class log_event : std::uint8_t {
     // ---- Requests
+    RequestAdmitted,
     RequestRefused,
     RequestWaits,
     RequestPlaced,
--- a/src/shell/relay_gateway.h
+++ b/src/shell/relay_gateway.h
@@ -111,8 +111,9 @@
         contract promised = *route;
         promised.service = drawService(*route, thread.random);
         std::string account;
+        std::int64_t tokensLeft = 0;
         if (!route->open) {
-            account = charge(table, call, promised, comeBack);
+            account = charge(table, call, promised, comeBack, tokensLeft);
         }
         const service *owner = table.inForce->content.findService(promised.service);
         if (owner == nullptr) {
@@ -122,11 +123,14 @@
         facts.deadline = std::min(facts.deadline, call.deadline);
         facts.waitUntil = std::min(facts.waitUntil, now + (facts.deadline - now) / 2);
         facts.prefix = call.prefix;
+        logEvent(log_event::RequestAdmitted,
+            {{"request", call.id}, {"route", promised.route}, {"account", facts.account}, {"tokens", call.tokens.value_or(0)}, {"tokens_left", tokensLeft},
+                {"revision", table.inForce->revision}, {"deadline_left_ms", inMilliseconds(facts.deadline - now)}});
         return std::make_shared<request_session>(m_host, thread, std::move(facts), std::move(call.payload));
     }
 
     // Finds the caller's account and takes the request's tokens from its limit. Its rank goes before the route's.
-    static std::string charge(const front_table &table, const relayed_call &call, contract &promised, duration &comeBack)
+    static std::string charge(const front_table &table, relayed_call &call, contract &promised, duration &comeBack, std::int64_t &tokensLeft)
     {
         const auto found = call.key.empty() ? table.accounts.end() : table.accounts.find(hashToken(call.key));
         if (found == table.accounts.end()) {
@@ -134,12 +138,14 @@
         }
         const client_account &account = found->second.account;
         const std::int64_t tokens = call.tokens.value_or(account.tokensPerPlainCall);
+        call.tokens = tokens;
         if (!found->second.load->tryTakeTokens(tokens)) {
             comeBack = std::max(comeBack, found->second.load->backIn());
             throw error(error_kind::AccountOverLimit,
                 account.name + " asked for " + std::to_string(tokens) + " tokens at " + std::to_string(found->second.load->tokensLeft) + " left of "
                     + std::to_string(static_cast<std::int64_t>(account.tokensPerSecond)) + " a second");
         }
+        tokensLeft = found->second.load->tokensLeft;
         promised.rank = account.rank.value_or(promised.rank);
         return account.name;
     }
--- /dev/null
+++ b/tests/soak/daemon_process.cpp
@@ -0,0 +1,138 @@
+// Processes by fork and exec.
+#include "soak/daemon_process.h"
+
+#include "shell/clock.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <thread>
+
+namespace chicoryrouter::soak {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string text(const address &where)
+{
+    return where.ip + ":" + std::to_string(where.port);
+}
+
+void writeSettings(const settings &own, const std::string &path)
+{
+    std::ofstream out(path);
+    out << "instance: " << own.instance << "\nfailure_domain: " << own.failureDomain << "\nregion: west\nfailure_domains:\n";
+    for (const auto &[name, region] : own.domains) {
+        out << "  " << name << ": " << region << "\n";
+    }
+    out << "gateway: " << text(own.gateway) << "\nreadiness: " << text(own.readiness) << "\npeer: " << text(own.peer) << "\n";
+    out << "platform:\n  form: hosted\n  key_value: " << text(own.keyValue) << "\n  cloud: " << text(own.cloud)
+        << "\n  lease_term: 1s\n  usage_window: 2s\n  retry_reserve: " << own.retryReserve << "\n";
+    out << "peer_key: \"" << own.peerKey << "\"\noperator_token_hash: \"" << std::string(64, '0') << "\"\nthreads: 1\nstop_within: 8s\n";
+}
+
+} // namespace
+
+std::uint16_t freePort()
+{
+    const int handle = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in place{};
+    place.sin_family = AF_INET;
+    place.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(place);
+    bind(handle, reinterpret_cast<sockaddr *>(&place), size);
+    getsockname(handle, reinterpret_cast<sockaddr *>(&place), &size);
+    close(handle);
+    return ntohs(place.sin_port);
+}
+
+daemon_process::daemon_process(std::string program, settings own, std::string folder)
+    : m_program(std::move(program))
+    , m_own(std::move(own))
+    , m_folder(std::move(folder))
+{
+    writeSettings(m_own, m_folder + "/" + m_own.instance + ".yaml");
+}
+
+daemon_process::~daemon_process()
+{
+    kill();
+}
+
+void daemon_process::start()
+{
+    const std::string option = "--settings=" + m_folder + "/" + m_own.instance + ".yaml";
+    const std::string log = logFile();
+    m_pid = fork();
+    if (m_pid == 0) {
+        const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+        dup2(out, STDOUT_FILENO);
+        dup2(out, STDERR_FILENO);
+        execl(m_program.c_str(), m_program.c_str(), option.c_str(), nullptr);
+        _exit(127);
+    }
+}
+
+void daemon_process::send(int signal)
+{
+    if (m_pid > 0) {
+        ::kill(m_pid, signal);
+    }
+}
+
+bool daemon_process::reap(bool wait)
+{
+    if (m_pid > 0 && waitpid(m_pid, &m_status, wait ? 0 : WNOHANG) == m_pid) {
+        m_pid = 0;
+    }
+    return m_pid == 0;
+}
+
+void daemon_process::kill()
+{
+    send(SIGKILL);
+    reap(true);
+}
+
+void daemon_process::pause()
+{
+    send(SIGSTOP);
+}
+
+void daemon_process::resume()
+{
+    send(SIGCONT);
+}
+
+void daemon_process::hangUp()
+{
+    send(SIGHUP);
+}
+
+bool daemon_process::stop(duration within)
+{
+    send(SIGTERM);
+    const time_point until = systemNow() + within;
+    while (systemNow() < until) {
+        if (reap(false)) {
+            return true;
+        }
+        std::this_thread::sleep_for(10ms);
+    }
+    kill();
+    return false;
+}
+
+bool daemon_process::runs()
+{
+    return !reap(false);
+}
+
+} // namespace chicoryrouter::soak
--- a/tests/unit/spending.cpp
+++ b/tests/unit/spending.cpp
@@ -1,9 +1,13 @@
 // Account limits that daemons share by notes, usage windows, and what is assumed of daemons that fell silent.
 #include "chicoryrouter/spending.h"
 #include "chicoryrouter/dispatcher.h"
+#include "chicoryrouter/random.h"
 
 #include <criterion/criterion.h>
 
+#include <memory>
+#include <numeric>
+
 using namespace chicoryrouter;
 using namespace std::chrono_literals;
 
@@ -109,3 +113,85 @@
     cr_assert_eq(tally.beganElsewhere(41).at("guild"), 11);
     cr_assert(tally.beganElsewhere(40).empty());
 }
+
+namespace {
+
+// Daemons that share one account's limit by notes that come rarely.
+struct sharing_world
+{
+    sharing_world(std::size_t daemons, duration noteEvery, bool inTurn)
+        : interval(noteEvery)
+        , spread(inTurn)
+    {
+        for (std::size_t i = 0; i < daemons; ++i) {
+            names.push_back("entry-" + std::to_string(i));
+        }
+        for (const std::string &name : names) {
+            tallies.emplace_back(name);
+            tallies.back().setMembers(names, start);
+            loads.push_back(std::make_unique<account_load>());
+        }
+    }
+
+    // What is let through in one tick of 50 ms when each daemon is asked with this chance for one large request.
+    std::int64_t tick(time_point now, std::uint64_t chancePercent, bool keeping)
+    {
+        const auto step = static_cast<std::size_t>((now - start) / 50ms);
+        const auto steps = static_cast<std::size_t>(interval / 50ms);
+        std::int64_t through = 0;
+        for (std::size_t i = 0; i < names.size(); ++i) {
+            const double untold = keeping ? tallies[i].untoldElsewhere("guild", now) : 0.0;
+            const double elsewhere = tallies[i].takenElsewhere("guild", perSecond, now);
+            loads[i]->refill(perSecond, burst, 50ms, static_cast<std::int64_t>(elsewhere), static_cast<std::int64_t>(untold));
+            const bool taken = uniformBelow(random, 100) < chancePercent && loads[i]->tryTakeTokens(requestTokens);
+            through += taken ? requestTokens : 0;
+            if (step % steps == (spread ? i % steps : 0)) {
+                for (std::size_t other = 0; other < names.size(); ++other) {
+                    tallies[other].take(noteOf(names[i], 7, step + 1, loads[i]->spent), now);
+                }
+            }
+        }
+        return through;
+    }
+
+    static constexpr std::int64_t requestTokens = 12'000;
+    seeded_random random{7};
+    static constexpr std::int64_t perSecond = 800'000;
+    static constexpr std::int64_t burst = 700'000;
+    duration interval;
+    bool spread; // each tells at its own moment, not all at the same
+    std::vector<std::string> names;
+    std::vector<spending_tally> tallies;
+    std::vector<std::unique_ptr<account_load>> loads;
+};
+
+// The most of 8 seconds over what the limit allows in them, and the part of the limit that is used while all press.
+std::pair<double, double> underRush(duration noteEvery, bool keeping, bool inTurn)
+{
+    sharing_world all(90, noteEvery, inTurn);
+    std::vector<std::int64_t> through;
+    for (time_point now = start; now < start + 30s; now += 50ms) {
+        const bool rush = now >= start + 5s;
+        through.push_back(all.tick(now, rush ? 20 : 1, keeping)); // 90 daemons, 20 ticks a second: 0.2 million tokens a second, then 4.3 million
+    }
+    const double used = static_cast<double>(std::accumulate(through.begin() + 300, through.end(), std::int64_t{0})) / (15.0 * sharing_world::perSecond);
+    std::int64_t most = 0;
+    for (std::size_t from = 0; from + 160 <= through.size(); ++from) {
+        most = std::max(most,
+            std::accumulate(through.begin() + static_cast<std::ptrdiff_t>(from), through.begin() + static_cast<std::ptrdiff_t>(from) + 160, std::int64_t{0}));
+    }
+    return {static_cast<double>(most) / static_cast<double>(8 * sharing_world::perSecond + sharing_world::burst), used};
+}
+
+} // namespace
+
+// The load: one account asks for five times its limit in large requests at ninety daemons at once, whose notes come every 450 ms in
+// turn (before: every 900 ms, all at the same moment).
+Test(spending, a_burst_at_many_daemons_keeps_to_the_limit_although_notes_come_rarely)
+{
+    const auto [mostBefore, usedBefore] = underRush(900ms, false, false);
+    const auto [most, used] = underRush(450ms, true, true);
+    cr_assert_leq(most, 1.1, "%f of the limit; %f when all tell at once and nothing is kept", most, mostBefore);
+    cr_assert_gt(mostBefore, 1.15, "the load does not show it: %f", mostBefore);
+    cr_assert_geq(used, 0.9, "only %f of the limit is used; %f when nothing is kept", used, usedBefore);
+}
