Endpoints that cannot be reached are left at once and tried again soon; what a caller was told is a line of its own

A connection that does not come about now sets the endpoint aside for a second, doubling to eight, whatever part of the others is aside, but for the last one of its service (test first). A request that failed after it was sent was logged once more as 'refused without being sent anywhere', and counted twice in failures_total: mended.

The router blocks its signals first of all in main(); what comes before main() no process can hold, so the soak sends none to a process that is being started.

--- a/include/chicoryrouter/fleet.h
+++ b/include/chicoryrouter/fleet.h
@@ -91,16 +91,17 @@
         std::uint64_t coldSince = 0; // completed count at which it was last found cold
         cold_detector cold;
         std::uint32_t failuresInRow = 0;
-        double badShare = 0.0;           // of its answers, the newest weighing most
-        std::uint32_t timesSetAside = 0; // in a row, for the probe's back-off
-        time_point probeAt = noDeadline; // set aside until then
-        bool probing = false;            // back for one request
-        std::uint32_t ownSlots = 0;      // as it states itself; 0: the document says
-        std::uint64_t bornAt = 0;        // of its present start
-        time_point coldUntil{};          // new work is paced until then
-        time_point pacedAt{};            // when paceTokens were last handed out
-        double paceDue = 0.0;            // fraction of a request earned since
-        time_point permitUntil{};        // the permit handed out last lapses then, where permits lapse
+        double badShare = 0.0;              // of its answers, the newest weighing most
+        std::uint32_t timesSetAside = 0;    // in a row, for the probe's back-off
+        std::uint32_t timesUnreachable = 0; // in a row, likewise
+        time_point probeAt = noDeadline;    // set aside until then
+        bool probing = false;               // back for one request
+        std::uint32_t ownSlots = 0;         // as it states itself; 0: the document says
+        std::uint64_t bornAt = 0;           // of its present start
+        time_point coldUntil{};             // new work is paced until then
+        time_point pacedAt{};               // when paceTokens were last handed out
+        double paceDue = 0.0;               // fraction of a request earned since
+        time_point permitUntil{};           // the permit handed out last lapses then, where permits lapse
     };
 
     void judge(known_endpoint &item) const;
@@ -111,6 +112,7 @@
     [[nodiscard]] bool permitsLapse(const known_endpoint &item) const;
     [[nodiscard]] double pacePerSecond(const known_endpoint &item) const;
     void averageReportedLoad(known_endpoint &item, time_point now);
+    void setAsideUnreachable(known_endpoint &item, time_point now);
     void setAsideIfAllowed(known_endpoint &item, time_point now);
     [[nodiscard]] bool standsOut(const known_endpoint &item) const;
     void observeFirstToken(known_endpoint &item, duration firstToken);
--- a/include/chicoryrouter/request_machine.h
+++ b/include/chicoryrouter/request_machine.h
@@ -65,10 +65,11 @@
 enum class attempt_result : std::uint8_t {
     Unused, // the slot was given back without sending
     Answered,
-    Failed,  // counts against the endpoint and its version
-    Lost,    // the connection broke: its process or instance is gone, with everything that was open there
-    Left,    // we turned away, or its end was announced: says nothing
-    Overdue, // no token for far longer than the target; it goes on, and this counts against the endpoint already now
+    Failed,      // counts against the endpoint and its version
+    Lost,        // the connection broke: its process or instance is gone, with everything that was open there
+    Left,        // we turned away, or its end was announced: says nothing
+    Unreachable, // no connection to it came about: nothing ran, and nothing would soon
+    Overdue,     // no token for far longer than the target; it goes on, and this counts against the endpoint already now
 };
 
 enum class token_verdict : std::uint8_t {
--- a/src/core/agreement.cpp
+++ b/src/core/agreement.cpp
@@ -230,8 +230,8 @@
     if (found == m_moves.end() || !saysSomething) {
         return;
     }
-    // When a process or instance dies, everything open there fails at once: one event, not many.
-    if (outcome.result == attempt_result::Lost) {
+    // When a process or instance dies, everything open there fails at once, and nothing reaches it afterwards: one event, not many.
+    if (outcome.result == attempt_result::Lost || outcome.result == attempt_result::Unreachable) {
         time_point &countsFrom = m_lossCountsFrom[outcome.endpointId];
         if (now < countsFrom) {
             return;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -20,8 +20,10 @@
 constexpr std::size_t mostSetAsideFraction = 3;  // at most one in so many endpoints of a version
 constexpr duration firstProbeAfter = 5s;
 constexpr duration longestProbeAfter = 60s;
-constexpr double savedPermits = 0.4;   // of what a cold endpoint bears in a second
-constexpr duration permitLife = 400ms; // of one permit, where all together could be too many
+constexpr double savedPermits = 0.4;     // of what a cold endpoint bears in a second
+constexpr duration permitLife = 400ms;   // of one permit, where all together could be too many
+constexpr duration firstReachAfter = 1s; // a connection is tried again; cheaper than a request that fails
+constexpr duration longestReachAfter = 8s;
 constexpr duration sameRegionDelay = 1ms;
 constexpr duration otherRegionDelay = 30ms;
 constexpr double reportedHalfLifeSeconds = 2.0;
@@ -190,12 +192,17 @@
         item.reportedAt = now;
         shareSlots(item);
     }
+    if (outcome.result == attempt_result::Unreachable) {
+        setAsideUnreachable(item, now);
+        return;
+    }
     const bool good = outcome.result == attempt_result::Answered;
     item.badShare += badShareStep * ((good ? 0.0 : 1.0) - item.badShare);
     if (good) {
         m_dirty = m_dirty || item.probing;
         item.failuresInRow = 0;
         item.timesSetAside = 0;
+        item.timesUnreachable = 0;
         item.probing = false;
         observeFirstToken(item, outcome.firstToken);
         return;
@@ -223,6 +230,25 @@
     return item.badShare > badShareBound && item.badShare > badShareFactor * mean;
 }
 
+// A process that is gone or cut off from here. One failed connection tells more than one failed answer, and sending more there relieves
+// nobody: it is left at once, however many others are, for a short while. Only the last one of its service stays, for want of another.
+void fleet::setAsideUnreachable(known_endpoint &item, time_point now)
+{
+    const bool othersLeft = std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto &other) {
+        const known_endpoint &one = other.second;
+        return &one != &item && one.facts.service == item.facts.service && one.listed && !one.leaving && one.probeAt == noDeadline;
+    });
+    const bool alreadyAside = item.probeAt != noDeadline;
+    if (alreadyAside || !othersLeft) {
+        return;
+    }
+    const duration wait = std::min(firstReachAfter * (1 << std::min(item.timesUnreachable, 4U)), longestReachAfter);
+    ++item.timesUnreachable;
+    item.probing = false;
+    item.probeAt = now + wait;
+    m_dirty = true;
+}
+
 void fleet::setAsideIfAllowed(known_endpoint &item, time_point now)
 {
     std::size_t all = 0;
--- a/src/core/request_machine.cpp
+++ b/src/core/request_machine.cpp
@@ -258,7 +258,9 @@
     m_provedNotRun += bytesLeft ? 0 : 1;
     const auto index = static_cast<std::size_t>(open - m_attempts.data());
     open->byteMayHaveLeft = bytesLeft;
-    const attempt_result result = kind == error_kind::EndpointLost ? attempt_result::Lost : attempt_result::Failed;
+    const bool unreachable = reach == attempt_reach::NotSent && !bytesLeft;
+    const attempt_result whenSent = kind == error_kind::EndpointLost ? attempt_result::Lost : attempt_result::Failed;
+    const attempt_result result = unreachable ? attempt_result::Unreachable : whenSent;
     closeAttempt(index, leaving ? attempt_result::Left : result, false, actions);
     if (!m_attempts.empty() || m_held != nullptr) {
         return actions; // the hedge, or the mover that already has its slot, goes on alone
--- a/src/programs/chicoryrouterd.cpp
+++ b/src/programs/chicoryrouterd.cpp
@@ -33,6 +33,7 @@
 int main(int argc, char **argv)
 {
     using namespace chicoryrouter;
+    const sigset_t signals = blockStopSignals(); // first of all: a signal that comes before would end the process
     startProgram(argc, argv,
         "serves callers of one entry instance.\n"
         "  chicoryrouterd --settings=FILE [--check-settings]\n"
@@ -43,7 +44,6 @@
         std::cout << logEventsDocument();
         return exitGood;
     }
-    const sigset_t signals = blockStopSignals();
     settings own;
     try {
         own = readSettingsFile(FLAGS_settings);
--- a/src/shell/log_events.cpp
+++ b/src/shell/log_events.cpp
@@ -10,7 +10,9 @@
 constexpr log_event_table table = {{
     {RequestAdmitted, "request_admitted", log_part::Request, log_level::Info, "its account and route may have it",
         "request route account tokens tokens_left revision deadline_left_ms"},
-    {RequestRefused, "request_refused", log_part::Request, log_level::Info, "refused without being sent anywhere", "request error why revision come_back_ms"},
+    {RequestRefused, "request_refused", log_part::Request, log_level::Info, "refused without being sent anywhere",
+        "request error status why revision come_back_ms"},
+    {FailureTold, "failure_told", log_part::Request, log_level::Info, "the caller was told of the failure", "request error status why revision come_back_ms"},
     {RequestWaits, "request_waits", log_part::Route, log_level::Info, "waits for a place", "request service waiting wait_left_ms"},
     {RequestPlaced, "request_placed", log_part::Route, log_level::Info, "has a place",
         "request endpoint failure_domain version reason open_here slots_here load_permille first_token_us"},
--- a/src/shell/log_events.h
+++ b/src/shell/log_events.h
@@ -35,6 +35,7 @@
     // ---- Requests
     RequestAdmitted,
     RequestRefused,
+    FailureTold,
     RequestWaits,
     RequestPlaced,
     RequestNotPlaced,
--- a/src/shell/relay_gateway.h
+++ b/src/shell/relay_gateway.h
@@ -79,7 +79,7 @@
             detail = fault.detail();
         }
         if (session == nullptr) {
-            co_await refuse(exchange, call, kind, detail, comeBack);
+            co_await refuse(exchange, call, kind, detail, comeBack, false);
             co_return;
         }
         exchange.watchCaller([session] { session->callerGone(); });
@@ -169,13 +169,18 @@
         return route.service;
     }
 
-    boost::asio::awaitable<void> refuse(http_exchange &exchange, const relayed_call &call, error_kind kind, const std::string &detail, duration comeBack)
+    // `tried`: it had a session, which counted and told what became of it; only the caller is still to be told.
+    boost::asio::awaitable<void> refuse(
+        http_exchange &exchange, const relayed_call &call, error_kind kind, const std::string &detail, duration comeBack, bool tried)
     {
-        m_host.counts.countFailure(kind);
+        if (!tried) {
+            m_host.counts.countFailure(kind);
+            m_host.counts.countEnd("", answerFor(kind).name);
+        }
         const error_answer &row = answerFor(kind);
         const duration wait = row.mayAskAgain ? comeBack : duration{};
-        logEvent(log_event::RequestRefused,
-            {{"request", call.id}, {"error", row.name}, {"why", detail}, {"revision", m_front.front.read().inForce->revision},
+        logEvent(tried ? log_event::FailureTold : log_event::RequestRefused,
+            {{"request", call.id}, {"error", row.name}, {"status", row.httpStatus}, {"why", detail}, {"revision", m_front.front.read().inForce->revision},
                 {"come_back_ms", inMilliseconds(wait)}});
         co_await exchange.respondAs(row.httpStatus, Dialect::refusalHeaders(call.id, kind, wait), errorBody(kind, call.id, detail));
     }
@@ -199,7 +204,7 @@
         }
         const relayed_call call{session->facts().id, {}, session->facts().deadline, 0, {}, {}};
         const duration comeBack = comeBackIn(quickReturn, returnSpread, systemNow(), call.deadline, gateway::ownThread().random);
-        co_await refuse(exchange, call, session->failure(), {}, comeBack);
+        co_await refuse(exchange, call, session->failure(), {}, comeBack, true);
     }
 
     boost::asio::awaitable<void> answerStream(http_exchange &exchange, const std::shared_ptr<request_session> &session)
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -155,7 +155,7 @@
         complain(call, "had no end");
     }
     const bool cut = call.status == 0 || !call.whole;
-    if (!cut || disturbed(call, disturbance::what::Endpoints) || disturbed(call, disturbance::what::Daemon)) {
+    if (!cut || call.metStart || disturbed(call, disturbance::what::Endpoints) || disturbed(call, disturbance::what::Daemon)) {
         return;
     }
     for (const disturbance &span : m_disturbances) {
@@ -173,12 +173,12 @@
 void ledger::checkRevisions()
 {
     for (const call_record &later : m_calls) {
-        if (later.kind != call_kind::Probe || later.status != 200) {
+        if (later.kind != call_kind::Probe || later.status != 200 || later.metStart) {
             continue;
         }
         for (const call_record &earlier : m_calls) {
-            const bool sameProcess
-                = earlier.kind == call_kind::Probe && earlier.status == 200 && earlier.daemon == later.daemon && earlier.incarnation == later.incarnation;
+            const bool sameProcess = earlier.kind == call_kind::Probe && earlier.status == 200 && !earlier.metStart && earlier.daemon == later.daemon
+                && earlier.incarnation == later.incarnation;
             if (sameProcess && earlier.ended < later.begun && earlier.revision > later.revision) {
                 complain(later, "was served by revision " + std::to_string(later.revision) + " after " + std::to_string(earlier.revision));
                 return;
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -34,6 +34,7 @@
     std::string body;
     std::string answeredId;
     bool sealed = false;
+    bool metStart = false; // its daemon was started anew meanwhile: which process it met is not known
 };
 
 // A span in which callers may see more than the rules of a calm day allow.
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -51,7 +51,7 @@
         , service(std::move(ofService))
         , failureDomain(std::move(domain))
     {
-        endpoint.faults.workMillis = 30;
+        endpoint.faults.workMillis = service == "writer" ? 200 : 30; // streams last long enough to be open when something happens
     }
 
     std::string entry(const std::string &state) const
@@ -190,10 +190,7 @@
         context.restart();
         context.run();
         record.ended = systemNow();
-        const bool sameProcess = record.incarnation == all.incarnations[record.daemon];
-        if (!sameProcess && record.status == 0) {
-            continue; // it met the start of a process: nothing is promised to it
-        }
+        record.metStart = record.incarnation != all.incarnations[record.daemon];
         seen.add(std::move(record));
         std::this_thread::sleep_for(std::chrono::milliseconds(uniformBelow(random, 30)));
     }
@@ -241,7 +238,7 @@
             return storeFault();
         case 5:
             m_all.configure(m_all.revision + 1);
-            m_all.routers[pick()]->hangUp();
+            hangUpOne();
             return;
         case 6:
             return uniformBelow(m_random, 4) == 0 ? killAll() : drainOne();
@@ -354,6 +351,15 @@
         }
     }
 
+    // A process that has only just been started has no say yet in what its signals do.
+    void hangUpOne()
+    {
+        const std::size_t which = pick();
+        if (m_all.busyUntil[which] <= systemNow()) {
+            m_all.routers[which]->hangUp();
+        }
+    }
+
     // Announced, gone, and back again.
     void drainOne()
     {
--- a/tests/unit/limits.cpp
+++ b/tests/unit/limits.cpp
@@ -189,6 +189,27 @@
     cr_assert_leq(sum, mostConnections);
 }
 
+// A quarter of the endpoints crash at once, as each of many daemons has to find out by its own few requests.
+Test(limits, an_endpoint_that_cannot_be_reached_is_left_at_once_and_tried_again_soon)
+{
+    fleet all = fleetOf(6);
+    const attempt_outcome unreachable{"e0", "writer", "v1", "chat", attempt_result::Unreachable, {}};
+    all.onOutcome(unreachable, someday);
+    cr_assert_eq(usable(all), 5);
+    all.onProbeTime(someday + 1s);
+    cr_assert_eq(usable(all), 6);
+    all.onOutcome(unreachable, someday + 1s);
+    all.onProbeTime(someday + 2s);
+    cr_assert_eq(usable(all), 5, "for twice as long");
+    for (const char *id : {"e1", "e2", "e3", "e4", "e5"}) {
+        all.onOutcome({id, "writer", "v1", "chat", attempt_result::Unreachable, {}}, someday + 2s);
+    }
+    cr_assert_eq(usable(all), 1, "but the last one stays");
+    all.onProbeTime(someday + 3s);
+    all.onOutcome({"e1", "writer", "v1", "chat", attempt_result::Answered, 50ms}, someday + 3s);
+    cr_assert_gt(all.status()[1].limit, 1, "one answer and it is as before");
+}
+
 Test(limits, no_more_than_a_third_of_a_version_is_set_aside)
 {
     fleet all = fleetOf(6);
