--- a/tests/support/world.cpp
+++ b/tests/support/world.cpp
@@ -73,6 +73,7 @@
 {
     fake_endpoint fresh;
     fresh.facts = {id, domain, instance_class::Reclaimable, service, version, {"10.0.0.1", 1}};
+    fresh.facts.bornAt = 1;
     fresh.model = service == "writer";
     m_endpoints[id] = fresh;
     publishList();
@@ -170,6 +171,35 @@
     publishList();
 }
 
+void world::restart(const std::string &id, duration downFor)
+{
+    crash(id);
+    after(downFor, [this, id] {
+        fake_endpoint &item = m_endpoints.at(id);
+        item.gone = false;
+        item.running = 0;
+        item.noticedAt = noDeadline;
+        item.facts.leaving = false;
+        ++item.facts.bornAt;
+        ++item.epoch;
+        say("endpoint " + id + " starts anew");
+        publishList();
+    });
+}
+
+void world::cut(std::size_t node, const std::string &domain, bool forward, duration span)
+{
+    m_cuts[{node, domain}] = forward;
+    say("node " + std::to_string(node) + (forward ? " does not reach " : " does not hear ") + domain);
+    after(span, [this, node, domain] { m_cuts.erase({node, domain}); });
+}
+
+bool world::isCut(const std::shared_ptr<live_request> &live, const fake_endpoint &where, bool forward) const
+{
+    const auto found = m_cuts.find({live->node, where.facts.failureDomain});
+    return found != m_cuts.end() && found->second == forward;
+}
+
 void world::notice(const std::string &id, duration within)
 {
     fake_endpoint &item = m_endpoints.at(id);
@@ -391,13 +421,16 @@
         failAttempt(live, attempt, attempt_reach::NotSent, error_kind::EndpointRefused);
         return;
     }
+    live->machine->onSent(attempt, m_now);
+    if (isCut(live, where, true)) {
+        return; // the bytes are lost on the way; nobody is told
+    }
     ++live->outside->sends;
     ++where.sends;
     if (where.noticedAt != noDeadline && m_now > where.noticedAt + noWorkAfterNotice) {
         m_broken.push_back(live->outside->id + " was sent to " + where.facts.id + " long after its notice");
     }
-    live->machine->onSent(attempt, m_now);
-    if (where.fault == endpoint_fault::Refusing) {
+    if (where.fault == endpoint_fault::Refusing && !isCut(live, where, false)) {
         after(linkDelay, [this, live, attempt] { failAttempt(live, attempt, attempt_reach::ProvedNotRun, error_kind::EndpointRefused); });
         return;
     }
@@ -410,7 +443,7 @@
     const int factor = where.fault == endpoint_fault::Slow ? slowFactor : 1;
     if (where.fault == endpoint_fault::Failing) {
         after(where.firstToken, [this, live, attempt] { failAttempt(live, attempt, attempt_reach::MayHaveRun, error_kind::EndpointFailed); });
-    } else if (where.fault == endpoint_fault::Silent) {
+    } else if (where.fault == endpoint_fault::Silent || isCut(live, where, false)) {
         say(live->outside->id + " meets silence at " + where.facts.id);
     } else if (where.model) {
         const int left = where.fault == endpoint_fault::Cutting ? 2 : -1;
@@ -428,6 +461,9 @@
         return;
     }
     fake_endpoint &where = m_endpoints.at(id);
+    if (isCut(live, where, false)) {
+        return; // what it sends is lost; the connection stays silent
+    }
     if (left == 0) {
         failAttempt(live, attempt, attempt_reach::MayHaveRun, error_kind::EndpointLost);
         return;
--- a/tests/support/world.h
+++ b/tests/support/world.h
@@ -100,6 +100,8 @@
     void noticeDomain(const std::string &domain, duration within);
     void killNode(std::size_t node); // unannounced; peers notice after `deathNoticedAfter`
     void turnCold(const std::string &endpoint);
+    void restart(const std::string &endpoint, duration downFor);                        // crashes, and starts anew under its id: what was open there is lost
+    void cut(std::size_t node, const std::string &domain, bool forward, duration span); // one way, in silence: sends, or else answers, do not arrive
     fake_store store;
 
     // ---- Time
@@ -145,6 +147,7 @@
     store_reply storeRead(const std::string &key);
     store_reply storeSwap(const std::string &key, std::uint64_t expected, const std::string &value, bool erase);
     void serve(std::size_t node, const std::string &service);
+    [[nodiscard]] bool isCut(const std::shared_ptr<live_request> &live, const fake_endpoint &where, bool forward) const;
     void publishList();
     void publishReports();
     void refresh(std::size_t node);
@@ -159,6 +162,7 @@
     std::vector<std::unique_ptr<node>> m_nodes;
     std::map<std::string, fake_endpoint> m_endpoints;
     std::map<std::string, world_request> m_requests;
+    std::map<std::pair<std::size_t, std::string>, bool> m_cuts; // by node and failure domain: true, sends do not arrive; false, answers do not
     std::vector<std::shared_ptr<live_request>> m_live;
     std::vector<std::string> m_transcript;
     std::vector<std::string> m_broken;
--- a/tests/unit/random_faults.cpp
+++ b/tests/unit/random_faults.cpp
@@ -15,6 +15,7 @@
 {
     bool reclaimsOnly = false; // announced reclaims, and nothing else goes wrong
     bool nodeDeaths = false;
+    bool cutsAndRestarts = false; // endpoints that start anew under their id, and paths that are silent one way
 };
 
 class random_world
@@ -87,6 +88,10 @@
             reclaimIfOthersStay(endpoint);
             return;
         }
+        if (m_mix.cutsAndRestarts && uniformBelow(m_random, 2) == 0) {
+            cutOrRestart(endpoint);
+            return;
+        }
         switch (uniformBelow(m_random, 8)) {
         case 0:
             m_world.crash(endpoint);
@@ -115,6 +120,16 @@
         }
     }
 
+    void cutOrRestart(const std::string &endpoint)
+    {
+        const char *domains[] = {"fd-1", "fd-2", "fd-3"};
+        if (uniformBelow(m_random, 3) == 0) {
+            m_world.restart(endpoint, 100ms + someTime(4s));
+            return;
+        }
+        m_world.cut(uniformBelow(m_random, m_nodes), domains[uniformBelow(m_random, 3)], uniformBelow(m_random, 2) == 0, 100ms + someTime(5s));
+    }
+
     // One engine and one shop are never reclaimed, so that there is a place to go.
     void reclaimIfOthersStay(const std::string &endpoint)
     {
@@ -179,3 +194,13 @@
 {
     checkSeeds(5001, {false, true});
 }
+
+Test(random_faults, silent_paths_and_restarts_under_the_same_id_1)
+{
+    checkSeeds(6001, {false, false, true});
+}
+
+Test(random_faults, silent_paths_and_restarts_under_the_same_id_2)
+{
+    checkSeeds(7001, {false, true, true});
+}
