--- a/src/shell/http.h
+++ b/src/shell/http.h
@@ -86,6 +86,9 @@
     void setLimits(const http_server_limits &limits); // any thread; for requests that begin from now on
     void lastAnswers();                               // any thread: every answer from now on ends its connection
     void close();                                     // accepts no more; open requests go on, kept connections close after their answer
+    void closeIdle();                                 // any thread: connections on which no request is being answered end now
+    [[nodiscard]] std::size_t connections() const;    // open now
+    [[nodiscard]] std::size_t busy() const;           // connections with a request being answered, or an answer on its way
     void abortAll();                                  // closes every connection at once; used to play a crash
 
 private:
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -55,6 +55,7 @@
     std::set<connection *> open;
     std::atomic<bool> closing{false};
     std::atomic<bool> lastAnswers{false}; // every answer ends its connection
+    std::atomic<std::size_t> busy{0};     // connections with a request that is being answered, or an answer on its way
     http_server_limits limits;            // guarded by `lock`
 
     http_server_limits limitsNow()
@@ -80,6 +81,7 @@
 
     ~connection() override
     {
+        setBusy(false);
         const std::lock_guard guard(m_all->lock);
         m_all->open.erase(this);
     }
@@ -88,7 +90,7 @@
     {
         bool keep = true;
         bool first = true;
-        while (keep && !m_all->closing) {
+        while (keep) { // also when the server is closing: what was accepted is served once
             m_limits = m_all->limitsNow();
             const read_result got = co_await receive(first);
             first = false;
@@ -98,9 +100,11 @@
             if (got == read_result::Answered) {
                 break;
             }
+            setBusy(true);
             co_await handle(handler);
             stopWatching();
-            keep = m_keepAlive && !m_broken;
+            keep = m_keepAlive && !m_broken && !m_all->closing;
+            setBusy(!keep);
         }
         if (!m_broken) {
             co_await drain(); // closing over unread bytes would reset the connection, and with it an answer on its way
@@ -176,6 +180,18 @@
     [[nodiscard]] bool started() const override { return m_started; }
     [[nodiscard]] asio::any_io_executor executor() const override { return const_cast<connection *>(this)->m_stream.get_executor(); }
 
+    // Any thread. Closes it if no request of its caller is with us: what was not read yet is not ours to answer.
+    static void closeIfIdle(std::shared_ptr<connection> which)
+    {
+        const asio::any_io_executor owner = which->m_stream.get_executor();
+        asio::post(owner, [self = std::move(which)] {
+            if (!self->m_busy) {
+                self->m_broken = true;
+                self->m_stream.close();
+            }
+        });
+    }
+
     // Any thread. Takes the caller's share in the connection, so that it is its own thread that lets go of it.
     static void closeSoon(std::shared_ptr<connection> which)
     {
@@ -193,6 +209,14 @@
         Closed,
     };
 
+    void setBusy(bool busy)
+    {
+        if (busy != m_busy) {
+            m_all->busy += busy ? 1 : -1;
+        }
+        m_busy = busy;
+    }
+
     [[nodiscard]] bool mayKeep() const { return m_keepAlive && !m_all->closing && !m_all->lastAnswers; }
 
     // A whole answer.
@@ -303,6 +327,7 @@
             kind = error_kind::SlowSender;
         }
         m_keepAlive = false;
+        setBusy(true);
         // The timeout closed our own side already when the sender was slow; then nobody can be told.
         co_await respond(answerFor(kind).httpStatus, "application/json", errorBody(kind, "", code.message()), {});
         co_await drain();
@@ -388,6 +413,7 @@
     bool m_keepAlive = true;
     bool m_started = false;
     bool m_broken = false;
+    bool m_busy = false; // counted in m_all->busy
 };
 
 // Owners for all that are open. They are let go of without the lock, since the last owner's destructor takes it.
@@ -496,6 +522,24 @@
     });
 }
 
+void http_server::closeIdle()
+{
+    for (std::shared_ptr<connection> &item : m_state->connections->alive()) {
+        connection::closeIfIdle(std::move(item));
+    }
+}
+
+std::size_t http_server::connections() const
+{
+    const std::lock_guard guard(m_state->connections->lock);
+    return m_state->connections->open.size();
+}
+
+std::size_t http_server::busy() const
+{
+    return m_state->connections->busy;
+}
+
 void http_server::abortAll()
 {
     close();
--- a/tests/unit/change_log.cpp
+++ b/tests/unit/change_log.cpp
@@ -1,5 +1,6 @@
 // Telling the store's changes from daemon to daemon.
 #include "change_log.h"
+#include "feed.h"
 
 #include "chicoryrouter/random.h"
 
@@ -112,3 +113,13 @@
     const std::optional<address> second = choice.teller(all, someday + 10s);
     cr_assert(first && second && first->ip != second->ip);
 }
+
+// A daemon that was cut off notices its return up to a second late. Entries that were removed meanwhile must not be used for the whole
+// grace on top of that: three seconds after the return it counts as being in touch.
+Test(change_log, entries_missing_after_an_outage_are_given_up_in_time_also_when_the_return_was_noticed_late)
+{
+    const time_point back = someday;
+    cr_assert(entriesAwaitedUntil(back - 50ms, back + 50ms) == back + 2250ms, "noticed at once: those that live have their two seconds");
+    cr_assert_lt(entriesAwaitedUntil(back - 50ms, back + 1030ms).time_since_epoch().count(), (back + 3s).time_since_epoch().count());
+    cr_assert_geq(entriesAwaitedUntil(back - 50ms, back + 1030ms).time_since_epoch().count(), (back + 2s).time_since_epoch().count());
+}
--- a/tests/unit/http_server.cpp
+++ b/tests/unit/http_server.cpp
@@ -223,6 +223,29 @@
     cr_assert(all.requests.bodies.back() == "abcde");
 }
 
+// The end of a planned stop: who is being served is answered, also when the request came in just then; who is idle is let go.
+Test(http_server, closing_idle_connections_cuts_nobody_who_is_served)
+{
+    small_server all;
+    raw_caller idle(all.server);
+    idle.send("GET /idle HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(eventually([&] { return all.requests.seen().size() == 1 && all.server.busy() == 0; }));
+    raw_caller waiting(all.server); // connected, and says nothing yet
+    cr_assert(eventually([&] { return all.server.connections() == 2; }));
+    all.requests.workMillis = 300;
+    raw_caller served(all.server);
+    served.send("GET /served HTTP/1.1\r\nHost: a\r\n\r\n");
+    cr_assert(eventually([&] { return all.requests.seen().size() == 2; }));
+    all.server.close();
+    waiting.send("GET /late HTTP/1.1\r\nHost: a\r\n\r\n"); // accepted before: it is answered
+    cr_assert(eventually([&] { return all.requests.seen().size() == 3; }));
+    all.server.closeIdle();
+    cr_assert_eq(countOf(idle.readToEnd(), "HTTP/1.1 200"), 1);
+    cr_assert_eq(countOf(served.readToEnd(), "\r\n\r\n/served"), 1);
+    cr_assert_eq(countOf(waiting.readToEnd(), "\r\n\r\n/late"), 1);
+    cr_assert(eventually([&] { return all.server.busy() == 0; }));
+}
+
 // Connections that end by themselves while all are being closed: the closer may be the last to hold one.
 Test(http_server, closing_all_while_connections_end_does_not_stand_still)
 {
