--- /dev/null
+++ b/tests/soak/disturber.h
@@ -0,0 +1,259 @@
+// Draws faults from a seed and plays them: they come in series, overlap, and are taken back after a while.
+#pragma once
+
+#include "soak/ledger.h"
+#include "soak/stage.h"
+
+#include "chicoryrouter/random.h"
+#include "shell/clock.h"
+
+#include <array>
+#include <functional>
+#include <future>
+#include <iostream>
+#include <optional>
+
+namespace chicoryrouter::soak {
+
+using namespace std::chrono_literals;
+
+class disturber
+{
+public:
+    disturber(stage &all, ledger &seen, std::uint64_t seed)
+        : m_all(all)
+        , m_seen(seen)
+        , m_random(seed)
+        , m_endpointsToo(seed % 2 == 0)
+    {
+    }
+
+    void run(duration span) // and undoes everything at its end
+    {
+        const time_point until = systemNow() + span;
+        while (systemNow() < until) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(50 + uniformBelow(m_random, 900)));
+            undo(systemNow());
+            one();
+        }
+        undo(noDeadline);
+    }
+
+    [[nodiscard]] bool failed() const { return m_failed; } // a router did not end when it was asked to
+
+private:
+    using what = disturbance::what;
+
+    void one()
+    {
+        switch (uniformBelow(m_random, m_endpointsToo ? 9 : 7)) {
+        case 0:
+            return killOne();
+        case 1:
+            return pauseOne();
+        case 2:
+            return stopOne();
+        case 3:
+            return cutFromStore();
+        case 4:
+            return storeFault();
+        case 5:
+            m_all.configure(m_all.revision + 1);
+            hangUpOne();
+            return;
+        case 6:
+            return uniformBelow(m_random, 4) == 0 ? killAll() : drainOne();
+        case 7:
+            return endpointFault();
+        default:
+            return endpointPath();
+        }
+    }
+
+    std::size_t pick() { return uniformBelow(m_random, m_all.routers.size()); }
+    duration someTime(std::int64_t leastMillis, std::int64_t mostMillis)
+    {
+        return std::chrono::milliseconds(leastMillis + static_cast<std::int64_t>(uniformBelow(m_random, static_cast<std::uint64_t>(mostMillis - leastMillis))));
+    }
+
+    // Nothing: it is being dealt with already.
+    std::optional<std::size_t> takeOne(duration span)
+    {
+        const std::size_t which = pick();
+        if (m_all.busyUntil[which] > systemNow()) {
+            return std::nullopt;
+        }
+        m_all.busyUntil[which] = systemNow() + span;
+        return which;
+    }
+
+    void killOne()
+    {
+        const duration down = someTime(50, 1500);
+        if (const auto which = takeOne(down + 500ms)) {
+            note(what::Daemon, *which, down + 500ms);
+            m_all.routers[*which]->kill();
+            later(down, [this, which] { m_all.start(*which); });
+        }
+    }
+
+    void killAll()
+    {
+        for (std::size_t i = 0; i < m_all.routers.size(); ++i) {
+            if (m_all.busyUntil[i] <= systemNow()) {
+                m_all.busyUntil[i] = systemNow() + 1s;
+                note(what::Daemon, i, 1s);
+                m_all.routers[i]->kill();
+                later(someTime(50, 600), [this, i] { m_all.start(i); });
+            }
+        }
+    }
+
+    void pauseOne()
+    {
+        const duration span = someTime(200, 4000);
+        if (const auto which = takeOne(span + 100ms)) {
+            note(what::Daemon, *which, span);
+            m_all.routers[*which]->pause();
+            later(span, [this, which] { m_all.routers[*which]->resume(); });
+        }
+    }
+
+    void stopOne()
+    {
+        if (const auto which = takeOne(12s)) {
+            m_seen.add(disturbance{what::Stop, *which, m_all.incarnations[*which], systemNow(), systemNow() + 11s});
+            m_stops.push_back(std::async(std::launch::async, [this, which] {
+                const bool ended = m_all.routers[*which]->stop(10s);
+                if (!ended) {
+                    std::cout << "  router " << *which + 1 << " did not end within 10 s of SIGTERM\n";
+                    m_failed = true;
+                }
+                m_all.start(*which);
+            }));
+        }
+    }
+
+    void cutFromStore()
+    {
+        loopback_proxy &proxy = *m_all.storeProxies[pick()];
+        const std::uint64_t how = uniformBelow(m_random, 5);
+        proxy.dropsForward = how == 0 || how == 2;
+        proxy.dropsBack = how == 1 || how == 2;
+        proxy.delayMillis = how == 3 ? 400 : 0;
+        proxy.refuses = how == 4;
+        if (how == 4) {
+            proxy.resetAll();
+        }
+        later(someTime(300, 4000), [&proxy] {
+            proxy.calm();
+            proxy.resetAll();
+        });
+    }
+
+    void storeFault()
+    {
+        hosted_store_faults &faults = m_all.store.faults;
+        switch (uniformBelow(m_random, 5)) {
+        case 0:
+            faults.down = true;
+            return later(someTime(300, 3000), [&faults] { faults.down = false; });
+        case 1:
+            faults.refusing = true;
+            return later(someTime(300, 3000), [&faults] { faults.refusing = false; });
+        case 2:
+            faults.loseReplies = 3;
+            return;
+        case 3:
+            faults.forgetful = true;
+            return later(someTime(300, 1000), [&faults] { faults.forgetful = false; });
+        default:
+            return m_all.store.lapseLeases();
+        }
+    }
+
+    // A process that has only just been started has no say yet in what its signals do.
+    void hangUpOne()
+    {
+        const std::size_t which = pick();
+        if (m_all.busyUntil[which] <= systemNow()) {
+            m_all.routers[which]->hangUp();
+        }
+    }
+
+    // Announced, gone, and back again.
+    void drainOne()
+    {
+        proxied_endpoint &item = *m_all.endpoints[uniformBelow(m_random, m_all.endpoints.size())];
+        const std::string key = "servers/" + item.endpoint.id();
+        m_all.store.put(key, item.entry("draining"));
+        later(2500ms, [this, key] { m_all.store.remove(key); });
+        later(3500ms, [this, key, &item] { m_all.store.put(key, item.entry("ready")); });
+    }
+
+    void endpointFault()
+    {
+        hosted_endpoint_faults &faults = m_all.endpoints[uniformBelow(m_random, m_all.endpoints.size())]->endpoint.faults;
+        const std::array<std::atomic<int> *, 5> knobs = {&faults.refuseNext, &faults.failNext, &faults.cutNext, &faults.foreignNext, &faults.silentNext};
+        const std::size_t knob = uniformBelow(m_random, knobs.size() + 1);
+        note(what::Endpoints, 0, 13s); // a silent one shows as long as its caller waits
+        if (knob < knobs.size()) {
+            *knobs.at(knob) = static_cast<int>(1 + uniformBelow(m_random, 5));
+            return;
+        }
+        faults.otherInstance = true;
+        later(someTime(300, 2000), [&faults] { faults.otherInstance = false; });
+    }
+
+    void endpointPath()
+    {
+        loopback_proxy &proxy = m_all.endpoints[uniformBelow(m_random, m_all.endpoints.size())]->proxy;
+        note(what::Endpoints, 0, 13s);
+        const std::uint64_t how = uniformBelow(m_random, 5);
+        proxy.dropsForward = how == 0;
+        proxy.dropsBack = how == 1;
+        proxy.delayMillis = how == 2 ? 300 : 0;
+        proxy.refuses = how == 3;
+        if (how >= 3) {
+            proxy.resetAll();
+        }
+        later(someTime(200, 3000), [&proxy] {
+            proxy.calm();
+            proxy.resetAll();
+        });
+    }
+
+    void note(what kind, std::size_t daemon, duration span)
+    {
+        m_seen.add(disturbance{kind, daemon, m_all.incarnations[daemon], systemNow(), systemNow() + span});
+    }
+
+    void later(duration span, std::function<void()> act) { m_pending.emplace_back(systemNow() + span, std::move(act)); }
+
+    // What is due; all of it at the end, where stops are waited for too.
+    void undo(time_point now)
+    {
+        std::vector<std::pair<time_point, std::function<void()>>> left;
+        std::vector<std::pair<time_point, std::function<void()>>> due;
+        for (auto &item : m_pending) {
+            (item.first <= now ? due : left).push_back(std::move(item));
+        }
+        m_pending = std::move(left);
+        for (const auto &[when, act] : due) {
+            act();
+        }
+        if (now == noDeadline) {
+            m_stops.clear(); // waits for each
+        }
+    }
+
+    stage &m_all;
+    ledger &m_seen;
+    seeded_random m_random;
+    bool m_endpointsToo;
+    std::vector<std::pair<time_point, std::function<void()>>> m_pending;
+    std::vector<std::future<void>> m_stops;
+    std::atomic<bool> m_failed{false};
+};
+
+} // namespace chicoryrouter::soak
