--- a/include/chicoryrouter/claim.h
+++ b/include/chicoryrouter/claim.h
@@ -79,6 +79,7 @@
     [[nodiscard]] bool mayStandUnused() const { return m_uncertain; } // refused, but the record may have been created: remove it later
 
 private:
+    bool retriesBefore(time_point until, time_point now, bool readNext); // false: there is no time left for another look
     step wait(time_point now, bool readNext);
     step settle(const claim_record &found, time_point now);
 
--- a/include/chicoryrouter/document.h
+++ b/include/chicoryrouter/document.h
@@ -41,7 +41,6 @@
     bool anyVersion = false;            // versions come with their endpoints: each may serve until a move takes it back
     version_spec usual;                 // anyVersion only: what an endpoint bears that does not state it itself
     std::uint32_t maxConnections = 0;   // one endpoint accepts from all entry instances together; 0: not stated
-    duration coldFor{};                 // an endpoint bears less for so long after its start; zero: never
     double coldPerSecond = 0.0;         // requests a second that a cold endpoint bears, over all entry instances; 0: not stated
 };
 
--- a/include/chicoryrouter/fleet.h
+++ b/include/chicoryrouter/fleet.h
@@ -6,6 +6,7 @@
 #include "chicoryrouter/request_machine.h"
 #include "chicoryrouter/routing_table.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -107,11 +108,13 @@
     void judge(known_endpoint &item) const;
     void takeRecord(known_endpoint &item, const instance_record &record);
     void shareSlots(const known_endpoint &item) const;
-    [[nodiscard]] std::uint32_t connectionShare(const known_endpoint &item) const; // requests at once, of this daemon
+    [[nodiscard]] std::size_t sharers() const { return std::max<std::size_t>(m_members.size(), 1); } // daemons among whom limits are divided
+    [[nodiscard]] std::uint32_t connectionShare(const known_endpoint &item) const;                   // requests at once, of this daemon
     [[nodiscard]] double firstPaceDue(const known_endpoint &item) const;
     [[nodiscard]] bool permitsLapse(const known_endpoint &item) const;
     [[nodiscard]] double pacePerSecond(const known_endpoint &item) const;
     void averageReportedLoad(known_endpoint &item, time_point now);
+    void setAside(known_endpoint &item, std::uint32_t &timesInRow, duration first, duration longest, time_point now);
     void setAsideUnreachable(known_endpoint &item, time_point now);
     void setAsideIfAllowed(known_endpoint &item, time_point now);
     [[nodiscard]] bool standsOut(const known_endpoint &item) const;
--- a/include/chicoryrouter/membership.h
+++ b/include/chicoryrouter/membership.h
@@ -105,7 +105,7 @@
     void expire(time_point now, std::vector<probe> &probes);
     void askHelpers(const std::string &target, std::vector<probe> &probes);
     void refuteIfAccused(const member_facts &statement);
-    [[nodiscard]] std::vector<member_facts> ownDomain() const;
+    [[nodiscard]] std::vector<const member_facts *> ownDomain() const; // living and not leaving, self included; until the next change
     [[nodiscard]] std::vector<std::string> probeRing(bool ownDomain) const;
     [[nodiscard]] std::vector<std::string> bridgesOf(const std::string &domain) const;
     [[nodiscard]] bool isLiving(const known_member &item) const { return item.facts.state != member_state::Dead; }
--- a/src/core/claim.cpp
+++ b/src/core/claim.cpp
@@ -109,9 +109,7 @@
     const bool abandoned = now >= found.openUntil;
     if (!found.done && !abandoned) {
         m_awaitUntil = std::min({m_awaitUntil, now + awaitHolder, m_giveUpAt});
-        if (now + retryDelay < m_awaitUntil) {
-            m_readNext = true;
-            m_retryAt = now + retryDelay;
+        if (retriesBefore(m_awaitUntil, now, true)) {
             return step::Wait;
         }
     }
@@ -119,11 +117,16 @@
     return step::Refused;
 }
 
-claim_machine::step claim_machine::wait(time_point now, bool readNext)
+bool claim_machine::retriesBefore(time_point until, time_point now, bool readNext)
 {
     m_readNext = readNext;
     m_retryAt = now + retryDelay;
-    if (m_retryAt < m_giveUpAt) {
+    return m_retryAt < until;
+}
+
+claim_machine::step claim_machine::wait(time_point now, bool readNext)
+{
+    if (retriesBefore(m_giveUpAt, now, readNext)) {
         return step::Wait;
     }
     m_refusal = error_kind::PlatformUnavailable;
--- a/src/core/document.cpp
+++ b/src/core/document.cpp
@@ -440,11 +440,15 @@
     return findIn(routes, [&](const contract &item) { return item.path.empty() && item.route == model; });
 }
 
-const contract *document::findPlainRoute(std::string_view path) const
+namespace {
+
+// Of the routes that `allowed` lets through, the one with the longest path that `path` begins with.
+template<typename Allowed>
+const contract *longestMatch(const std::vector<contract> &routes, std::string_view path, Allowed allowed)
 {
     const contract *best = nullptr;
     for (const contract &item : routes) {
-        const bool matches = !item.path.empty() && path.substr(0, item.path.size()) == item.path;
+        const bool matches = allowed(item) && path.substr(0, item.path.size()) == item.path;
         if (matches && (best == nullptr || item.path.size() > best->path.size())) {
             best = &item;
         }
@@ -452,16 +456,16 @@
     return best;
 }
 
+} // namespace
+
+const contract *document::findPlainRoute(std::string_view path) const
+{
+    return longestMatch(routes, path, [](const contract &item) { return !item.path.empty(); });
+}
+
 const contract *document::findRelayedRoute(std::string_view host, std::string_view path) const
 {
-    const contract *best = nullptr;
-    for (const contract &item : routes) {
-        const bool matches = item.host == host && path.substr(0, item.path.size()) == item.path;
-        if (matches && (best == nullptr || item.path.size() > best->path.size())) {
-            best = &item;
-        }
-    }
-    return best;
+    return longestMatch(routes, path, [host](const contract &item) { return item.host == host; });
 }
 
 const version_move *document::findMove(std::string_view name) const
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -230,6 +230,16 @@
     return item.badShare > badShareBound && item.badShare > badShareFactor * mean;
 }
 
+// Until a probe that comes later each time in a row.
+void fleet::setAside(known_endpoint &item, std::uint32_t &timesInRow, duration first, duration longest, time_point now)
+{
+    const duration wait = std::min(first * (1 << std::min(timesInRow, 4U)), longest);
+    ++timesInRow;
+    item.probing = false;
+    item.probeAt = now + wait;
+    m_dirty = true;
+}
+
 // A process that is gone or cut off from here. One failed connection tells more than one failed answer, and sending more there relieves
 // nobody: it is left at once, however many others are, for a short while. Only the last one of its service stays, for want of another.
 void fleet::setAsideUnreachable(known_endpoint &item, time_point now)
@@ -242,11 +252,7 @@
     if (alreadyAside || !othersLeft) {
         return;
     }
-    const duration wait = std::min(firstReachAfter * (1 << std::min(item.timesUnreachable, 4U)), longestReachAfter);
-    ++item.timesUnreachable;
-    item.probing = false;
-    item.probeAt = now + wait;
-    m_dirty = true;
+    setAside(item, item.timesUnreachable, firstReachAfter, longestReachAfter, now);
 }
 
 void fleet::setAsideIfAllowed(known_endpoint &item, time_point now)
@@ -261,11 +267,7 @@
     if ((aside + 1) * mostSetAsideFraction > all) {
         return; // better a doubtful endpoint than too much load on the rest
     }
-    const duration wait = std::min(firstProbeAfter * (1 << std::min(item.timesSetAside, 4U)), longestProbeAfter);
-    ++item.timesSetAside;
-    item.probing = false;
-    item.probeAt = now + wait;
-    m_dirty = true;
+    setAside(item, item.timesSetAside, firstProbeAfter, longestProbeAfter, now);
 }
 
 void fleet::onProbeTime(time_point now)
@@ -344,14 +346,14 @@
     if (owner == nullptr || owner->maxConnections == 0) {
         return UINT32_MAX;
     }
-    return std::max<std::uint32_t>(owner->maxConnections / static_cast<std::uint32_t>(std::max<std::size_t>(m_members.size(), 1)), 1);
+    return std::max<std::uint32_t>(owner->maxConnections / static_cast<std::uint32_t>(sharers()), 1);
 }
 
 // While an endpoint is cold, all daemons together start no more there than it bears: each its even part, also of those who cannot be heard.
 double fleet::pacePerSecond(const known_endpoint &item) const
 {
     const service *owner = m_inForce->content.findService(item.facts.service);
-    return owner == nullptr ? 0.0 : owner->coldPerSecond / static_cast<double>(std::max<std::size_t>(m_members.size(), 1));
+    return owner == nullptr ? 0.0 : owner->coldPerSecond / static_cast<double>(sharers());
 }
 
 // How far a daemon is from its first request there: the daemons' turns follow each other as fast as the endpoint bears.
@@ -359,7 +361,7 @@
 {
     const std::uint64_t own = rendezvousWeight(item.facts.key, m_self);
     const auto ahead = std::count_if(m_members.begin(), m_members.end(), [&](std::uint64_t other) { return rendezvousWeight(item.facts.key, other) > own; });
-    return 1.0 - static_cast<double>(ahead) / static_cast<double>(std::max<std::size_t>(m_members.size(), 1));
+    return 1.0 - static_cast<double>(ahead) / static_cast<double>(sharers());
 }
 
 // Permits that all daemons saved up could be used in the same second. A few are borne; of many daemons' none is kept for long.
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -327,12 +327,12 @@
     return names;
 }
 
-std::vector<member_facts> membership::ownDomain() const
+std::vector<const member_facts *> membership::ownDomain() const
 {
-    std::vector<member_facts> result{m_self};
+    std::vector<const member_facts *> result{&m_self};
     for (const auto &[name, item] : m_members) {
         if (item.facts.failureDomain == m_self.failureDomain && item.facts.state < member_state::Leaving) {
-            result.push_back(item.facts);
+            result.push_back(&item.facts);
         }
     }
     return result;
@@ -346,18 +346,26 @@
 std::vector<member_facts> membership::firstOf(std::string_view role, std::size_t count) const
 {
     const std::uint64_t key = hashBytes(role);
-    std::vector<member_facts> ranked = ownDomain();
-    std::sort(ranked.begin(), ranked.end(), [key](const member_facts &a, const member_facts &b) {
-        return rendezvousWeight(key, hashBytes(a.instance)) > rendezvousWeight(key, hashBytes(b.instance));
-    });
-    ranked.resize(std::min(ranked.size(), count));
-    return ranked;
+    std::vector<std::pair<std::uint64_t, const member_facts *>> ranked;
+    for (const member_facts *item : ownDomain()) {
+        ranked.emplace_back(rendezvousWeight(key, hashBytes(item->instance)), item);
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const auto &a, const auto &b) { return a.first > b.first; });
+    std::vector<member_facts> first;
+    for (std::size_t i = 0; i < std::min(ranked.size(), count); ++i) {
+        first.push_back(*ranked[i].second);
+    }
+    return first;
 }
 
 bool membership::isAmongFirst(std::string_view role, std::size_t count) const
 {
-    const std::vector<member_facts> first = firstOf(role, count);
-    return std::any_of(first.begin(), first.end(), [&](const member_facts &item) { return item.instance == m_self.instance; });
+    const std::uint64_t key = hashBytes(role);
+    const std::uint64_t own = rendezvousWeight(key, hashBytes(m_self.instance));
+    const std::vector<const member_facts *> rivals = ownDomain();
+    const auto ahead
+        = std::count_if(rivals.begin(), rivals.end(), [&](const member_facts *item) { return rendezvousWeight(key, hashBytes(item->instance)) > own; });
+    return static_cast<std::size_t>(ahead) < count;
 }
 
 std::string_view toText(member_state state)
--- a/src/core/routing_table.cpp
+++ b/src/core/routing_table.cpp
@@ -69,19 +69,13 @@
         }
     }
     rest.share = wholeShare - trial.share;
-    std::vector<endpoint_ptr> onTrial;
     for (const endpoint_ptr &item : endpoints) {
         if (item->service != owner.name || item->use != endpoint_use::Usable) {
             continue;
         }
-        if (!trial.version.empty() && item->version == trial.version) {
-            onTrial.push_back(item);
-        } else {
-            (item->failureDomain == ownDomain ? rest.local : rest.remote).append(item);
-        }
-    }
-    for (endpoint_ptr &item : onTrial) {
-        (item->failureDomain == ownDomain ? trial.local : trial.remote).append(std::move(item));
+        const bool onTrial = !trial.version.empty() && item->version == trial.version;
+        version_group &group = onTrial ? trial : rest;
+        (item->failureDomain == ownDomain ? group.local : group.remote).append(item);
     }
     return {std::move(trial), std::move(rest)};
 }
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -11,9 +11,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/use_future.hpp>
 
-#include <cmath>
 #include <random>
 
 namespace chicoryrouter {
@@ -28,14 +26,7 @@
 constexpr duration watchFor = 10s; // one waiting watch
 constexpr duration roleCheck = 1s; // whether this daemon is to watch
 constexpr duration callWithin = 2s;
-constexpr duration loadHalfLife = 700ms; // of the averaged load
-constexpr std::uint64_t windowsTold = 2; // of usage, before the present one
-constexpr duration toldWithin = 200ms;   // after a window's end its counts are in the next notes
-constexpr duration noteInterval = 100ms; // between two notes of what is spent
-constexpr duration notePerMember = 5ms;  // the least for each member: so many notes a second reach a daemon at most, however many there are
 constexpr duration readyWithoutList = 5s;
-constexpr duration demandInterval = 5s;
-constexpr duration gaugeInterval = 1s;
 constexpr std::size_t watchersPerDomain = 2; // of the configuration and of the instance list
 
 member_facts ownFacts(const settings &own)
@@ -45,14 +36,6 @@
     return {own.instance, own.failureDomain, own.peer, start, member_state::Alive};
 }
 
-// The daemons' notes are spread over the interval: if all told at the same moment, all would be blind together until the next.
-time_point nextTurn(time_point now, duration interval, std::string_view name)
-{
-    const duration phase(static_cast<std::int64_t>(hashBytes(name) % static_cast<std::uint64_t>(interval.count())));
-    const duration into = (now.time_since_epoch() - phase) % interval;
-    return now + interval - into;
-}
-
 agreement_options optionsFor(const settings &own, document_reader reader)
 {
     agreement_options options;
@@ -479,6 +462,14 @@
     co_return std::nullopt;
 }
 
+asio::awaitable<std::optional<std::string>> askControl(control *steering, std::string path, std::string body)
+{
+    if (steering == nullptr) {
+        co_return std::nullopt; // still starting
+    }
+    co_return co_await asio::co_spawn(steering->context(), steering->onPeerCall(std::move(path), std::move(body)), asio::use_awaitable);
+}
+
 asio::awaitable<std::optional<std::string>> control::callPeer(address where, std::string path, std::string body, time_point deadline)
 {
     co_return co_await m_peers.call(std::move(where), std::move(path), std::move(body), deadline);
@@ -523,29 +514,6 @@
     }
 }
 
-// One line for each endpoint whose use changed, with what it was judged by.
-void control::tellUses()
-{
-    std::map<std::string, endpoint_use> uses;
-    for (const endpoint_ptr &item : m_fleet.endpoints()) {
-        const auto before = m_uses.find(item->id);
-        if (before == m_uses.end() || before->second != item->use) {
-            const endpoint_load &load = *item->load;
-            logEvent(log_event::EndpointUse,
-                {{"endpoint", item->id}, {"service", item->service}, {"version", item->version}, {"failure_domain", item->failureDomain},
-                    {"use", toText(item->use)}, {"before", before == m_uses.end() ? "unknown" : toText(before->second)}, {"slots", load.slots.load()},
-                    {"open_here", load.inFlight.load()}, {"first_token_us", load.firstTokenMicros.load()}});
-        }
-        uses[item->id] = item->use;
-    }
-    for (const auto &[id, use] : m_uses) {
-        if (uses.count(id) == 0) {
-            logEvent(log_event::EndpointUse, {{"endpoint", id}, {"use", "forgotten"}, {"before", toText(use)}});
-        }
-    }
-    m_uses = std::move(uses);
-}
-
 void control::publishFront()
 {
     auto table = std::make_shared<front_table>();
@@ -564,207 +532,4 @@
     m_front.front.publish(std::move(table));
 }
 
-void control::refreshAccounts()
-{
-    for (const client_account &account : m_agreement.documents().inForce()->content.accounts) {
-        const auto found = m_accounts.find(account.name);
-        if (found != m_accounts.end()) {
-            found->second->limit = m_agreement.accountPart(account);
-        }
-    }
-}
-
-void control::refillAccounts()
-{
-    const time_point now = systemNow();
-    const time_point awake = awakeNow(); // tokens come in while this machine is suspended, and the others' notes tell what they spent of them
-    const duration since = m_refilledAt == time_point{} ? duration{} : awake - m_refilledAt;
-    m_refilledAt = awake;
-    for (const client_account &account : m_agreement.documents().inForce()->content.accounts) {
-        const auto found = m_accounts.find(account.name);
-        if (found == m_accounts.end()) {
-            continue;
-        }
-        if (account.tokensPerSecond <= 0.0) {
-            found->second->rationed = false;
-            continue;
-        }
-        const double elsewhere = m_spending.takenElsewhere(account.name, account.tokensPerSecond, now);
-        const double untold = m_spending.untoldElsewhere(account.name, now);
-        const auto rate = static_cast<std::int64_t>(account.tokensPerSecond);
-        found->second->refill(
-            rate, static_cast<std::int64_t>(account.tokenBurst), since, static_cast<std::int64_t>(elsewhere), static_cast<std::int64_t>(untold));
-    }
-}
-
-void control::onBegan(const std::string &account)
-{
-    if (account.empty()) {
-        return; // an open route: nobody is charged
-    }
-    const std::lock_guard guard(m_outcomesLock);
-    m_began.emplace_back(account, systemNow());
-}
-
-void control::takeBegan()
-{
-    std::vector<std::pair<std::string, time_point>> fresh;
-    {
-        const std::lock_guard guard(m_outcomesLock);
-        fresh.swap(m_began);
-    }
-    for (const auto &[account, when] : fresh) {
-        m_usage.count(account, when);
-    }
-}
-
-usage_counts control::usageOf(std::uint64_t window, bool &complete) const
-{
-    usage_counts sum = m_spending.beganElsewhere(window);
-    for (const auto &[account, number] : m_usage.countsOf(window)) {
-        sum[account] += number;
-    }
-    complete = m_spending.heardSince(m_usage.endOf(window) + toldWithin);
-    return sum;
-}
-
-// Averages by elapsed time what this daemon has open.
-void control::measureLoad()
-{
-    const time_point now = systemNow();
-    const double weight = 1.0 - std::exp2(-std::chrono::duration<double>(now - m_loadsAt) / std::chrono::duration<double>(loadHalfLife));
-    m_loadsAt = now;
-    std::map<std::string, service_load> present;
-    for (const endpoint_ptr &item : m_fleet.endpoints()) {
-        service_load &sum = present[item->service];
-        sum.open += item->load->inFlight;
-        sum.awaiting += item->load->awaiting;
-    }
-    for (const auto &[service, load] : present) {
-        service_load &held = m_loads[service];
-        held.open += weight * (load.open - held.open);
-        held.awaiting += weight * (load.awaiting - held.awaiting);
-    }
-}
-
-service_load control::loadOf(const std::string &service) const
-{
-    service_load sum = m_spending.loadElsewhere(service, systemNow());
-    const auto own = m_loads.find(service);
-    if (own != m_loads.end()) {
-        sum.open += own->second.open;
-        sum.awaiting += own->second.awaiting;
-    }
-    return sum;
-}
-
-// Tells the others what is spent here. In a large deployment less often, so that what a daemon receives stays bounded.
-void control::sendNotes()
-{
-    const time_point now = systemNow();
-    if (m_notes == nullptr || now < m_noteAt) {
-        return;
-    }
-    std::vector<std::string> names;
-    std::vector<address> peers;
-    for (const member_facts &item : m_agreement.members().living()) {
-        names.push_back(item.instance);
-        if (item.instance != m_own.instance) {
-            peers.push_back(item.peer);
-        }
-    }
-    m_spending.setMembers(names, now);
-    m_noteAt = nextTurn(now, std::max<duration>(noteInterval, notePerMember * static_cast<std::int64_t>(names.size())), m_own.instance);
-    spending_note note;
-    note.from = m_own.instance;
-    note.start = m_agreement.members().self().incarnation + 1; // never zero
-    note.sequence = ++m_noteSequence;
-    for (const auto &[name, load] : m_accounts) {
-        note.spent[name] = load->spent;
-    }
-    note.loads = m_loads;
-    const std::uint64_t present = m_usage.windowAt(now);
-    for (std::uint64_t window = present - std::min(present, windowsTold); window <= present; ++window) {
-        if (usage_counts counts = m_usage.countsOf(window); !counts.empty()) {
-            note.began[window] = std::move(counts);
-        }
-    }
-    const std::string bytes = encodeNote(note);
-    if (bytes.size() <= maxNoteBytes) {
-        m_notes->send(peers, bytes);
-    } else {
-        logEvent(log_event::AccountsNotTold, {{"accounts", note.spent.size()}});
-    }
-}
-
-// Once a second what this daemon believes, for the metrics.
-void control::showGauges()
-{
-    const time_point now = systemNow();
-    if (now < m_gaugesAt + gaugeInterval) {
-        return;
-    }
-    m_gaugesAt = now;
-    metrics &counts = m_host.counts;
-    const auto inForce = m_agreement.documents().inForce();
-    counts.setGauge("document_revision", static_cast<double>(inForce->revision));
-    counts.setGauge("document_age_seconds", std::chrono::duration<double>(now - m_documentAt).count());
-    counts.setGauge("members_living", static_cast<double>(m_agreement.members().living().size()));
-    counts.setGauge("resident_bytes", residentBytes());
-    counts.setGauge("open_requests", static_cast<double>(m_host.openCount()));
-    counts.setGauge("log_lines_dropped_total", static_cast<double>(droppedLogLines()));
-    counts.setGauge("log_lines_left_out_total", static_cast<double>(leftOutLogLines()));
-    counts.setGauge("accounts_silent_peers", static_cast<double>(m_spending.silent(now)));
-    std::map<std::pair<std::string, endpoint_use>, int> uses;
-    for (const endpoint_ptr &item : m_fleet.endpoints()) {
-        ++uses[{item->service, item->use}];
-    }
-    std::string text;
-    for (const auto &[what, number] : uses) {
-        text += "chicoryrouter_endpoints{service=\"" + what.first + "\",use=\"" + std::string(toText(what.second)) + "\"} " + std::to_string(number) + "\n";
-    }
-    for (const service &item : inForce->content.services) {
-        const std::string label = "{service=\"" + item.name + "\"} ";
-        text += "chicoryrouter_waiting" + label + std::to_string(m_host.slots.waiting(item.name)) + "\n";
-        text += "chicoryrouter_retries_left" + label + std::to_string(m_host.budgetOf(item.name).left()) + "\n";
-    }
-    for (const auto &[name, mover] : m_agreement.moves()) {
-        text += "chicoryrouter_move_share{service=\"" + name + "\",to=\"" + mover.facts().to + "\",state=\"" + std::string(toText(mover.state())) + "\"} "
-            + std::to_string(mover.share()) + "\n";
-    }
-    counts.setGauges("beliefs", text);
-    if (m_source.showGauges) {
-        m_source.showGauges(counts);
-    }
-}
-
-void control::measureDemand()
-{
-    const time_point now = systemNow();
-    if (now < m_demandFrom + demandInterval) {
-        return;
-    }
-    const double seconds = std::chrono::duration<double>(now - m_demandFrom).count();
-    std::vector<account_demand> demand;
-    for (const auto &[name, load] : m_accounts) {
-        const std::uint64_t asked = load->asked;
-        std::uint64_t &before = m_askedBefore[name];
-        const double perSecond = static_cast<double>(asked - before) / seconds;
-        if (m_demandFrom != time_point{} && perSecond > 0.0) {
-            demand.push_back({name, perSecond});
-        }
-        before = asked;
-    }
-    m_demandFrom = now;
-    m_agreement.setDemand(std::move(demand));
-    refreshAccounts();
-}
-
-std::string control::statusJson()
-{
-    return asio::co_spawn(
-        m_context, [this]() -> asio::awaitable<std::string> { co_return composeStatus(); }, asio::use_future)
-        .get();
-}
-
 } // namespace chicoryrouter
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -142,4 +142,7 @@
     std::uint64_t m_membersSeen = UINT64_MAX; // membership changes already acted on
 };
 
+// A peer's call, from any thread, answered on the control strand; nothing while there is no control yet.
+boost::asio::awaitable<std::optional<std::string>> askControl(control *steering, std::string path, std::string body);
+
 } // namespace chicoryrouter
--- a/src/shell/control_status.cpp
+++ b/src/shell/control_status.cpp
@@ -1,16 +1,25 @@
-// What a daemon tells of itself: members, moves, failure domains, endpoints and why each is or is not used.
+// What a daemon tells of itself: members, moves, failure domains, endpoints and why each is or is not used; to operators, the log and the
+// metrics.
 #include "chicoryrouter/units.h"
 #include "shell/clock.h"
 #include "shell/control.h"
+#include "shell/log.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
 #include <nlohmann/json.hpp>
 
 namespace chicoryrouter {
 
+namespace asio = boost::asio;
 using nlohmann::json;
 
 namespace {
 
+using namespace std::chrono_literals;
+
+constexpr duration gaugeInterval = 1s;
+
 json membersJson(const membership &members)
 {
     json list = json::array();
@@ -62,4 +71,77 @@
     return status.dump();
 }
 
+std::string control::statusJson()
+{
+    return asio::co_spawn(
+        m_context, [this]() -> asio::awaitable<std::string> { co_return composeStatus(); }, asio::use_future)
+        .get();
+}
+
+// ---- What the log and the metrics are told ---------------------------------------------------------------------------------------------
+
+// One line for each endpoint whose use changed, with what it was judged by.
+void control::tellUses()
+{
+    std::map<std::string, endpoint_use> uses;
+    for (const endpoint_ptr &item : m_fleet.endpoints()) {
+        const auto before = m_uses.find(item->id);
+        if (before == m_uses.end() || before->second != item->use) {
+            const endpoint_load &load = *item->load;
+            logEvent(log_event::EndpointUse,
+                {{"endpoint", item->id}, {"service", item->service}, {"version", item->version}, {"failure_domain", item->failureDomain},
+                    {"use", toText(item->use)}, {"before", before == m_uses.end() ? "unknown" : toText(before->second)}, {"slots", load.slots.load()},
+                    {"open_here", load.inFlight.load()}, {"first_token_us", load.firstTokenMicros.load()}});
+        }
+        uses[item->id] = item->use;
+    }
+    for (const auto &[id, use] : m_uses) {
+        if (uses.count(id) == 0) {
+            logEvent(log_event::EndpointUse, {{"endpoint", id}, {"use", "forgotten"}, {"before", toText(use)}});
+        }
+    }
+    m_uses = std::move(uses);
+}
+
+// Once a second what this daemon believes, for the metrics.
+void control::showGauges()
+{
+    const time_point now = systemNow();
+    if (now < m_gaugesAt + gaugeInterval) {
+        return;
+    }
+    m_gaugesAt = now;
+    metrics &counts = m_host.counts;
+    const auto inForce = m_agreement.documents().inForce();
+    counts.setGauge("document_revision", static_cast<double>(inForce->revision));
+    counts.setGauge("document_age_seconds", std::chrono::duration<double>(now - m_documentAt).count());
+    counts.setGauge("members_living", static_cast<double>(m_agreement.members().living().size()));
+    counts.setGauge("resident_bytes", residentBytes());
+    counts.setGauge("open_requests", static_cast<double>(m_host.openCount()));
+    counts.setGauge("log_lines_dropped_total", static_cast<double>(droppedLogLines()));
+    counts.setGauge("log_lines_left_out_total", static_cast<double>(leftOutLogLines()));
+    counts.setGauge("accounts_silent_peers", static_cast<double>(m_spending.silent(now)));
+    std::map<std::pair<std::string, endpoint_use>, int> uses;
+    for (const endpoint_ptr &item : m_fleet.endpoints()) {
+        ++uses[{item->service, item->use}];
+    }
+    std::string text;
+    for (const auto &[what, number] : uses) {
+        text += "chicoryrouter_endpoints{service=\"" + what.first + "\",use=\"" + std::string(toText(what.second)) + "\"} " + std::to_string(number) + "\n";
+    }
+    for (const service &item : inForce->content.services) {
+        const std::string label = "{service=\"" + item.name + "\"} ";
+        text += "chicoryrouter_waiting" + label + std::to_string(m_host.slots.waiting(item.name)) + "\n";
+        text += "chicoryrouter_retries_left" + label + std::to_string(m_host.budgetOf(item.name).left()) + "\n";
+    }
+    for (const auto &[name, mover] : m_agreement.moves()) {
+        text += "chicoryrouter_move_share{service=\"" + name + "\",to=\"" + mover.facts().to + "\",state=\"" + std::string(toText(mover.state())) + "\"} "
+            + std::to_string(mover.share()) + "\n";
+    }
+    counts.setGauges("beliefs", text);
+    if (m_source.showGauges) {
+        m_source.showGauges(counts);
+    }
+}
+
 } // namespace chicoryrouter
--- a/src/shell/daemon.cpp
+++ b/src/shell/daemon.cpp
@@ -2,6 +2,7 @@
 #include "chicoryrouter/daemon.h"
 
 #include "shell/clock.h"
+#include "shell/connection_gauges.h"
 #include "shell/control.h"
 #include "shell/copy_keeper.h"
 #include "shell/gateway.h"
@@ -45,7 +46,7 @@
             return operators->handle(exchange);
         };
         front.gauges = [this](metrics &counts) {
-            setGauges(counts);
+            showConnections(counts, *stores, *links);
         };
         server = std::make_unique<http_server>(workers, own.gateway, [this](http_exchange &exchange) { return front.handle(exchange); });
         own.gateway.port = server->port();
@@ -64,26 +65,7 @@
         if (path == "/fetch") {
             return copies.onFetch(std::move(body));
         }
-        return askControl(std::move(path), std::move(body));
-    }
-
-    boost::asio::awaitable<std::optional<std::string>> askControl(std::string path, std::string body)
-    {
-        if (steering == nullptr) {
-            co_return std::nullopt; // still starting
-        }
-        co_return co_await boost::asio::co_spawn(steering->context(), steering->onPeerCall(std::move(path), std::move(body)), boost::asio::use_awaitable);
-    }
-
-    void setGauges(metrics &counts) const
-    {
-        counts.setGauge("store_reads_total", static_cast<double>(stores->reads));
-        counts.setGauge("store_writes_total", static_cast<double>(stores->writes));
-        counts.setGauge("store_watches_total", static_cast<double>(stores->watches));
-        counts.setGauge("peer_bytes_sent_total", static_cast<double>(links->bytesSent));
-        counts.setGauge("peer_bytes_received_total", static_cast<double>(links->bytesReceived));
-        counts.setGauge("peer_calls_total", static_cast<double>(links->calls));
-        counts.setGauge("peer_calls_refused_total", static_cast<double>(links->refused));
+        return askControl(steering.get(), std::move(path), std::move(body));
     }
 
     // Asks peers to go on with what is open; callers keep reading through us while we last.
@@ -155,7 +137,7 @@
 
 std::string daemon::metricsText() const
 {
-    m_parts->setGauges(m_parts->host.counts);
+    showConnections(m_parts->host.counts, *m_parts->stores, *m_parts->links);
     return m_parts->host.counts.text();
 }
 
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -65,6 +65,7 @@
     }
 
     std::vector<std::shared_ptr<connection>> alive();
+    void closeAll(bool unlessBusy);
 };
 
 class connection : public http_exchange, public std::enable_shared_from_this<connection>
@@ -180,28 +181,19 @@
     [[nodiscard]] bool started() const override { return m_started; }
     [[nodiscard]] asio::any_io_executor executor() const override { return const_cast<connection *>(this)->m_stream.get_executor(); }
 
-    // Any thread. Closes it if no request of its caller is with us: what was not read yet is not ours to answer.
-    static void closeIfIdle(std::shared_ptr<connection> which)
+    // Any thread. Takes the caller's share in the connection, so that it is its own thread that lets go of it. `unlessBusy`: stays open while a
+    // request of its caller is with us; what was not read yet is not ours to answer.
+    static void closeSoon(std::shared_ptr<connection> which, bool unlessBusy)
     {
         const asio::any_io_executor owner = which->m_stream.get_executor();
-        asio::post(owner, [self = std::move(which)] {
-            if (!self->m_busy) {
+        asio::post(owner, [self = std::move(which), unlessBusy] {
+            if (!unlessBusy || !self->m_busy) {
                 self->m_broken = true;
                 self->m_stream.close();
             }
         });
     }
 
-    // Any thread. Takes the caller's share in the connection, so that it is its own thread that lets go of it.
-    static void closeSoon(std::shared_ptr<connection> which)
-    {
-        const asio::any_io_executor owner = which->m_stream.get_executor();
-        asio::post(owner, [self = std::move(which)] {
-            self->m_broken = true;
-            self->m_stream.close();
-        });
-    }
-
 private:
     enum class read_result {
         Request,
@@ -429,6 +421,13 @@
     return owners;
 }
 
+void connection_set::closeAll(bool unlessBusy)
+{
+    for (std::shared_ptr<connection> &item : alive()) {
+        connection::closeSoon(std::move(item), unlessBusy);
+    }
+}
+
 } // namespace
 
 struct http_server::state : std::enable_shared_from_this<http_server::state>
@@ -524,9 +523,7 @@
 
 void http_server::closeIdle()
 {
-    for (std::shared_ptr<connection> &item : m_state->connections->alive()) {
-        connection::closeIfIdle(std::move(item));
-    }
+    m_state->connections->closeAll(true);
 }
 
 std::size_t http_server::connections() const
@@ -543,9 +540,7 @@
 void http_server::abortAll()
 {
     close();
-    for (std::shared_ptr<connection> &item : m_state->connections->alive()) {
-        connection::closeSoon(std::move(item));
-    }
+    m_state->connections->closeAll(false);
 }
 
 } // namespace chicoryrouter
--- /dev/null
+++ b/src/shell/request_session_attempts.cpp
@@ -0,0 +1,298 @@
+// A session's part in attempts: from the first byte to an endpoint to the end of its answer.
+#include "chicoryrouter/units.h"
+#include "shell/clock.h"
+#include "shell/request_session.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <array>
+
+namespace chicoryrouter {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::size_t maxPlainAnswerBytes = 8 * 1024 * 1024;
+constexpr std::size_t mostSkippedBytes = 64 * 1024; // of an answer that is read only to keep its connection
+constexpr std::uint32_t mostForeignAnswers = 3;     // answers to older calls that are passed over on one connection
+
+} // namespace
+
+void request_session::sent(const std::shared_ptr<open_attempt> &open, std::uint32_t number)
+{
+    if (open->cancelled) {
+        throw http_failure(false, error_kind::EndpointRefused, "cancelled before sending");
+    }
+    open->awaiting = std::make_unique<scoped_count<std::uint32_t>>(open->where->load->awaiting);
+    m_machine.onSent(number, systemNow());
+}
+
+// One attempt from its first byte to its end, with what came of it told to the machine.
+asio::awaitable<void> request_session::runAttempt(std::shared_ptr<open_attempt> open, send_attempt action)
+{
+    const auto self = shared_from_this();
+    const std::uint32_t number = action.attempt;
+    std::optional<attempt_fault> fault;
+    try {
+        if (facts().kind == service_kind::Model) {
+            fault = co_await runModel(open, action);
+        } else {
+            fault = co_await runPlain(open, action);
+        }
+    } catch (const http_failure &failure) {
+        fault = attempt_fault{failure.byteMayHaveLeft() ? attempt_reach::MayHaveRun : attempt_reach::NotSent, failure.kind()};
+    } catch (const error &garbage) {
+        fault = attempt_fault{attempt_reach::MayHaveRun, garbage.kind()};
+    }
+    if (fault) {
+        attemptFailed(open, number, fault->reach, fault->kind);
+    }
+}
+
+// Connects, sends, and reads the answer's head.
+asio::awaitable<void> request_session::openStream(std::shared_ptr<open_attempt> open, std::uint32_t number, http_call call, bool fresh)
+{
+    auto onSending = [this, open, number] {
+        sent(open, number);
+    };
+    std::unique_ptr<http_stream> stream = co_await m_thread.client.open(open->where->where, std::move(call), facts().deadline, fresh, onSending, open->handle);
+    open->stream = std::move(stream);
+}
+
+engine_call request_session::callFor(const send_attempt &action) const
+{
+    engine_call call;
+    call.requestId = facts().id;
+    call.attempt = action.attempt;
+    call.rank = facts().promised.rank;
+    call.resumeFrom = action.resumeFrom;
+    call.withTransferredKv = action.withTransferredKv;
+    call.firstPiece = m_firstPiece;
+    call.deadline = facts().deadline;
+    call.account = facts().account;
+    return call;
+}
+
+// Looks at the answer's head. A fault: the answer is of no use, and how far the attempt had come.
+asio::awaitable<std::optional<request_session::attempt_fault>> request_session::readHead(std::shared_ptr<open_attempt> open)
+{
+    answer_facts said = m_host.dialect->readAnswer(open->stream->status, open->stream->headers, facts().id);
+    for (std::uint32_t skipped = 0; said.ofAnotherRequest && skipped < mostForeignAnswers; ++skipped) {
+        co_await open->stream->skipAnswer();
+        said = m_host.dialect->readAnswer(open->stream->status, open->stream->headers, facts().id);
+    }
+    m_openThere = said.openThere;
+    if (said.ofAnotherRequest) {
+        co_return attempt_fault{attempt_reach::MayHaveRun, error_kind::EndpointGarbage};
+    }
+    if (said.provesNotRun) {
+        co_await skipBody(open);
+        co_return attempt_fault{attempt_reach::ProvedNotRun, error_kind::EndpointRefused};
+    }
+    const bool relayedAsItIs = m_host.dialect->relaysAnswers && !facts().promised.repeatable;
+    if (open->stream->status >= 500 && !relayedAsItIs && m_machine.mayTryAgain()) {
+        co_await skipBody(open);
+        co_return attempt_fault{attempt_reach::MayHaveRun, error_kind::EndpointFailed};
+    }
+    co_return std::nullopt;
+}
+
+// Reads an answer of no use to its end, so that its connection can be kept. What comes of it does not matter.
+asio::awaitable<void> request_session::skipBody(std::shared_ptr<open_attempt> open)
+{
+    std::array<char, 4096> scratch{};
+    std::size_t total = 0;
+    try {
+        while (const std::size_t got = co_await open->stream->readSome(scratch.data(), scratch.size())) {
+            total += got;
+            if (total > mostSkippedBytes) {
+                open->stream->cancel();
+                co_return;
+            }
+        }
+    } catch (const http_failure &) {
+        co_return; // the connection is closed then; the verdict on the attempt stands
+    }
+}
+
+void request_session::takeHead(const std::shared_ptr<open_attempt> &open)
+{
+    const http_stream &answer = *open->stream;
+    if (m_headTaken) {
+        return; // resumed: the answer goes on under its first endpoint's head
+    }
+    m_headTaken = true;
+    m_status = answer.status;
+    m_contentType = std::string(findHeader(answer.headers, "Content-Type"));
+    if (m_host.dialect->relaysAnswers) {
+        m_answerHeaders = answer.headers;
+    }
+}
+
+asio::awaitable<std::optional<request_session::attempt_fault>> request_session::runModel(std::shared_ptr<open_attempt> open, send_attempt action)
+{
+    const std::uint32_t number = action.attempt;
+    const std::string already = m_host.dialect->relaysAnswers ? std::string() : text(action.resumeFrom);
+    engine_call call = callFor(action);
+    call.resumeText = already;
+    co_await openStream(open, number, m_host.dialect->modelCall(m_payload, call, *open->where), false);
+    std::optional<attempt_fault> fault = co_await readHead(open);
+    if (fault) {
+        co_return fault;
+    }
+    const bool isStream = open->stream->status == 200;
+    if (!isStream && m_host.dialect->relaysAnswers) {
+        fault = co_await readWhole(open, number);
+        co_return fault;
+    }
+    if (!isStream) {
+        co_return attempt_fault{attempt_reach::MayHaveRun, error_kind::EndpointFailed};
+    }
+    takeHead(open);
+    const bool ended = co_await readEvents(open, number, call);
+    if (ended || open->cancelled) {
+        co_return std::nullopt;
+    }
+    co_return attempt_fault{attempt_reach::MayHaveRun, error_kind::EndpointLost};
+}
+
+// True when the answer ended whole; false when the stream closed before.
+asio::awaitable<bool> request_session::readEvents(std::shared_ptr<open_attempt> open, std::uint32_t number, engine_call call)
+{
+    const std::shared_ptr<http_stream> stream = open->stream;
+    const std::unique_ptr<piece_reader> reader = m_host.dialect->newReader(call);
+    std::array<char, 16384> buffer{};
+    while (true) {
+        const std::size_t got = co_await stream->readSome(buffer.data(), buffer.size());
+        if (got == 0) {
+            if (!reader->wholeAtEnd() || open->cancelled) {
+                co_return false;
+            }
+            m_open.erase(number);
+            perform(m_machine.onEnd(number, facts().id, m_machine.delivered(), systemNow()));
+            co_return true;
+        }
+        reader->feed({buffer.data(), got});
+        while (std::optional<engine_event> event = reader->next()) {
+            if (open->cancelled) {
+                co_return true;
+            }
+            if (!reader->statesRequest()) {
+                placePiece(*event, number);
+            }
+            if (event->done) {
+                if (event->requestId != facts().id || event->attempt != number) {
+                    continue;
+                }
+                m_open.erase(number);
+                // Read to the end, so that the connection can be kept.
+                co_await stream->readSome(buffer.data(), buffer.size());
+                perform(m_machine.onEnd(number, event->requestId, event->index, systemNow()));
+                co_return true;
+            }
+            if (!takeToken(number, std::move(*event))) {
+                throw error(error_kind::EndpointGarbage, "a token is missing");
+            }
+        }
+        notifyReaders();
+        if (m_protected && !m_copying && !m_handedOver && m_tokens.size() > m_copied) {
+            asio::co_spawn(m_thread.context, copyLoop(false), asio::detached);
+        }
+        co_await waitForReader();
+    }
+}
+
+// Relayed pieces carry their number only, and endpoints begin to count where they like.
+void request_session::placePiece(engine_event &piece, std::uint32_t attempt)
+{
+    if (!m_firstPieceKnown) {
+        m_firstPieceKnown = true;
+        m_firstPiece = piece.index;
+    }
+    if (piece.index < m_firstPiece) {
+        throw error(error_kind::EndpointGarbage, "a piece before the stream's first");
+    }
+    piece.index -= m_firstPiece;
+    piece.requestId = facts().id;
+    piece.attempt = attempt;
+}
+
+bool request_session::takeToken(std::uint32_t number, engine_event event)
+{
+    if (event.attempt != number) {
+        return true; // another attempt's token on this connection: crossed
+    }
+    const time_point now = systemNow();
+    const token_verdict verdict = m_machine.onToken(number, event.requestId, event.index, now);
+    if (verdict == token_verdict::Deliver) {
+        if (const auto open = m_open.find(number); open != m_open.end()) {
+            open->second->awaiting = nullptr;
+        }
+        if (m_tokens.empty() && m_host.onBegan) {
+            m_host.onBegan(facts().account);
+        }
+        if (m_tokens.empty()) {
+            m_firstPieceAt = now;
+            m_host.counts.observe(latency::FirstToken, facts().promised.route, now - facts().arrival);
+        }
+        if (!m_tokens.empty()) {
+            m_host.counts.observe(latency::Pause, facts().promised.route, now - m_newestPieceAt);
+        }
+        m_newestPieceAt = now;
+        m_tokens.push_back(std::move(event.token));
+        m_tokenCount = static_cast<std::uint32_t>(m_tokens.size());
+        m_host.counts.countToken();
+    }
+    return verdict != token_verdict::Gap;
+}
+
+asio::awaitable<std::optional<request_session::attempt_fault>> request_session::runPlain(std::shared_ptr<open_attempt> open, send_attempt action)
+{
+    const std::uint32_t number = action.attempt;
+    // A kept connection's silent end could not be told from a lost order; where endpoints are relayed to, the connection was used just now.
+    const bool fresh = !facts().promised.repeatable && !m_host.dialect->relaysAnswers;
+    co_await openStream(open, number, m_host.dialect->plainCall(m_payload, callFor(action), *open->where), fresh);
+    std::optional<attempt_fault> fault = co_await readHead(open);
+    if (!fault) {
+        fault = co_await readWhole(open, number);
+    }
+    co_return fault;
+}
+
+// The answer as one piece.
+asio::awaitable<std::optional<request_session::attempt_fault>> request_session::readWhole(std::shared_ptr<open_attempt> open, std::uint32_t number)
+{
+    std::string body;
+    std::array<char, 16384> buffer{};
+    while (const std::size_t got = co_await open->stream->readSome(buffer.data(), buffer.size())) {
+        body.append(buffer.data(), got);
+        if (body.size() > maxPlainAnswerBytes) {
+            throw error(error_kind::EndpointGarbage, "the answer is too large");
+        }
+    }
+    if (open->cancelled) {
+        co_return std::nullopt;
+    }
+    m_open.erase(number);
+    takeHead(open);
+    takeToken(number, {facts().id, number, 0, std::move(body), false});
+    perform(m_machine.onEnd(number, facts().id, 1, systemNow()));
+    co_return std::nullopt;
+}
+
+void request_session::attemptFailed(const std::shared_ptr<open_attempt> &open, std::uint32_t number, attempt_reach reach, error_kind kind)
+{
+    if (open->cancelled || m_machine.isOver()) {
+        return;
+    }
+    m_open.erase(number);
+    note(log_event::AttemptFailed,
+        {{"attempt", number}, {"endpoint", open->where->id}, {"error", answerFor(kind).name}, {"reach", toText(reach)}, {"pieces", m_tokens.size()},
+            {"after_ms", inMilliseconds(systemNow() - facts().arrival)}});
+    perform(m_machine.onAttemptFailed(number, reach, kind, systemNow()));
+}
+
+} // namespace chicoryrouter
--- a/tests/unit/daemons.cpp
+++ b/tests/unit/daemons.cpp
@@ -1,6 +1,7 @@
 // Real daemons and stand-ins on loopback: the shells under failure. What is decided is tested elsewhere under virtual time; here it is
 // tested that the bytes follow the decisions. Waits are bounded generously, and no check depends on how fast anything was.
 #include "standin/deployment.h"
+#include "support/waiting.h"
 
 #include "shell/clock.h"
 
@@ -21,7 +22,7 @@
 
 namespace {
 
-constexpr duration patience = 20s;
+using test::patience;
 
 deployment_options slowEngines(duration betweenTokens)
 {
--- a/tests/unit/hosted.cpp
+++ b/tests/unit/hosted.cpp
@@ -1,6 +1,7 @@
 // Real daemons on the hosted platform's stand-ins, on loopback: judged by what callers, endpoints, the store and the cloud see.
 // Waits are bounded generously, and no check depends on how fast anything was.
 #include "support/hosted_platform.h"
+#include "support/waiting.h"
 
 #include "hosted_daemon.h"
 #include "shell/clock.h"
@@ -17,19 +18,8 @@
 
 namespace {
 
-constexpr duration patience = 20s;
-
-bool eventually(const std::function<bool()> &holds)
-{
-    const time_point until = systemNow() + patience;
-    while (systemNow() < until) {
-        if (holds()) {
-            return true;
-        }
-        std::this_thread::sleep_for(5ms);
-    }
-    return holds();
-}
+using test::eventually;
+using test::patience;
 
 // One daemon, two model endpoints and two plain ones.
 struct small_deployment
--- a/tests/unit/http_server.cpp
+++ b/tests/unit/http_server.cpp
@@ -1,5 +1,6 @@
 // The HTTP server against callers that misbehave below HTTP, and against its own end.
 #include "shell/http.h"
+#include "support/waiting.h"
 
 #include "chicoryrouter/error.h"
 #include "shell/clock.h"
@@ -26,7 +27,8 @@
 
 namespace {
 
-constexpr duration patience = 20s; // only a fault takes so long
+using test::eventually;
+using test::patience;
 
 // What a served request was, and whether its caller was noticed to leave.
 struct served_requests
@@ -116,15 +118,6 @@
     return count;
 }
 
-bool eventually(const std::function<bool()> &holds)
-{
-    const time_point until = systemNow() + patience;
-    while (systemNow() < until && !holds()) {
-        std::this_thread::sleep_for(2ms);
-    }
-    return holds();
-}
-
 // What one connection gets back for `bytes`, with its own side left open until the server is done.
 std::string talk(small_server &all, const std::string &bytes)
 {
--- a/tests/unit/logs.cpp
+++ b/tests/unit/logs.cpp
@@ -2,6 +2,7 @@
 #include "shell/log.h"
 #include "shell/log_story.h"
 #include "shell/metrics.h"
+#include "support/files.h"
 
 #include "chicoryrouter/units.h"
 
@@ -22,12 +23,7 @@
 
 namespace {
 
-std::string readFile(const std::string &path)
-{
-    std::ostringstream text;
-    text << std::ifstream(path).rdbuf();
-    return text.str();
-}
+using test::readFile;
 
 std::vector<nlohmann::json> readLines(const std::string &path)
 {
--- a/tests/unit/scenarios.cpp
+++ b/tests/unit/scenarios.cpp
@@ -1,5 +1,6 @@
 // Runs every scenario of tests/scenarios and compares its transcript with the golden file beside it.
 // CHICORY_GOLDEN=write rewrites the golden files for review (`make golden`).
+#include "support/files.h"
 #include "support/scenario.h"
 
 #include <criterion/criterion.h>
@@ -7,21 +8,12 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 
 namespace fs = std::filesystem;
 using namespace chicoryrouter::test;
 
 namespace {
 
-std::string readFile(const fs::path &path)
-{
-    const std::ifstream file(path);
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 bool rewrites()
 {
     const char *mode = std::getenv("CHICORY_GOLDEN");
