An answer that keeps coming is read to its end; large changes are packed, told once, and not pulled by everybody

Cause: what changed since a revision was read under a bound that did not grow with it. edge-rennes-a-10 gave up a watch's answer after 0.9 s, five times from the same revision, each answer longer than the last: it could never catch up while the store was well. Beside it, a teller sent 340 KB to each of twelve followers at every change (3.3 s on its link), all of them gave up after 0.8 s and went to the store together, and gossip pulled the same document again at the first word of it, 14 of 27 daemons by that way.

Change: a body is read as long as pieces come within 0.7 s of each other; a list of changes holds the newest of each key and is packed (zstd: 279 KB to 17 KB, 0.4 ms); a peer's document is pulled only by who is still behind a second later, one at a time.

The three tests fail on the code before (the one on a thin link waits 20 s for the new configuration in vain). what_is_no_longer_held_is_not_passed_over wrote seven keys over and over, which are all held now: it writes keys of their own instead, and asks the same.

--- a/include/chicoryrouter/configuration.h
+++ b/include/chicoryrouter/configuration.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "chicoryrouter/document.h"
+#include "chicoryrouter/time.h"
 
 #include <memory>
 #include <optional>
@@ -60,4 +61,25 @@
     std::string m_lastFault;
 };
 
+// When a daemon pulls the document that a peer told it of. Where every daemon has a source of its own, nearly all have the new document
+// a moment later anyway, and pulling at the first word of it would send it once more to everybody: whoever is still behind then pulls it,
+// one at a time.
+class document_pull
+{
+public:
+    explicit document_pull(duration grace)
+        : m_grace(grace)
+    {
+    }
+
+    bool onNewerHeard(time_point now); // true: pull from whoever told; end it with ended()
+    void onAdopted() { m_dueAt = noDeadline; }
+    void ended() { m_running = false; }
+
+private:
+    duration m_grace;
+    time_point m_dueAt = noDeadline; // set while this daemon knows that it is behind
+    bool m_running = false;
+};
+
 } // namespace chicoryrouter
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace chicoryrouter {
 
 std::string encodeEnvelope(const document_envelope &envelope)
@@ -40,6 +42,16 @@
     }
 }
 
+bool document_pull::onNewerHeard(time_point now)
+{
+    m_dueAt = std::min(m_dueAt, now + m_grace);
+    if (m_running || now < m_dueAt) {
+        return false;
+    }
+    m_running = true;
+    return true;
+}
+
 bool configuration::isNewer(const configuration_advert &other) const
 {
     return other.revision > m_inForce->revision && other != m_refused;
--- /dev/null
+++ b/src/core/packing.cpp
@@ -0,0 +1,33 @@
+// Packing by zstd.
+#include "chicoryrouter/packing.h"
+
+#include <zstd.h>
+
+namespace chicoryrouter {
+
+namespace {
+
+constexpr int level = 1; // the machines have little processor time, and text that repeats itself needs no search
+
+} // namespace
+
+std::string packBytes(std::string_view bytes)
+{
+    std::string packed(ZSTD_compressBound(bytes.size()), '\0');
+    const std::size_t size = ZSTD_compress(packed.data(), packed.size(), bytes.data(), bytes.size(), level);
+    packed.resize(ZSTD_isError(size) != 0U ? 0 : size); // nothing can be read from an empty text: the receiver asks elsewhere
+    return packed;
+}
+
+std::optional<std::string> unpackBytes(std::string_view packed, std::size_t mostBytes)
+{
+    const unsigned long long size = ZSTD_getFrameContentSize(packed.data(), packed.size());
+    if (size == ZSTD_CONTENTSIZE_UNKNOWN || size == ZSTD_CONTENTSIZE_ERROR || size > mostBytes) {
+        return std::nullopt;
+    }
+    std::string bytes(static_cast<std::size_t>(size), '\0');
+    const std::size_t got = ZSTD_decompress(bytes.data(), bytes.size(), packed.data(), packed.size());
+    return ZSTD_isError(got) != 0U || got != size ? std::nullopt : std::optional(std::move(bytes));
+}
+
+} // namespace chicoryrouter
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -2,6 +2,7 @@
 #include "shell/control.h"
 
 #include "chicoryrouter/hash.h"
+#include "chicoryrouter/packing.h"
 #include "chicoryrouter/units.h"
 #include "shell/clock.h"
 #include "shell/log.h"
@@ -64,6 +65,7 @@
     , m_peers(m_context.get_executor(), own.peerKey, std::move(links))
     , m_random(std::random_device()())
     , m_agreement(ownFacts(own), optionsFor(own, m_source.reader), m_random.next())
+    , m_pull(m_source.pullAfter)
     , m_fleet(own.failureDomain, hashBytes(own.instance))
     , m_placement(own, m_context, m_client, m_store)
     , m_spending(own.instance)
@@ -188,6 +190,7 @@
             {{"revision", envelope.revision}, {"source", source}, {"bytes", envelope.text.size()}, {"routes", inForce->content.routes.size()},
                 {"read_us", readFor.count()}});
         m_documentAt = systemNow();
+        m_pull.onAdopted();
         m_fleet.setDocument(m_agreement.documents().inForce());
         refreshMoves();
         publishFront();
@@ -207,12 +210,13 @@
 asio::awaitable<void> control::pullDocument(std::string from)
 {
     const member_facts *peer = m_agreement.members().find(from);
-    if (peer == nullptr) {
-        co_return;
+    std::optional<std::string> answer;
+    if (peer != nullptr) {
+        answer = co_await m_peers.call(peer->peer, "/document", "", systemNow() + callWithin);
     }
-    const address where = peer->peer;
-    const std::optional<std::string> answer = co_await m_peers.call(where, "/document", "", systemNow() + callWithin);
-    const std::optional<document_envelope> envelope = answer ? decodeEnvelope(*answer) : std::nullopt;
+    m_pull.ended();
+    const std::optional<std::string> bytes = answer ? unpackBytes(*answer, maxPeerBodyBytes) : std::nullopt;
+    const std::optional<document_envelope> envelope = bytes ? decodeEnvelope(*bytes) : std::nullopt;
     if (envelope) {
         offerDocument(*envelope, from);
     }
@@ -433,7 +437,7 @@
 {
     gossip_result result = m_agreement.receive(message, systemNow());
     takeReports(result.loads);
-    if (result.hasNewerDocument) {
+    if (result.hasNewerDocument && m_pull.onNewerHeard(systemNow())) {
         asio::co_spawn(m_context, pullDocument(result.from), asio::detached);
     }
     return result;
@@ -456,7 +460,7 @@
         co_return std::string(answered ? "answered" : "silent");
     }
     if (path == "/document") {
-        co_return encodeEnvelope(m_agreement.documentForPeers());
+        co_return packBytes(encodeEnvelope(m_agreement.documentForPeers()));
     }
     if (path == "/instances") {
         const bool same = body == std::to_string(hashBytes(m_listText));
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -30,6 +30,7 @@
 {
     document_reader reader = parseDocument;
     std::function<void(control &)> begin;      // starts its loops on the control strand; empty: the standard ones run
+    duration pullAfter{};                      // peers' newer documents are pulled when its own way has not brought them by then
     std::function<void()> leave;               // this instance is about to stop
     std::function<void(metrics &)> showGauges; // what it knows beside the control strand; once a second. May stay empty
     // A peer's call that the control strand does not know itself; nothing: nobody knows it. May stay empty.
@@ -117,6 +118,7 @@
     peer_client m_peers;
     seeded_random m_random;
     agreement m_agreement;
+    document_pull m_pull;
     fleet m_fleet;
     placement_loop m_placement;
     std::map<std::string, std::shared_ptr<account_load>> m_accounts; // by name; kept over documents, so counts stay right
--- a/src/shell/http.h
+++ b/src/shell/http.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -145,10 +146,19 @@
     http_headers headers;
 
     virtual boost::asio::awaitable<std::size_t> readSome(char *buffer, std::size_t size) = 0; // 0 at the end; throws http_failure
+    virtual void readUntil(time_point deadline) = 0;                                          // moves the deadline of what is still to be read
     virtual void cancel() = 0;                                                                // a waiting readSome() throws
     virtual boost::asio::awaitable<void> skipAnswer() = 0; // the answer belongs to an older call: drops it and reads the next one's head
 };
 
+// How long the body of an answer may take, once its head came in time. A bound on the whole would be too short for a large answer over a
+// thin link, and whoever asks again after giving up reads the same bytes again, or more: it would never catch up.
+struct answer_pace
+{
+    duration quietWithin{}; // from one piece to the next
+    time_point wholeBy{};   // however steadily it comes
+};
+
 // Connections to other processes, kept for reuse. Belongs to one thread.
 class http_client
 {
@@ -156,8 +166,9 @@
     explicit http_client(boost::asio::any_io_executor executor);
     ~http_client();
 
-    // A whole call. `deadline` covers connecting, sending and the answer. Throws http_failure.
-    boost::asio::awaitable<http_response> call(address where, http_call request, time_point deadline, std::size_t maxBytes = 8 * 1024 * 1024);
+    // A whole call. `deadline` covers connecting, sending and the answer; with a `pace`, the answer's head only. Throws http_failure.
+    boost::asio::awaitable<http_response> call(
+        address where, http_call request, time_point deadline, std::size_t maxBytes = 8 * 1024 * 1024, std::optional<answer_pace> pace = {});
 
     // Sends the request and reads the answer's head. `fresh` avoids kept connections, whose silent end cannot be told from a lost
     // request. `onSending` is called before the first byte may leave. `deadline` covers everything, the reading too.
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -217,6 +217,13 @@
         co_await readHead();
     }
 
+    void readUntil(time_point deadline) override
+    {
+        if (m_connection != nullptr) {
+            m_connection->expires_at(steadyAt(deadline));
+        }
+    }
+
     void cancel() override
     {
         if (m_connection != nullptr) {
@@ -300,7 +307,7 @@
     co_return stream;
 }
 
-asio::awaitable<http_response> http_client::call(address where, http_call request, time_point deadline, std::size_t maxBytes)
+asio::awaitable<http_response> http_client::call(address where, http_call request, time_point deadline, std::size_t maxBytes, std::optional<answer_pace> pace)
 {
     const std::unique_ptr<http_stream> stream = co_await open(std::move(where), std::move(request), deadline, false, nullptr);
     http_response response;
@@ -309,6 +316,9 @@
     std::array<char, 16384> buffer{};
     while (true) {
         std::size_t got = 0;
+        if (pace) {
+            stream->readUntil(std::min(systemNow() + pace->quietWithin, pace->wholeBy));
+        }
         try {
             got = co_await stream->readSome(buffer.data(), buffer.size());
         } catch (const http_failure &fault) {
--- a/tests/support/hosted_platform.cpp
+++ b/tests/support/hosted_platform.cpp
@@ -221,7 +221,29 @@
             status = 404;
         }
     }
-    co_await respondJson(exchange, status, answer);
+    co_await answerItems(exchange, status, std::move(answer));
+}
+
+// A list or watch's answer, as fast as the link is.
+asio::awaitable<void> hosted_store::answerItems(http_exchange &exchange, int status, json answer) const
+{
+    const int rate = faults.bytesPerSecond;
+    if (rate == 0) {
+        co_await respondJson(exchange, status, answer);
+        co_return;
+    }
+    constexpr int piecesPerSecond = 20;
+    const std::string text = answer.dump();
+    http_headers headers = {{"Content-Type", "application/json"}};
+    bool open = co_await exchange.startStreamAs(status, std::move(headers));
+    const std::size_t piece = static_cast<std::size_t>(rate) / piecesPerSecond;
+    for (std::size_t sent = 0; open && sent < text.size(); sent += piece) {
+        open = co_await exchange.writeChunk(std::string_view(text).substr(sent, piece));
+        co_await pause(exchange, 1000ms / piecesPerSecond);
+    }
+    if (open) {
+        co_await exchange.endStream();
+    }
 }
 
 asio::awaitable<void> hosted_store::answerWatch(http_exchange &exchange)
@@ -258,7 +280,7 @@
         exchange.abandon();
         co_return;
     }
-    co_await respondJson(exchange, status, answer);
+    co_await answerItems(exchange, status, std::move(answer));
 }
 
 asio::awaitable<void> hosted_store::answerChange(http_exchange &exchange)
--- a/tests/support/hosted_platform.h
+++ b/tests/support/hosted_platform.h
@@ -27,6 +27,7 @@
     std::atomic<bool> refusing{false};  // 503 to everything
     std::atomic<int> loseReplies{0};    // so many changes take effect and their answers are lost
     std::atomic<bool> forgetful{false}; // watches are told that their history is gone, once each
+    std::atomic<int> bytesPerSecond{0}; // of every answer to a list or watch, over a thin link; 0: at once
 };
 
 class hosted_store
@@ -67,6 +68,7 @@
     };
 
     boost::asio::awaitable<void> handle(http_exchange &exchange);
+    boost::asio::awaitable<void> answerItems(http_exchange &exchange, int status, nlohmann::json answer) const;
     boost::asio::awaitable<void> answerWatch(http_exchange &exchange);
     boost::asio::awaitable<void> answerChange(http_exchange &exchange);
     nlohmann::json itemJson(const std::string &key, const item &held) const;
--- a/tests/unit/agreement.cpp
+++ b/tests/unit/agreement.cpp
@@ -176,6 +176,33 @@
     cr_assert_eq(all.withRevision(2), 9);
 }
 
+// Sixty-six daemons hear of a new document within a second, and each has a way of its own to it: pulling at the first word sent it to
+// everybody again, several times.
+Test(agreement, a_document_that_a_daemon_is_about_to_get_by_itself_is_not_pulled)
+{
+    const time_point start = test::worldStart;
+    document_pull pull(1s);
+    for (duration when = 0ms; when < 900ms; when += 50ms) {
+        cr_assert_not(pull.onNewerHeard(start + when));
+    }
+    pull.onAdopted();
+    cr_assert_not(pull.onNewerHeard(start + 1100ms), "that is another one");
+}
+
+Test(agreement, whoever_stays_behind_pulls_one_document_at_a_time)
+{
+    document_pull pull(1s);
+    cr_assert_not(pull.onNewerHeard(test::worldStart));
+    cr_assert(pull.onNewerHeard(test::worldStart + 1s));
+    cr_assert_not(pull.onNewerHeard(test::worldStart + 1100ms), "one is on its way");
+    pull.ended();
+    cr_assert(pull.onNewerHeard(test::worldStart + 1200ms), "it did not arrive: from the next who tells");
+    pull.ended();
+    pull.onAdopted();
+    document_pull atOnce((duration()));
+    cr_assert(atOnce.onNewerHeard(test::worldStart), "where daemons depend on each other");
+}
+
 Test(agreement, two_daemons_of_each_domain_watch_the_store)
 {
     cluster all(nineDaemons(1));
--- a/tests/unit/change_log.cpp
+++ b/tests/unit/change_log.cpp
@@ -1,6 +1,7 @@
 // Telling the store's changes from daemon to daemon.
 #include "change_log.h"
 #include "feed.h"
+#include "support/large_configuration.h"
 
 #include "chicoryrouter/random.h"
 
@@ -71,13 +72,63 @@
     cr_assert_not(log.since(99));
     cr_assert(log.since(100) && log.since(100)->empty());
     for (std::uint64_t revision = 101; revision <= 5000; ++revision) {
-        log.add(itemAt(revision));
+        store_item item = itemAt(revision);
+        item.key += "-" + std::to_string(revision); // keys of their own: none is written over
+        log.add(item);
     }
     cr_assert_not(log.since(101), "the oldest changes are gone");
     const auto newest = log.since(4998);
     cr_assert(newest && newest->size() == 2 && newest->front().revision == 4999);
 }
 
+// Whoever asks learns how each key is now, and nothing is missing for it.
+Test(change_log, of_each_key_the_newest_change_is_told)
+{
+    change_log log;
+    log.restart(100);
+    for (std::uint64_t revision = 101; revision <= 160; ++revision) {
+        log.add(itemAt(revision));
+    }
+    log.add(itemAt(150)); // seen again
+    for (std::uint64_t known = 100; known <= 160; ++known) {
+        const auto newer = log.since(known);
+        cr_assert(newer.has_value());
+        std::set<std::string> keys;
+        std::uint64_t last = known;
+        for (const store_item &item : *newer) {
+            cr_assert(item.revision > last, "in the order of their revisions");
+            last = item.revision;
+            keys.insert(item.key);
+        }
+        cr_assert_eq(keys.size(), newer->size());
+        cr_assert_eq(newer->size(), std::min<std::uint64_t>(160 - known, 7));
+    }
+}
+
+// Twelve followers of one teller on a link of 10 Mbit/s: a configuration of 1,445 routes that has changed three times since they asked
+// reaches all of them within half a second of sending. Whole and unpacked it took more than eight.
+Test(change_log, a_large_configuration_reaches_a_failure_domain_over_a_thin_link)
+{
+    constexpr std::size_t followers = 12;
+    constexpr std::size_t linkBytesPerHalfSecond = 10'000'000 / 8 / 2;
+    change_log log;
+    log.restart(100);
+    for (std::uint64_t revision = 101; revision <= 103; ++revision) {
+        store_item item;
+        item.key = "op/config";
+        item.value = test::configurationOfRoutes(1445, revision);
+        item.revision = revision;
+        log.add(item);
+    }
+    told_changes told;
+    told.at = 103;
+    told.items = *log.since(100);
+    const std::string bytes = encodeChanges(told);
+    cr_assert_lt(bytes.size() * followers, linkBytesPerHalfSecond, "%zu bytes for each", bytes.size());
+    const std::optional<told_changes> back = decodeChanges(bytes);
+    cr_assert(back && back->items.back().value == test::configurationOfRoutes(1445, 103));
+}
+
 Test(change_log, all_daemons_of_a_domain_name_the_same_tellers)
 {
     std::size_t tellers = 0;
--- a/tests/unit/hosted.cpp
+++ b/tests/unit/hosted.cpp
@@ -1,6 +1,7 @@
 // Real daemons on the hosted platform's stand-ins, on loopback: judged by what callers, endpoints, the store and the cloud see.
 // Waits are bounded generously, and no check depends on how fast anything was.
 #include "support/hosted_platform.h"
+#include "support/large_configuration.h"
 #include "support/waiting.h"
 
 #include "hosted_daemon.h"
@@ -215,6 +216,24 @@
     cr_assert_eq(all.ask("GET", "/look/1", "l").response.status, 200);
 }
 
+// A configuration of many routes takes seconds over a thin link, and the next change comes meanwhile. It is read to its end: giving up and
+// asking again would only make the answer longer.
+Test(hosted, a_configuration_that_takes_seconds_to_arrive_is_in_force_all_the_same)
+{
+    small_deployment all;
+    all.start();
+    json next = test::withRoutes(hostedConfiguration(), 700, 2);
+    next["Tenants"][0]["ApiKeys"] = {"key-2"};
+    all.store.faults.bytesPerSecond = 40'000; // five seconds for each version
+    all.store.put("op/config", next.dump());
+    for (int version = 3; version <= 5; ++version) {
+        std::this_thread::sleep_for(300ms);
+        next["Version"] = version;
+        all.store.put("op/config", next.dump());
+    }
+    cr_assert(eventually([&] { return all.ask("POST", "/order/1", "k").response.status == 401; }), "the old key is still in force");
+}
+
 Test(hosted, an_account_over_its_tokens_is_told_when_to_come_back)
 {
     json configuration = hostedConfiguration();
