--- a/tests/support/hosted_platform.cpp
+++ b/tests/support/hosted_platform.cpp
@@ -221,6 +221,9 @@
             status = 404;
         }
     }
+    if (onPage && answer.contains("Items") && !answer["Items"].empty()) {
+        onPage(answer["Items"].back()["Key"]);
+    }
     co_await answerItems(exchange, status, std::move(answer));
 }
 
--- a/tests/support/hosted_platform.h
+++ b/tests/support/hosted_platform.h
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -36,6 +37,7 @@
     explicit hosted_store(worker_pool &workers);
 
     hosted_store_faults faults;
+    std::function<void(const std::string &lastKey)> onPage; // a page of a list was read and is about to be answered; set before anybody asks
 
     [[nodiscard]] address where() const { return {"127.0.0.1", m_server.port()}; }
     void put(const std::string &key, const std::string &value); // as operators and endpoints do
--- a/tests/unit/hosted.cpp
+++ b/tests/unit/hosted.cpp
@@ -234,6 +234,44 @@
     cr_assert(eventually([&] { return all.ask("POST", "/order/1", "k").response.status == 401; }), "the old key is still in force");
 }
 
+// A list is read page by page, and changes come in between: an older configuration beside a newer record is no state that the store ever had.
+// Taken for one, it went under the newer number, and the configuration that came after was passed over for good.
+Test(hosted, a_configuration_that_changes_while_the_store_is_listed_is_in_force)
+{
+    small_deployment all;
+    std::atomic<bool> changed{false};
+    all.store.onPage = [&](const std::string &lastKey) {
+        if (lastKey >= "op/config" && !changed.exchange(true)) {
+            json next = hostedConfiguration(); // the page that was just read holds the first one
+            next["Version"] = 2;
+            next["Tenants"][0]["ApiKeys"] = {"key-2"};
+            all.store.put("op/config", next.dump());
+            all.store.put("status/rollout/writer", R"({"State":"completed","Target":"v1","Order":2})");
+        }
+    };
+    all.store.put("status/rollout/writer", R"({"State":"completed","Target":"v1","Order":1})");
+    all.start();
+    cr_assert(changed);
+    cr_assert(eventually([&] { return all.ask("POST", "/order/1", "k").response.status == 401; }), "the old key is still in force");
+}
+
+// What was removed while the store's history was lost has no revision of its own.
+Test(hosted, a_failure_domain_taken_back_while_the_history_was_lost_is_used_again)
+{
+    small_deployment all;
+    all.start();
+    all.store.put("op/evacuate/west-1", "{}");
+    json next = hostedConfiguration();
+    next["Version"] = 2;
+    next["Routes"].erase(3);
+    all.store.put("op/config", next.dump());
+    cr_assert(eventually([&] { return all.ask("GET", "/look/1", "l").response.status == 404; }));
+    cr_assert_neq(all.ask("POST", "/order/1", "o1").response.status, 200);
+    all.store.faults.forgetful = true;
+    all.store.remove("op/evacuate/west-1");
+    cr_assert(eventually([&] { return all.ask("POST", "/order/1", "o2").response.status == 200; }), "it is still taken for out");
+}
+
 Test(hosted, an_account_over_its_tokens_is_told_when_to_come_back)
 {
     json configuration = hostedConfiguration();
