A configuration is parsed once: it goes into the document as it is, and callers' limits come with the document

Limits were in force only where the daemon's own source brought the document; one that was pulled from a peer left them as they were.

--- a/include/chicoryrouter/document.h
+++ b/include/chicoryrouter/document.h
@@ -1,7 +1,8 @@
 // The document: the whole intended configuration, as operators write it and as the platform's key-value service holds it.
 //
 // Index
-//   services and versions . failure domains . client accounts . contracts (routes) . version moves . placement . reading and comparing
+//   services and versions . failure domains . client accounts . contracts (routes) . version moves . placement . callers' limits .
+//   reading and comparing
 //
 // A document is a value: it is read once, checked as a whole, and never changed. A new one with a higher revision takes its place.
 // The published schema is schema/document.schema.json; what a schema cannot say (references, sums) is checked by parseDocument.
@@ -142,6 +143,17 @@
     bool perDomain = false;         // the bounds hold for each failure domain, not for all together
 };
 
+// ---- Callers' limits -------------------------------------------------------------------------------------------------------------------
+
+// What callers may send, and how long they may take or stay idle. Zero: nothing is stated, and the daemon's own bound holds.
+struct caller_limits
+{
+    std::size_t maxHeaderBytes = 0;
+    std::size_t maxBodyBytes = 0;
+    duration receiveWithin{}; // headers and body of one request
+    duration idleWithin{};    // between two requests of a kept connection
+};
+
 // ---- The document ----------------------------------------------------------------------------------------------------------------------
 
 struct document
@@ -153,6 +165,7 @@
     std::vector<version_move> moves;
     std::vector<instance_price> prices;
     std::vector<placement_bounds> placement;
+    caller_limits callers;
 
     [[nodiscard]] const service *findService(std::string_view name) const; // null when there is none
     [[nodiscard]] const failure_domain *findFailureDomain(std::string_view name) const;
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -191,7 +191,10 @@
                 {"read_us", readFor.count()}});
         m_documentAt = systemNow();
         m_pull.onAdopted();
-        m_fleet.setDocument(m_agreement.documents().inForce());
+        m_fleet.setDocument(inForce);
+        if (m_source.onDocument) {
+            m_source.onDocument(inForce->content);
+        }
         refreshMoves();
         publishFront();
         publish();
--- a/tests/unit/hosted.cpp
+++ b/tests/unit/hosted.cpp
@@ -234,6 +234,24 @@
     cr_assert(eventually([&] { return all.ask("POST", "/order/1", "k").response.status == 401; }), "the old key is still in force");
 }
 
+Test(hosted, what_callers_may_send_comes_with_the_configuration)
+{
+    small_deployment all;
+    all.start();
+    const std::string longPath = "/order/" + std::string(3000, 'x');
+    cr_assert_eq(all.ask("POST", longPath, "o1").response.status, 200);
+    json next = hostedConfiguration();
+    next["Version"] = 2;
+    next["Limits"]["MaxHeaderBytes"] = 2000;
+    all.store.put("op/config", next.dump());
+    cr_assert(eventually([&] { return all.ask("POST", longPath, "o2").response.status == 431; }));
+    next["Version"] = 3;
+    next["Limits"] = "none that can be read";
+    next["Routes"].erase(3);
+    all.store.put("op/config", next.dump());
+    cr_assert(eventually([&] { return all.ask("GET", "/look/1", "l").response.status == 404; }), "bad limits must not hold up the routes");
+}
+
 // A list is read page by page, and changes come in between: an older configuration beside a newer record is no state that the store ever had.
 // Taken for one, it went under the newer number, and the configuration that came after was passed over for good.
 Test(hosted, a_configuration_that_changes_while_the_store_is_listed_is_in_force)
