How late a change may be known is a sum of named parts, taken from what the deployment promises

At worst a teller tells what it knew 0.9 s ago and dies: its follower paused 0.4 s, waited 0.8 s, paused 0.4 s again and then asked the store, 2.9 s with the largest configuration on the thinnest link, where three are promised and some deployments promise two. Now there is no pause before the store is asked, and the parts follow the promise (platform.document_within, platform.leaving_within, from the platform's bounds): 2.35 s of 3, 1.7 s of 2.

--- a/include/chicoryrouter/settings.h
+++ b/include/chicoryrouter/settings.h
@@ -29,6 +29,8 @@
     std::string region;                                       // `region`: hosted only; where its failure domain lies
     std::vector<std::pair<std::string, std::string>> domains; // `failure_domains`: hosted only; name and region of each
     duration leaseTerm = std::chrono::seconds(3);             // `platform.lease_term`: hosted only; of this daemon's entry and of duties, 1s to 60s
+    duration documentWithin = std::chrono::seconds(3);        // `platform.document_within`: hosted only; a confirmed document is to be in force, 100ms to 10min
+    duration leavingWithin = std::chrono::seconds(3);         // `platform.leaving_within`: hosted only; a leaving endpoint is to get no more work, likewise
     duration usageWindow = std::chrono::seconds(5);           // `platform.usage_window`: hosted only; requests are counted by account in spans of it
     unsigned retryReserve = 0;                                // `platform.retry_reserve`: retries of a service that all daemons together may save up; 0: each 8
     std::string peerKey;                                      // `peer_key`: shared by all daemons of a deployment; at least 16 characters
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -193,6 +193,8 @@
     result.metrics = reader.whereOr("/metrics");
     result.region = reader.textOr("/region", result.region, "the name of a region");
     result.domains = reader.names("/failure_domains", "a map from the name of each failure domain to its region");
+    result.documentWithin = reader.span("/platform/document_within", result.documentWithin, 100ms, 10min);
+    result.leavingWithin = reader.span("/platform/leaving_within", result.leavingWithin, 100ms, 10min);
     result.leaseTerm = reader.span("/platform/lease_term", result.leaseTerm, 1s, 60s);
     result.usageWindow = reader.span("/platform/usage_window", result.usageWindow, 1s, 1h);
     result.retryReserve = reader.count("/platform/retry_reserve", result.retryReserve, 0, 100'000);
--- a/tests/unit/change_log.cpp
+++ b/tests/unit/change_log.cpp
@@ -165,6 +165,22 @@
     cr_assert(first && second && first->ip != second->ip);
 }
 
+// A teller tells what it knew `freshWithin` ago and is gone; its follower pauses, waits for it in vain, and asks the store, which needs a
+// moment for the largest configuration on the thinnest link. What is promised holds with room for the machine.
+Test(change_log, a_change_is_known_in_time_also_when_the_teller_dies)
+{
+    const duration largestAnswer = 400ms; // 450 KB over 10 Mbit/s
+    for (const duration promised : {duration(2s), duration(3s), duration(10s)}) {
+        const follow_pace pace = paceFor(promised);
+        cr_assert_leq((pace.freshWithin + pace.longestPause + pace.tellWithin + largestAnswer).count(), (promised - 250ms).count());
+    }
+    for (const duration promised : {duration(100ms), duration(2s), duration(3s)}) {
+        const follow_pace pace = paceFor(promised);
+        cr_assert_geq(pace.freshWithin.count(), (pace.longestPause + pace.watchFor).count(), "a teller in good health is always fresh");
+        cr_assert_geq(pace.tellWithin.count(), (2 * pace.tellAtLatest).count(), "and answers in time when nothing is new");
+    }
+}
+
 // A daemon that was cut off notices its return up to a second late. Entries that were removed meanwhile must not be used for the whole
 // grace on top of that: three seconds after the return it counts as being in touch.
 Test(change_log, entries_missing_after_an_outage_are_given_up_in_time_also_when_the_return_was_noticed_late)
