A daemon that starts in the midst of a version move ends it at the time set

A move of so many seconds began anew at every daemon that learnt of it: after a restart of all, or of the one that carries the duties, it was decided later than promised. The record of the move now says when it began; a clock that is ahead shortens nothing below the whole span. The test holds it at the mover.

--- a/src/core/version_mover.cpp
+++ b/src/core/version_mover.cpp
@@ -130,8 +130,10 @@
         return;
     }
     if (m_facts.lasts > duration{} && m_facts.startAt == time_point{}) {
-        m_facts.startAt = now;
-        m_facts.doneBy = now + m_facts.lasts;
+        // A daemon that starts in the midst of a move takes its beginning from the record. Clocks differ: it began before now, and is not over.
+        const bool recorded = m_facts.begunAt != time_point{};
+        m_facts.startAt = recorded ? std::clamp(m_facts.begunAt, now - m_facts.lasts, now) : now;
+        m_facts.doneBy = m_facts.startAt + m_facts.lasts;
     }
     if (now >= m_facts.doneBy) {
         m_state = move_state::Overdue;
--- a/tests/unit/short_moves.cpp
+++ b/tests/unit/short_moves.cpp
@@ -98,3 +98,27 @@
     cr_assert_eq(moveId(first), moveId(later));
     cr_assert_neq(moveId(first), moveId(again));
 }
+
+// All daemons were killed and started anew, or the one that decides was replaced: what was promised by a moment is not promised anew.
+Test(short_moves, a_daemon_that_starts_in_the_midst_of_a_move_ends_it_at_the_time_set)
+{
+    version_move facts;
+    facts.service = "writer";
+    facts.to = "v2";
+    facts.lasts = 12s;
+    facts.order = 17;
+    facts.begunAt = start;
+    const evidence_book none(1);
+    version_mover late(facts);
+    late.update(none, {40, 4, 64}, start + 8s);
+    cr_assert_eq(late.state(), move_state::Moving);
+    late.update(none, {40, 4, 64}, start + 12s);
+    cr_assert(late.wantedVerdict() == move_verdict::TakenBack);
+    facts.begunAt = start + 20s; // by a clock that is ahead
+    version_mover ahead(facts);
+    ahead.update(none, {40, 4, 64}, start + 8s);
+    ahead.update(none, {40, 4, 64}, start + 19s);
+    cr_assert_not(ahead.wantedVerdict());
+    ahead.update(none, {40, 4, 64}, start + 20s);
+    cr_assert(ahead.wantedVerdict() == move_verdict::TakenBack);
+}
