--- a/src/shell/http.h
+++ b/src/shell/http.h
@@ -153,8 +153,8 @@
     virtual boost::asio::awaitable<void> skipAnswer() = 0; // the answer belongs to an older call: drops it and reads the next one's head
 };
 
-// How long the body of an answer may take, once its head came in time. A bound on the whole would be too short for a large answer over a
-// thin link, and whoever asks again after giving up reads the same bytes again, or more: it would never catch up.
+// How far the body of an answer may go on past the call's deadline. A bound on the whole would be too short for a large answer over a thin
+// link, and whoever asks again after giving up reads the same bytes again, or more: it would never catch up.
 struct answer_pace
 {
     duration quietWithin{}; // from one piece to the next
@@ -168,7 +168,7 @@
     explicit http_client(boost::asio::any_io_executor executor);
     ~http_client();
 
-    // A whole call. `deadline` covers connecting, sending and the answer; with a `pace`, the answer's head only. Throws http_failure.
+    // A whole call. `deadline` covers connecting, sending and the answer, whose body may go on by `pace`. Throws http_failure.
     boost::asio::awaitable<http_response> call(
         address where, http_call request, time_point deadline, std::size_t maxBytes = 8 * 1024 * 1024, std::optional<answer_pace> pace = {});
 
--- a/tests/unit/http_client.cpp
+++ b/tests/unit/http_client.cpp
@@ -81,6 +81,57 @@
     cr_assert(ended == asio::error::connection_reset, "ended by: %s", ended.message().c_str());
 }
 
+namespace {
+
+// Reads the request, then writes the answer's head, keeps silent for `silence`, and writes its body piece by piece.
+void serveSlowly(raw_peer &peer, duration silence, int pieces, duration between)
+{
+    tcp::socket socket = peer.acceptor.accept();
+    std::array<char, 4096> buffer{};
+    boost::system::error_code code;
+    socket.read_some(asio::buffer(buffer), code);
+    asio::write(socket, asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(pieces) + "\r\n\r\n"), code);
+    std::this_thread::sleep_for(silence);
+    for (int i = 0; i < pieces && !code; ++i) {
+        asio::write(socket, asio::buffer("x", 1), code);
+        std::this_thread::sleep_for(between);
+    }
+}
+
+asio::awaitable<void> callAtPace(http_client &client, address where, duration within, duration quiet, duration whole, std::string &body)
+{
+    try {
+        http_call call;
+        const time_point deadline = systemNow() + within;
+        const http_response response = co_await client.call(where, std::move(call), deadline, 1000, answer_pace{quiet, deadline + whole});
+        body = response.body;
+    } catch (const http_failure &fault) {
+        body = "failed after " + std::to_string(fault.bodyBytes());
+    }
+}
+
+std::string readAtPace(duration silence, int pieces, duration between, duration within, duration quiet, duration whole)
+{
+    raw_peer peer;
+    std::thread serving([&] { serveSlowly(peer, silence, pieces, between); });
+    asio::io_context context;
+    http_client client(context.get_executor());
+    std::string body;
+    asio::co_spawn(context, callAtPace(client, peer.where(), within, quiet, whole, body), asio::detached);
+    context.run();
+    serving.join();
+    return body;
+}
+
+} // namespace
+
+Test(http_client, an_answer_goes_on_past_its_deadline_while_pieces_come)
+{
+    cr_assert_eq(readAtPace(0ms, 60, 60ms, 2s, 20s, 20s).size(), 60, "nearly four seconds of pieces, two allowed for the whole");
+    cr_assert_eq(readAtPace(500ms, 5, 0ms, 20s, 10ms, 0ms), "xxxxx", "silence before the deadline is none of the pace's business");
+    cr_assert_eq(readAtPace(0ms, 60, 60ms, 2s, 20s, 300ms).rfind("failed after ", 0), 0, "however steadily it comes");
+}
+
 // Bytes behind a whole answer belong to no request; the connection that brought them is not used again.
 Test(http_client, a_connection_with_bytes_left_over_is_not_kept)
 {
