A version on trial is shown to be as fast before its share rises, and doubt ends in time

Cause: the first eight answers of each endpoint, counted by each daemon for itself, were no evidence of speed; a short move has fewer answers than endpoints times daemons, so there was none at all, and no evidence passed the test.

--- a/include/chicoryrouter/fleet.h
+++ b/include/chicoryrouter/fleet.h
@@ -50,6 +50,7 @@
     duration firstToken{};       // zero: none was seen
     std::uint32_t openThere = 0; // requests that the endpoint said it held, running and waiting; with `reportsLoad` only
     bool reportsLoad = false;
+    bool endpointCold = false; // it said that it is, as far as is known here
 };
 
 struct endpoint_status
@@ -72,8 +73,9 @@
     std::vector<reclaim_notice> onNotice(const std::string &endpointId, time_point leaveBy);
     bool onLoadReport(const load_report &report, time_point now); // false: older than what is held
     void onOutcome(const attempt_outcome &outcome, time_point now);
-    void onProbeTime(time_point now); // brings back what was set aside long enough
-    void onPaceTime(time_point now);  // hands out new work for cold endpoints; call at least ten times a second
+    [[nodiscard]] bool isCold(const std::string &endpointId, time_point now) const; // it said so of itself
+    void onProbeTime(time_point now);                                               // brings back what was set aside long enough
+    void onPaceTime(time_point now);                                                // hands out new work for cold endpoints; call at least ten times a second
     void barVersion(const std::string &service, const std::string &version, bool barred); // services whose versions come with their endpoints
 
     std::shared_ptr<const routing_table> buildTable();                                   // also sets every endpoint's slots
--- a/include/chicoryrouter/version_mover.h
+++ b/include/chicoryrouter/version_mover.h
@@ -12,6 +12,7 @@
 #include "chicoryrouter/document.h"
 #include "chicoryrouter/evidence.h"
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -78,6 +79,7 @@
     [[nodiscard]] const version_move &facts() const { return m_facts; }
     [[nodiscard]] std::uint64_t id() const { return m_id; }
     [[nodiscard]] std::size_t step() const { return m_step; }
+    [[nodiscard]] bool isShort() const; // it has seconds only
 
 private:
     void condemn(std::string reason);
@@ -95,6 +97,8 @@
     std::uint32_t m_cap = 1;
     bool m_leaning = false;               // some test leans against the new version: no higher step
     bool m_passed = false;                // every test of every route with traffic has passed
+    std::array<double, 2> m_slowness{};   // log likelihood ratios of the two tests of slowness, over all routes whose usual latency is known
+    bool m_usualKnown = false;            // there is such a route
     time_point m_readySince = noDeadline; // since when the verdict could be Done
     bool m_ready = false;                 // it has been for long enough
     std::string m_reason;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -214,6 +214,12 @@
     }
 }
 
+bool fleet::isCold(const std::string &endpointId, time_point now) const
+{
+    const auto found = m_endpoints.find(endpointId);
+    return found != m_endpoints.end() && now < found->second.coldUntil;
+}
+
 // An endpoint that fails or keeps silent on a part of its requests only, while the others of its service do not. Under overload all are
 // late, and setting some aside would leave more work to the rest.
 bool fleet::standsOut(const known_endpoint &item) const
--- a/src/core/version_mover.cpp
+++ b/src/core/version_mover.cpp
@@ -28,30 +28,44 @@
     std::array<move_step, 5> steps;
     std::uint64_t answersForDone; // of the new version, in all
     double passAt;                // log likelihood ratio at or below which a route's failure test has passed
+    double fastAt;                // likewise of slowness over all routes: before any higher step, where the usual latency is known
     duration readyFor;            // full share without a doubt before the verdict; longer than a veto needs to reach everybody
     duration lastMoment;          // before the time set: no more verdict but the one by default
 };
 
-constexpr move_pace longPace{{{{10, 0, 0}, {50, 20, 3}, {200, 80, 8}, {500, 250, 15}, {wholeShare, 500, 20}}}, 800, -9.2, 5s, 2s};
+constexpr move_pace longPace{{{{10, 0, 0}, {50, 20, 3}, {200, 80, 8}, {500, 250, 15}, {wholeShare, 500, 20}}}, 800, -9.2, 0.0, 5s, 2s};
 // A move that has only seconds begins with all the exposure that is allowed, and is content with fewer answers.
-constexpr move_pace shortPace{{{{100, 0, 0}, {100, 10, 1}, {300, 25, 2}, {600, 60, 3}, {wholeShare, 100, 4}}}, 150, -1.0, 3s, 500ms};
+constexpr move_pace shortPace{{{{100, 0, 0}, {100, 10, 1}, {300, 35, 2}, {600, 60, 3}, {wholeShare, 100, 4}}}, 150, -1.0, -3.0, 3s, 700ms};
 constexpr duration shortMove = 2min;
 
+bool isShortMove(const version_move &facts)
+{
+    return facts.doneBy - facts.startAt < shortMove;
+}
+
 const move_pace &paceOf(const version_move &facts)
 {
-    return facts.doneBy - facts.startAt < shortMove ? shortPace : longPace;
+    return isShortMove(facts) ? shortPace : longPace;
 }
 
 // Sequential test of failures: the new version fails as rarely as the old one, or by so many points more often.
 constexpr double leastFailureRate = 0.01;
 constexpr double failurePoints = 0.08;
-// Sequential test of slowness: this part of the answers is above the old version's 70th percentile, or that part.
-constexpr double usualPercentile = 0.70;
-constexpr double slowPartGood = 0.35;
-constexpr double slowPartBad = 0.70;
+// Sequential tests of slowness: a part of the answers is above a percentile of the old version's, as with a good version or a bad one. The
+// first sees what is slow throughout, the second what is slow now and then.
+struct slow_test
+{
+    double percentile;
+    double good; // part above it
+    double bad;
+};
+
+constexpr std::array<slow_test, 2> slowTests{{{0.70, 0.35, 0.70}, {0.90, 0.15, 0.37}}};
 // Bounds of the log likelihood ratio. A good version crosses the upper one with probability below exp(-8) per test, a bad one crosses
 // the lower one of a long move with probability below exp(-9.2).
 constexpr double condemnAt = 8.0;
+constexpr std::uint64_t doubtEndsAt = 45;      // answers of the new version in a short move: what is still in doubt then counts as bad
+constexpr std::size_t lastFirstShare = 1;      // step up to which a short move has its first share
 constexpr double leanAt = 2.0;                 // above: no higher step until more is known
 constexpr std::uint64_t oldAnswersNeeded = 30; // on a route, before its usual latency is known
 constexpr double routeWithTraffic = 0.02;      // part of the old version's answers that makes a route count
@@ -69,12 +83,11 @@
     return failed * std::log(bad / good) + fine * std::log((1.0 - bad) / (1.0 - good));
 }
 
-double slownessRatio(const evidence_counts &fresh, const evidence_counts &old)
+double slownessRatio(const slow_test &test, const evidence_counts &fresh, const evidence_counts &old)
 {
-    const std::size_t usual = old.percentileBucket(usualPercentile);
-    const double slow = static_cast<double>(fresh.slowerThan(usual));
+    const double slow = static_cast<double>(fresh.slowerThan(old.percentileBucket(test.percentile)));
     const double fine = static_cast<double>(fresh.latencies()) - slow;
-    return slow * std::log(slowPartBad / slowPartGood) + fine * std::log((1.0 - slowPartBad) / (1.0 - slowPartGood));
+    return slow * std::log(test.bad / test.good) + fine * std::log((1.0 - test.bad) / (1.0 - test.good));
 }
 
 } // namespace
@@ -135,7 +148,8 @@
         m_facts.startAt = recorded ? std::clamp(m_facts.begunAt, now - m_facts.lasts, now) : now;
         m_facts.doneBy = m_facts.startAt + m_facts.lasts;
     }
-    if (now >= m_facts.doneBy) {
+    const duration toRecord = isShort() ? paceOf(m_facts).lastMoment : duration(); // what is taken back by default is recorded by the time set
+    if (now >= m_facts.doneBy - toRecord) {
         m_state = move_state::Overdue;
         m_reason = "no verdict by the time set";
         return;
@@ -151,13 +165,26 @@
     }
 }
 
+bool version_mover::isShort() const
+{
+    return isShortMove(m_facts);
+}
+
 void version_mover::testRoutes(const evidence_book &evidence)
 {
     m_leaning = false;
     m_passed = true;
+    m_slowness = {};
+    m_usualKnown = false;
     for (const std::string &route : evidence.routes(m_id)) {
         testRoute(evidence, route);
     }
+    // A version that is slow everywhere shows over all routes long before it shows on one of them.
+    const double slowest = *std::max_element(m_slowness.begin(), m_slowness.end());
+    if (slowest >= condemnAt) {
+        condemn("is slow over all routes");
+    }
+    m_leaning = m_leaning || slowest > leanAt;
 }
 
 void version_mover::testRoute(const evidence_book &evidence, const std::string &route)
@@ -166,7 +193,13 @@
     const evidence_counts old = evidence.total({m_id, m_facts.from, route});
     const double failures = failureRatio(fresh, old);
     const bool usualKnown = old.latencies() >= oldAnswersNeeded;
-    const double slowness = usualKnown ? slownessRatio(fresh, old) : 0.0;
+    double slowness = 0.0;
+    for (std::size_t i = 0; i < slowTests.size() && usualKnown; ++i) {
+        const double ratio = slownessRatio(slowTests.at(i), fresh, old);
+        m_slowness.at(i) += ratio;
+        slowness = std::max(slowness, ratio);
+    }
+    m_usualKnown = m_usualKnown || usualKnown;
     if (failures >= condemnAt) {
         condemn("fails on route " + route + ": " + std::to_string(fresh.failed) + " of " + std::to_string(fresh.answered) + " answers");
     } else if (slowness >= condemnAt) {
@@ -193,7 +226,14 @@
             return !counts || evidence.total({m_id, m_facts.to, route}).answered >= wanted;
         });
     };
-    while (m_step + 1 < pace.steps.size() && !m_leaning && answers >= pace.steps[m_step + 1].answersBefore
+    const double slowest = *std::max_element(m_slowness.begin(), m_slowness.end());
+    const bool mayBeSlow = m_usualKnown && slowest > pace.fastAt; // no evidence is not evidence of health
+    const bool inDoubt = m_step <= lastFirstShare ? mayBeSlow : slowest > 0.0;
+    if (isShort() && m_usualKnown && inDoubt && answers >= doubtEndsAt) {
+        condemn("is not shown to be as fast as before after " + std::to_string(answers) + " answers");
+        return;
+    }
+    while (m_step + 1 < pace.steps.size() && !m_leaning && !mayBeSlow && answers >= pace.steps[m_step + 1].answersBefore
         && everyRouteHas(pace.steps[m_step + 1].perRouteBefore)) {
         ++m_step;
     }
@@ -255,7 +295,8 @@
 {
     switch (m_state) {
     case move_state::Moving:
-        return paceOf(m_facts).steps[m_step].share;
+        // A short move has no time to wait until a doubt is settled at a high share.
+        return paceOf(m_facts).steps[isShort() && m_leaning ? 0 : m_step].share;
     case move_state::Done:
         return wholeShare;
     case move_state::Waiting:
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -362,7 +362,8 @@
         const std::lock_guard guard(m_outcomesLock);
         fresh.swap(m_outcomes);
     }
-    for (const attempt_outcome &outcome : fresh) {
+    for (attempt_outcome &outcome : fresh) {
+        outcome.endpointCold = m_fleet.isCold(outcome.endpointId, systemNow() - outcome.firstToken);
         m_fleet.onOutcome(outcome, systemNow());
         m_agreement.onOutcome(outcome, systemNow());
     }
