Read once more: the slowness of a version in one place, the first answers counted of versions on trial only, one move for the tests

Behaviour is the same, but for the count of an endpoint's first answers: it was kept for the old version's endpoints too, where nobody reads it. The test of a move that began elsewhere says again that nothing is decided at 19 s (18 s had crept in).

--- a/include/chicoryrouter/version_mover.h
+++ b/include/chicoryrouter/version_mover.h
@@ -89,6 +89,7 @@
     void concentrate(const move_surroundings &around);
     [[nodiscard]] bool isOver() const { return m_state == move_state::Done || m_state == move_state::TakenBack; }
     [[nodiscard]] time_point earliestEnd() const;
+    [[nodiscard]] double slowness() const; // the higher of the two ratios
 
     version_move m_facts;
     std::uint64_t m_id;
--- a/src/core/agreement.cpp
+++ b/src/core/agreement.cpp
@@ -241,8 +241,7 @@
     const version_mover &mover = found->second;
     const bool onTrial = outcome.version == mover.facts().to;
     // A short move has fewer answers than endpoints times daemons: there only an endpoint that says it is cold is excused.
-    const bool isFirst = !mover.isShort() && ++m_seenWhileCold[outcome.endpointId] <= warmUpAnswers;
-    const bool warmingUp = onTrial && (mover.isShort() ? outcome.endpointCold : isFirst);
+    const bool warmingUp = onTrial && (mover.isShort() ? outcome.endpointCold : ++m_seenWhileCold[outcome.endpointId] <= warmUpAnswers);
     const bool failed = outcome.result != attempt_result::Answered;
     // A move that names no version it comes from is held against all others together.
     const std::string &counted = onTrial || !mover.facts().from.empty() ? outcome.version : mover.facts().from;
--- a/src/core/version_mover.cpp
+++ b/src/core/version_mover.cpp
@@ -180,11 +180,15 @@
         testRoute(evidence, route);
     }
     // A version that is slow everywhere shows over all routes long before it shows on one of them.
-    const double slowest = *std::max_element(m_slowness.begin(), m_slowness.end());
-    if (slowest >= condemnAt) {
+    if (slowness() >= condemnAt) {
         condemn("is slow over all routes");
     }
-    m_leaning = m_leaning || slowest > leanAt;
+    m_leaning = m_leaning || slowness() > leanAt;
+}
+
+double version_mover::slowness() const
+{
+    return *std::max_element(m_slowness.begin(), m_slowness.end());
 }
 
 void version_mover::testRoute(const evidence_book &evidence, const std::string &route)
@@ -193,19 +197,19 @@
     const evidence_counts old = evidence.total({m_id, m_facts.from, route});
     const double failures = failureRatio(fresh, old);
     const bool usualKnown = old.latencies() >= oldAnswersNeeded;
-    double slowness = 0.0;
+    double slowest = 0.0; // of the two tests on this route
     for (std::size_t i = 0; i < slowTests.size() && usualKnown; ++i) {
         const double ratio = slownessRatio(slowTests.at(i), fresh, old);
         m_slowness.at(i) += ratio;
-        slowness = std::max(slowness, ratio);
+        slowest = std::max(slowest, ratio);
     }
     m_usualKnown = m_usualKnown || usualKnown;
     if (failures >= condemnAt) {
         condemn("fails on route " + route + ": " + std::to_string(fresh.failed) + " of " + std::to_string(fresh.answered) + " answers");
-    } else if (slowness >= condemnAt) {
+    } else if (slowest >= condemnAt) {
         condemn("is slow on route " + route);
     }
-    m_leaning = m_leaning || failures > leanAt || slowness > leanAt;
+    m_leaning = m_leaning || failures > leanAt || slowest > leanAt;
     m_passed = m_passed && failures <= paceOf(m_facts).passAt;
 }
 
@@ -226,9 +230,8 @@
             return !counts || evidence.total({m_id, m_facts.to, route}).answered >= wanted;
         });
     };
-    const double slowest = *std::max_element(m_slowness.begin(), m_slowness.end());
-    const bool mayBeSlow = m_usualKnown && slowest > pace.fastAt; // no evidence is not evidence of health
-    const bool inDoubt = m_step <= lastFirstShare ? mayBeSlow : slowest > 0.0;
+    const bool mayBeSlow = m_usualKnown && slowness() > pace.fastAt; // no evidence is not evidence of health
+    const bool inDoubt = m_step <= lastFirstShare ? mayBeSlow : slowness() > 0.0;
     if (isShort() && m_usualKnown && inDoubt && answers >= doubtEndsAt) {
         condemn("is not shown to be as fast as before after " + std::to_string(answers) + " answers");
         return;
--- a/tests/unit/short_moves.cpp
+++ b/tests/unit/short_moves.cpp
@@ -13,6 +13,16 @@
 
 constexpr time_point start{std::chrono::hours(1000)};
 
+version_move moveOfSeconds()
+{
+    version_move facts;
+    facts.service = "writer";
+    facts.to = "v2";
+    facts.lasts = 12s;
+    facts.order = 17;
+    return facts;
+}
+
 struct behaviour
 {
     double failing = 0.0; // part of the new version's answers that fail
@@ -33,11 +43,7 @@
 // A hundred requests a second on three routes for twelve seconds.
 outcome play(const behaviour &fresh, std::uint64_t seed)
 {
-    version_move facts;
-    facts.service = "writer";
-    facts.to = "v2";
-    facts.lasts = 12s;
-    facts.order = 17;
+    version_move facts = moveOfSeconds();
     version_mover mover(facts);
     evidence_book book(1);
     seeded_random random(seed);
@@ -106,12 +112,7 @@
         wanted.services.emplace_back();
         wanted.services.back().name = "writer";
         wanted.services.back().anyVersion = true;
-        version_move move;
-        move.service = "writer";
-        move.to = "v2";
-        move.lasts = 12s;
-        move.order = 17;
-        wanted.moves.push_back(move);
+        wanted.moves.push_back(moveOfSeconds());
         return wanted;
     };
     agreement_options options;
@@ -131,11 +132,7 @@
 
 Test(short_moves, every_daemon_names_a_move_of_one_order_alike)
 {
-    version_move first;
-    first.service = "writer";
-    first.to = "v2";
-    first.lasts = 12s;
-    first.order = 17;
+    version_move first = moveOfSeconds();
     version_move later = first;
     later.startAt = start + 5s;
     version_move again = first;
@@ -147,11 +144,7 @@
 // All daemons were killed and started anew, or the one that decides was replaced: what was promised by a moment is not promised anew.
 Test(short_moves, a_daemon_that_starts_in_the_midst_of_a_move_ends_it_at_the_time_set)
 {
-    version_move facts;
-    facts.service = "writer";
-    facts.to = "v2";
-    facts.lasts = 12s;
-    facts.order = 17;
+    version_move facts = moveOfSeconds();
     facts.begunAt = start;
     const evidence_book none(1);
     version_mover late(facts);
@@ -162,7 +155,7 @@
     facts.begunAt = start + 20s; // by a clock that is ahead
     version_mover ahead(facts);
     ahead.update(none, {40, 4, 64}, start + 8s);
-    ahead.update(none, {40, 4, 64}, start + 18s);
+    ahead.update(none, {40, 4, 64}, start + 19s);
     cr_assert_not(ahead.wantedVerdict());
     ahead.update(none, {40, 4, 64}, start + 19300ms);
     cr_assert(ahead.wantedVerdict() == move_verdict::TakenBack);
