What daemons saw of a version reaches all at once, and no news waits for ever behind news that changes

Gossip messages hold twelve cells of evidence, the ones told least often first and in order of their names; a cell that changes counts as never told. The old version's cells change with every answer and come first by name, so the new version's were never told at all: of 65 cells 0 in 24 messages (test). Beside that 400 cells at twelve a message need seconds for each hop.

Ruled out: a late order, a leader that changed (one leader throughout), a verdict that was recorded late (0.2 s after the leader condemned).

Change: turns of telling are kept (telling.h): what was not told for longest goes first. Loads, account demands and members had the same order and use the same turns now. Beside gossip each daemon tells all others its own evidence and its veto in datagrams, with the notes of what is spent. Counts of a daemon that was started anew are no longer hidden behind those of its earlier life: the origin holds the start.

Tests that fail before: short_moves/no_evidence_waits_for_ever_behind_evidence_that_keeps_changing (told of 0 of 65), short_moves/what_66_daemons_saw_of_a_version_is_known_to_all_long_before_the_bound (daemons knew of 6 to 15 of 66 failures after 2 s).

--- a/bench/trials/cluster.cpp
+++ b/bench/trials/cluster.cpp
@@ -19,6 +19,7 @@
 constexpr duration verdictPoll = 5s;
 constexpr std::size_t watchersPerDomain = 2;
 constexpr std::size_t relayBytes = 64;
+constexpr std::size_t mostNoteBytes = 1400; // as the daemon's datagrams
 
 } // namespace
 
@@ -62,6 +63,9 @@
     at(m_now + phase, [this, index] { tick(index); });
     at(m_now + phase, [this, index] { watch(index); });
     at(m_now + phase, [this, index] { settleMoves(index); });
+    if (m_options.noteInterval > duration{}) {
+        at(m_now + phase % m_options.noteInterval, [this, index] { tellEvidence(index); });
+    }
 }
 
 // The platform's list: who lives, without those that died.
@@ -117,6 +121,25 @@
     }
 }
 
+void cluster::tellEvidence(std::size_t index)
+{
+    node &item = m_nodes[index];
+    if (!item.living) {
+        return;
+    }
+    at(m_now + m_options.noteInterval, [this, index] { tellEvidence(index); });
+    if (m_now < item.pausedUntil) {
+        return;
+    }
+    for (const std::string &note : item.core->evidenceNotes(mostNoteBytes)) {
+        for (std::size_t to = 0; to < m_nodes.size(); ++to) {
+            if (to != index) {
+                deliver(index, to, note.size(), [this, to, note] { m_nodes[to].core->takeEvidenceNote(note); });
+            }
+        }
+    }
+}
+
 std::size_t cluster::indexAt(const address &where) const
 {
     for (std::size_t i = m_nodes.size(); i > 0; --i) {
--- a/bench/trials/cluster.h
+++ b/bench/trials/cluster.h
@@ -17,6 +17,7 @@
     std::vector<std::string> domains; // failure domain of each daemon, in order
     std::string document;             // YAML in force at the start; may be empty
     duration gossipInterval = std::chrono::milliseconds(500);
+    duration noteInterval{}; // of evidence that each daemon tells all others directly; zero span: by gossip only
     duration linkDelay = std::chrono::milliseconds(1);
     double loss = 0.0;                            // of each message, one way
     double doubled = 0.0;                         // of each message
@@ -86,6 +87,7 @@
     };
 
     void tick(std::size_t index);
+    void tellEvidence(std::size_t index);
     void watch(std::size_t index);
     void settleMoves(std::size_t index);
     void runProbe(std::size_t from, const probe &what);
--- a/bench/trials/move_trial.cpp
+++ b/bench/trials/move_trial.cpp
@@ -17,6 +17,7 @@
 constexpr double badFailureRate = 0.33;
 constexpr double slowBy = 1.5;
 constexpr duration lateAfter = 5s;
+constexpr std::uint64_t showsAfter = 50;                             // answers that met the badness
 constexpr std::array<double, 3> routeFirstToken = {0.9, 0.25, 0.15}; // seconds, by route
 constexpr double spreadOfLatency = 0.3;                              // sigma of its logarithm
 constexpr const char *service = "writer";
@@ -59,6 +60,7 @@
         cluster_options result;
         result.domains = spreadOver(options.sizes.daemons, options.sizes.domains);
         result.loss = options.loss;
+        result.noteInterval = options.noteInterval;
         result.seed = options.seed;
         return result;
     }
@@ -149,7 +151,7 @@
     {
         const auto &moves = m_all.at(node).moves();
         const auto found = moves.find(service);
-        const bool moving = found != moves.end();
+        const bool moving = found != moves.end() && m_all.now() >= m_start + m_options.newReadyAfter;
         const bool full = moving && newLoad(found->second) >= 1.0 && found->second.share() < 500;
         const bool toNew = moving && uniformBelow(m_random, 1000) < found->second.share() && !full;
         const bool bad = toNew && meetsBadness(route, newLoad(found->second));
@@ -165,8 +167,9 @@
         const duration took = fails ? duration(100ms) : duration(static_cast<std::int64_t>(firstToken * 1e6));
         const duration total = fails ? took : took + m_options.sizes.answerTime;
         const std::string endpoint = toNew ? "n" + std::to_string(uniformBelow(m_random, usedEndpoints(found->second))) : "o";
-        m_all.at(m_all.now() + total, [this, node, toNew, route, fails, took, endpoint] {
+        m_all.at(m_all.now() + total, [this, node, toNew, route, fails, took, endpoint, bad] {
             --(toNew ? m_openNew : m_openOld);
+            noteAnswer(bad);
             const attempt_result result = fails ? attempt_result::Failed : attempt_result::Answered;
             m_all.at(node).onOutcome({endpoint, service, toNew ? "v2" : "v1", "r" + std::to_string(route), result, fails ? duration{} : took}, m_all.now());
         });
@@ -200,6 +203,15 @@
         if (m_condemnedAt != noDeadline && m_all.now() > m_condemnedAt + lateAfter) {
             ++m_result.exposedLate;
         }
+        m_result.exposedPastBound += m_shownAt != noDeadline && m_all.now() > m_shownAt + lateAfter ? 1 : 0;
+    }
+
+    void noteAnswer(bool bad)
+    {
+        m_badAnswers += bad ? 1 : 0;
+        if (m_badAnswers == showsAfter && m_shownAt == noDeadline) {
+            m_shownAt = m_all.now();
+        }
     }
 
     void look()
@@ -256,6 +268,8 @@
     std::uint64_t m_id = 0;
     time_point m_firstExposure = noDeadline;
     time_point m_condemnedAt = noDeadline;
+    std::uint64_t m_badAnswers = 0;
+    time_point m_shownAt = noDeadline; // when there were `showsAfter` of them
     move_trial_result m_result;
 };
 
--- a/bench/trials/move_trial.h
+++ b/bench/trials/move_trial.h
@@ -44,6 +44,8 @@
     duration storeDownFor{};
     std::string domainCut;        // cut off for the middle third of the window; empty: none
     bool daemonsReplaced = false; // two daemons are replaced midway
+    duration newReadyAfter{};     // the start: no endpoint of the new version can be used before
+    duration noteInterval{};      // of evidence told directly; zero span: by gossip only
     std::uint64_t seed = 1;
 };
 
@@ -55,6 +57,7 @@
     std::uint64_t requests = 0;           // of the service, expected within the whole window
     std::uint64_t exposed = 0;            // that met the badness
     std::uint64_t exposedLate = 0;        // sent to the bad version more than 5 s after it was first condemned anywhere
+    std::uint64_t exposedPastBound = 0;   // sent to it more than 5 s after 50 answers had met the badness
     std::uint64_t firstExposureToEnd = 0; // milliseconds from the first request that met it to the last
     duration endedAfter{};                // from the start until the verdict was recorded
     std::string reason;
--- a/include/chicoryrouter/agreement.h
+++ b/include/chicoryrouter/agreement.h
@@ -3,6 +3,7 @@
 //
 // How to use: onTick() once every gossip interval; send compose(target) to each probe's target and give what comes back to receive().
 // Whoever gets a message answers with its own compose(). When receive() names a newer document, pull it from that peer.
+// Where daemons can send each other datagrams, send evidenceNotes() to all several times a second: gossip takes seconds to reach everybody.
 #pragma once
 
 #include "chicoryrouter/configuration.h"
@@ -48,8 +49,17 @@
     std::vector<demand_statement> demands;
 };
 
+// What a daemon tells all others directly while a version is on trial: its own evidence, and its veto.
+struct evidence_note
+{
+    std::vector<evidence_cell> cells;
+    std::vector<move_mark> vetoes;
+};
+
 std::string encodeGossip(const gossip_message &message);
 std::optional<gossip_message> decodeGossip(std::string_view bytes); // nothing when it is none; fields it does not know are passed over
+std::string encodeEvidence(const evidence_note &note);
+std::optional<evidence_note> decodeEvidence(std::string_view bytes); // likewise
 
 struct gossip_result
 {
@@ -81,6 +91,10 @@
     gossip_result receive(std::string_view bytes, time_point now);
     [[nodiscard]] document_envelope documentForPeers() const;
 
+    // ---- Notes, beside gossip
+    std::vector<std::string> evidenceNotes(std::size_t mostBytes); // news for all daemons, a datagram each; empty while no version is on trial
+    void takeEvidenceNote(std::string_view bytes);                 // what is none is passed over: the next says the same
+
     // ---- What this daemon learns itself
     adoption offerDocument(std::uint64_t revision, std::string text);
     bool onLoadReport(const load_report &report);                   // true: newer than what was held
@@ -104,17 +118,18 @@
     struct held_demand
     {
         demand_statement statement;
-        std::uint32_t told = 0;
+        told_state told;
     };
 
     struct held_report
     {
         load_report report;
-        std::uint32_t told = 0;
+        told_state told;
     };
 
     [[nodiscard]] double demandOf(std::uint64_t origin, const std::string &account) const;
     void addLoads(gossip_message &message);
+    void mergeEvidence(const std::vector<evidence_cell> &cells, const std::vector<move_mark> &marks);
     void addDemands(gossip_message &message, bool crossesDomain);
     void takeDemand(const demand_statement &statement);
     [[nodiscard]] demand_statement domainDemand() const;
@@ -141,6 +156,7 @@
     std::map<std::string, held_report> m_loads;     // by endpoint id
     std::map<std::uint64_t, held_demand> m_demands; // by origin, self included
     std::uint64_t m_demandSequence = 0;
+    std::uint64_t m_turn = 0;                             // of telling loads and demands
     std::map<std::string, std::uint64_t> m_seenWhileCold; // endpoint -> answers of a version on trial left out as warm-up
     std::map<std::string, time_point> m_lossCountsFrom;   // endpoint -> its next lost connection counts from then on
 };
--- a/include/chicoryrouter/evidence.h
+++ b/include/chicoryrouter/evidence.h
@@ -2,8 +2,11 @@
 //
 // Every daemon counts its own answers and only its own; each count only grows. A copy that arrives late, twice or out of order is
 // merged by taking the larger of each count, so all daemons that heard the same hold the same, whatever the order.
+// It travels two ways: each daemon tells all others its own counts directly, many times a second, and gossip carries everybody's, for
+// those who cannot hear each other.
 #pragma once
 
+#include "chicoryrouter/telling.h"
 #include "chicoryrouter/time.h"
 
 #include <array>
@@ -43,7 +46,7 @@
 // One daemon's counts for one key, as they travel.
 struct evidence_cell
 {
-    std::uint64_t origin = 0; // hash of the daemon's name
+    std::uint64_t origin = 0; // hash of the daemon's name and of its start: counts begin at zero at each
     evidence_key key;
     evidence_counts counts;
 };
@@ -59,17 +62,24 @@
 
     [[nodiscard]] evidence_counts total(const evidence_key &key) const; // over all origins
     [[nodiscard]] std::vector<std::string> routes(std::uint64_t move) const;
-    std::vector<evidence_cell> news(std::size_t most); // cells changed since they were last told often enough
+    std::vector<evidence_cell> news(std::size_t most);    // for gossip: cells of all origins, changed since they were last told often enough
+    std::vector<evidence_cell> ownNews(std::size_t most); // for notes: of this daemon only, likewise
     [[nodiscard]] std::size_t size() const { return m_cells.size(); }
 
 private:
     struct cell_state
     {
         evidence_counts counts;
-        std::uint32_t told = 0;
+        told_state gossiped;
+        told_state noted; // own cells only
     };
 
+    using cell_item = std::pair<const std::pair<evidence_key, std::uint64_t>, cell_state>;
+
+    std::vector<evidence_cell> nextCells(bool ownOnly, told_state cell_state::*told, std::uint32_t timesEach, std::size_t most);
+
     std::uint64_t m_self;
+    std::uint64_t m_turn = 0;                                             // of telling
     std::map<std::pair<evidence_key, std::uint64_t>, cell_state> m_cells; // by key and origin
 };
 
--- a/include/chicoryrouter/membership.h
+++ b/include/chicoryrouter/membership.h
@@ -14,6 +14,7 @@
 
 #include "chicoryrouter/endpoint.h"
 #include "chicoryrouter/random.h"
+#include "chicoryrouter/telling.h"
 #include "chicoryrouter/time.h"
 
 #include <cstdint>
@@ -90,7 +91,7 @@
         time_point forgetAt = noDeadline;     // when a Dead one is forgotten
         time_point countedUntil = noDeadline; // a Dead one still counts in the division of limits until then, or until it is delisted
         bool listed = false;
-        std::uint32_t told = 0; // times the present statement was sent
+        told_state told;
     };
 
     struct pending_probe
@@ -119,6 +120,7 @@
     std::vector<std::string> m_ownRing;             // own domain's members still to be probed in this round
     std::vector<std::string> m_otherRing;           // other domains' bridges, likewise
     std::uint64_t m_ticks = 0;
+    std::uint64_t m_turn = 0; // of telling news
     std::uint64_t m_changes = 0;
     std::uint64_t m_suspicions = 0;
 };
--- /dev/null
+++ b/include/chicoryrouter/telling.h
@@ -0,0 +1,32 @@
+// Turns of news in messages of bounded size: what was not told for longest goes first, however often the rest changes.
+//
+// Ordering by freshness instead starves: where more items change than a message holds, the same ones are always the freshest.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <vector>
+
+namespace chicoryrouter {
+
+struct told_state
+{
+    std::uint32_t times = 0; // the present state was told so often; set to zero when it changes
+    std::uint64_t turn = 0;  // when any state of it was last told, in the teller's own count; 0: never
+};
+
+// Of `items`, up to `most` that were told less than `timesEach` times, and counts them as told. `turn` is the teller's count.
+template<typename Item, typename Told>
+std::vector<Item *> nextTold(std::vector<Item *> items, std::size_t most, std::uint32_t timesEach, std::uint64_t &turn, Told told)
+{
+    std::erase_if(items, [&](Item *item) { return told(*item).times >= timesEach; });
+    std::stable_sort(items.begin(), items.end(), [&](Item *a, Item *b) { return told(*a).turn < told(*b).turn; });
+    items.resize(std::min(items.size(), most));
+    for (Item *item : items) {
+        ++told(*item).times;
+        told(*item).turn = ++turn;
+    }
+    return items;
+}
+
+} // namespace chicoryrouter
--- a/src/core/agreement.cpp
+++ b/src/core/agreement.cpp
@@ -15,7 +15,14 @@
 constexpr double demandRipple = 0.2;
 constexpr std::size_t pollersPerEndpoint = 2;
 constexpr duration oneLossPer = std::chrono::seconds(10);
-constexpr std::uint64_t warmUpAnswers = 8; // first answers of an endpoint on trial: their slowness says nothing about the version
+constexpr std::size_t cellsPerNoteTurn = 16; // so that many routes with traffic do not fill the links: what is left comes in the next turns
+constexpr std::uint64_t warmUpAnswers = 8;   // first answers of an endpoint on trial: their slowness says nothing about the version
+
+template<typename Held>
+told_state &toldOf(Held &item)
+{
+    return item.told;
+}
 
 } // namespace
 
@@ -24,7 +31,7 @@
     , m_self(hashBytes(self.instance))
     , m_documents(options.reader)
     , m_members(std::move(self), options.members, seed)
-    , m_evidence(m_self)
+    , m_evidence(hashBytes(m_members.self().instance + "\n" + std::to_string(m_members.self().incarnation)))
 {
 }
 
@@ -60,16 +67,11 @@
 
 void agreement::addLoads(gossip_message &message)
 {
-    std::vector<held_report *> fresh;
+    std::vector<held_report *> items;
     for (auto &[id, held] : m_loads) {
-        if (held.told < loadTimesTold) {
-            fresh.push_back(&held);
-        }
+        items.push_back(&held);
     }
-    std::sort(fresh.begin(), fresh.end(), [](const held_report *a, const held_report *b) { return a->told < b->told; });
-    fresh.resize(std::min(fresh.size(), m_options.loadsPerMessage));
-    for (held_report *held : fresh) {
-        ++held->told;
+    for (const held_report *held : nextTold(std::move(items), m_options.loadsPerMessage, loadTimesTold, m_turn, toldOf<held_report>)) {
         message.loads.push_back(held->report);
     }
 }
@@ -80,11 +82,12 @@
         message.demands.push_back(domainDemand());
         return;
     }
+    std::vector<held_demand *> items;
     for (auto &[origin, held] : m_demands) {
-        if (held.told < demandTimesTold && message.demands.size() < m_options.demandsPerMessage) {
-            ++held.told;
-            message.demands.push_back(held.statement);
-        }
+        items.push_back(&held);
+    }
+    for (const held_demand *held : nextTold(std::move(items), m_options.demandsPerMessage, demandTimesTold, m_turn, toldOf<held_demand>)) {
+        message.demands.push_back(held->statement);
     }
 }
 
@@ -118,7 +121,8 @@
     const auto [place, fresh] = m_demands.try_emplace(statement.origin);
     const bool newer = fresh || statement.sequence > place->second.statement.sequence;
     if (statement.origin != m_self && newer) {
-        place->second = {statement, 0};
+        place->second.statement = statement;
+        place->second.told.times = 0;
     }
 }
 
@@ -158,21 +162,26 @@
             result.loads.push_back(report);
         }
     }
-    for (const evidence_cell &cell : message->evidence) {
+    mergeEvidence(message->evidence, message->marks);
+    for (const demand_statement &statement : message->demands) {
+        takeDemand(statement);
+    }
+    return result;
+}
+
+void agreement::mergeEvidence(const std::vector<evidence_cell> &cells, const std::vector<move_mark> &marks)
+{
+    for (const evidence_cell &cell : cells) {
         const bool ofOpenMove = std::any_of(m_moves.begin(), m_moves.end(), [&](const auto &item) { return item.second.id() == cell.key.move; });
         if (ofOpenMove) {
             m_evidence.merge(cell);
         }
     }
-    for (const move_mark &mark : message->marks) {
+    for (const move_mark &mark : marks) {
         for (auto &[service, mover] : m_moves) {
             mover.onMark(mark);
         }
     }
-    for (const demand_statement &statement : message->demands) {
-        takeDemand(statement);
-    }
-    return result;
 }
 
 document_envelope agreement::documentForPeers() const
@@ -180,6 +189,44 @@
     return {m_documents.inForce()->revision, m_documents.inForce()->text};
 }
 
+// ---- Notes -----------------------------------------------------------------------------------------------------------------------------
+
+std::vector<std::string> agreement::evidenceNotes(std::size_t mostBytes)
+{
+    std::vector<std::string> notes;
+    evidence_note note;
+    for (const auto &[service, mover] : m_moves) {
+        if (mover.state() == move_state::Condemned) {
+            note.vetoes.push_back(*mover.mark()); // until its verdict stands in the document
+        }
+    }
+    std::string bytes = note.vetoes.empty() ? std::string() : encodeEvidence(note);
+    for (evidence_cell &cell : m_evidence.ownNews(cellsPerNoteTurn)) {
+        note.cells.push_back(std::move(cell));
+        std::string longer = encodeEvidence(note);
+        if (longer.size() > mostBytes) {
+            if (!bytes.empty()) {
+                notes.push_back(std::move(bytes));
+            }
+            note = {{note.cells.back()}, {}};
+            longer = encodeEvidence(note);
+        }
+        bytes = std::move(longer);
+    }
+    if (!bytes.empty()) {
+        notes.push_back(std::move(bytes));
+    }
+    std::erase_if(notes, [mostBytes](const std::string &one) { return one.size() > mostBytes; }); // a cell of its own size: gossip brings it
+    return notes;
+}
+
+void agreement::takeEvidenceNote(std::string_view bytes)
+{
+    if (const std::optional<evidence_note> note = decodeEvidence(bytes)) {
+        mergeEvidence(note->cells, note->vetoes);
+    }
+}
+
 // ---- What this daemon learns itself ----------------------------------------------------------------------------------------------------
 
 adoption agreement::offerDocument(std::uint64_t revision, std::string text)
@@ -219,7 +266,8 @@
     if (!fresh && !isNewer(report, place->second.report)) {
         return false;
     }
-    place->second = {report, 0};
+    place->second.report = report;
+    place->second.told.times = 0;
     return true;
 }
 
@@ -257,7 +305,8 @@
         return a.account == b.account && std::abs(a.perSecond - b.perSecond) <= demandRipple * std::max(b.perSecond, 1.0);
     });
     if (!same) {
-        own = {{m_self, ++m_demandSequence, std::move(demand)}, 0};
+        own.statement = {m_self, ++m_demandSequence, std::move(demand)};
+        own.told.times = 0;
     }
 }
 
--- a/src/core/evidence.cpp
+++ b/src/core/evidence.cpp
@@ -10,7 +10,8 @@
 namespace chicoryrouter {
 
 namespace {
-constexpr std::uint32_t timesTold = 4;
+constexpr std::uint32_t timesGossiped = 4;
+constexpr std::uint32_t timesNoted = 3; // datagrams are lost now and then
 constexpr double bucketsPerOctave = 4.0;
 constexpr double firstOctave = 10.0; // 2^10 us: about a millisecond
 } // namespace
@@ -75,7 +76,8 @@
     if (!failed && latency > duration{}) {
         ++cell.counts.latency.at(latencyBucket(latency));
     }
-    cell.told = 0;
+    cell.gossiped.times = 0;
+    cell.noted.times = 0;
 }
 
 bool evidence_book::merge(const evidence_cell &cell)
@@ -87,7 +89,7 @@
     const evidence_counts before = held.counts;
     held.counts.merge(cell.counts);
     const bool grown = before.answered != held.counts.answered || before.failed != held.counts.failed || before.latency != held.counts.latency;
-    held.told = grown ? 0 : held.told;
+    held.gossiped.times = grown ? 0 : held.gossiped.times;
     return grown;
 }
 
@@ -118,18 +120,28 @@
 
 std::vector<evidence_cell> evidence_book::news(std::size_t most)
 {
-    std::vector<std::pair<const std::pair<evidence_key, std::uint64_t> *, cell_state *>> fresh;
-    for (auto &[key, cell] : m_cells) {
-        if (cell.told < timesTold) {
-            fresh.emplace_back(&key, &cell);
+    return nextCells(false, &cell_state::gossiped, timesGossiped, most);
+}
+
+std::vector<evidence_cell> evidence_book::ownNews(std::size_t most)
+{
+    return nextCells(true, &cell_state::noted, timesNoted, most);
+}
+
+std::vector<evidence_cell> evidence_book::nextCells(bool ownOnly, told_state cell_state::*told, std::uint32_t timesEach, std::size_t most)
+{
+    std::vector<cell_item *> items;
+    for (cell_item &item : m_cells) {
+        if (!ownOnly || item.first.second == m_self) {
+            items.push_back(&item);
         }
     }
-    std::stable_sort(fresh.begin(), fresh.end(), [](const auto &a, const auto &b) { return a.second->told < b.second->told; });
-    fresh.resize(std::min(fresh.size(), most));
+    const auto toldOf = [told](cell_item &item) -> told_state & {
+        return item.second.*told;
+    };
     std::vector<evidence_cell> result;
-    for (const auto &[key, cell] : fresh) {
-        ++cell->told;
-        result.push_back({key->second, key->first, cell->counts});
+    for (const cell_item *item : nextTold(std::move(items), most, timesEach, m_turn, toldOf)) {
+        result.push_back({item->first.second, item->first.first, item->second.counts});
     }
     return result;
 }
--- a/src/core/gossip_codec.cpp
+++ b/src/core/gossip_codec.cpp
@@ -141,47 +141,81 @@
     }
 }
 
+void addIfAny(json &value, const char *key, json list)
+{
+    if (!list.empty()) {
+        value[key] = std::move(list);
+    }
+}
+
+std::string packed(const json &value)
+{
+    const auto bytes = json::to_msgpack(value);
+    return {bytes.begin(), bytes.end()};
+}
+
+// Nothing when it is no map, or too large to be one of ours.
+std::optional<json> unpacked(std::string_view bytes)
+{
+    if (bytes.size() > maxGossipBytes) {
+        return std::nullopt;
+    }
+    json value = json::from_msgpack(bytes, true, false);
+    return value.is_object() ? std::optional(std::move(value)) : std::nullopt;
+}
+
 } // namespace
 
 std::string encodeGossip(const gossip_message &message)
 {
     json value = {{"f", message.from}, {"t", message.to}, {"r", message.advert.revision}, {"h", message.advert.hash}, {"m", listToJson(message.members)}};
-    const auto addIfAny = [&](const char *key, json list) {
-        if (!list.empty()) {
-            value[key] = std::move(list);
-        }
-    };
-    addIfAny("l", listToJson(message.loads));
-    addIfAny("e", listToJson(message.evidence));
-    addIfAny("v", listToJson(message.marks));
-    addIfAny("d", listToJson(message.demands));
-    const auto packed = json::to_msgpack(value);
-    return {packed.begin(), packed.end()};
+    addIfAny(value, "l", listToJson(message.loads));
+    addIfAny(value, "e", listToJson(message.evidence));
+    addIfAny(value, "v", listToJson(message.marks));
+    addIfAny(value, "d", listToJson(message.demands));
+    return packed(value);
 }
 
 std::optional<gossip_message> decodeGossip(std::string_view bytes)
 {
-    if (bytes.size() > maxGossipBytes) {
-        return std::nullopt;
-    }
-    const json value = json::from_msgpack(bytes, true, false);
-    if (!value.is_object()) {
+    const std::optional<json> value = unpacked(bytes);
+    if (!value) {
         return std::nullopt;
     }
     try {
         gossip_message message;
-        message.from = value.at("f");
-        message.to = value.at("t");
-        message.advert = {value.at("r"), value.at("h")};
-        readList(value, "m", message.members);
-        readList(value, "l", message.loads);
-        readList(value, "e", message.evidence);
-        readList(value, "v", message.marks);
-        readList(value, "d", message.demands);
+        message.from = value->at("f");
+        message.to = value->at("t");
+        message.advert = {value->at("r"), value->at("h")};
+        readList(*value, "m", message.members);
+        readList(*value, "l", message.loads);
+        readList(*value, "e", message.evidence);
+        readList(*value, "v", message.marks);
+        readList(*value, "d", message.demands);
         return message;
     } catch (const json::exception &) {
         return std::nullopt;
     }
 }
 
+std::string encodeEvidence(const evidence_note &note)
+{
+    json value = json::object();
+    addIfAny(value, "e", listToJson(note.cells));
+    addIfAny(value, "v", listToJson(note.vetoes));
+    return packed(value);
+}
+
+std::optional<evidence_note> decodeEvidence(std::string_view bytes)
+{
+    const std::optional<json> value = unpacked(bytes);
+    if (!value) {
+        return std::nullopt;
+    }
+    evidence_note note;
+    readList(*value, "e", note.cells);
+    readList(*value, "v", note.vetoes);
+    return note;
+}
+
 } // namespace chicoryrouter
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -174,7 +174,7 @@
 void membership::setState(known_member &item, member_state state, time_point now)
 {
     item.facts.state = state;
-    item.told = 0;
+    item.told.times = 0;
     item.suspectUntil = state == member_state::Suspect ? now + m_options.suspectFor : noDeadline;
     item.forgetAt = state == member_state::Dead ? now + m_options.deadKept : noDeadline;
     item.countedUntil = state == member_state::Dead ? now + countedAfterDeath : noDeadline;
@@ -223,18 +223,17 @@
     if (receiver != m_members.end()) {
         result.push_back(receiver->second.facts); // so that it can refute
     }
-    std::vector<known_member *> fresh;
+    std::vector<known_member *> items;
     for (auto &[name, item] : m_members) {
-        if (item.told < m_options.timesTold && name != to) {
-            fresh.push_back(&item);
+        if (name != to) {
+            items.push_back(&item);
         }
     }
-    std::sort(fresh.begin(), fresh.end(), [](const known_member *a, const known_member *b) { return a->told < b->told; });
-    for (known_member *item : fresh) {
-        if (result.size() >= most) {
-            break;
-        }
-        ++item->told;
+    const auto toldOf = [](known_member &item) -> told_state & {
+        return item.told;
+    };
+    const std::size_t room = most - std::min(most, result.size());
+    for (const known_member *item : nextTold(std::move(items), room, m_options.timesTold, m_turn, toldOf)) {
         result.push_back(item->facts);
     }
     return result;
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -99,6 +99,8 @@
     void takeBegan();
     void refillAccounts();
     void sendNotes();
+    void takeNote(note_kind kind, std::string_view bytes);
+    void tellSpending(const std::vector<address> &peers, time_point now);
     void refreshMembers();
     void refreshAccounts();
     void measureDemand();
--- a/src/shell/control_accounts.cpp
+++ b/src/shell/control_accounts.cpp
@@ -1,4 +1,5 @@
-// The control strand's part in what daemons share by notes: tokens of accounts, usage by window, and the load of services.
+// The control strand's part in what daemons share by notes: tokens of accounts, usage by window, the load of services, and evidence of
+// versions on trial.
 #include "chicoryrouter/hash.h"
 #include "shell/clock.h"
 #include "shell/control.h"
@@ -123,7 +124,7 @@
     return sum;
 }
 
-// Tells the others what is spent here. In a large deployment less often, so that what a daemon receives stays bounded.
+// In a large deployment less often, so that what a daemon receives stays bounded.
 void control::sendNotes()
 {
     const time_point now = systemNow();
@@ -140,6 +141,28 @@
     }
     m_spending.setMembers(names, now);
     m_noteAt = nextTurn(now, std::max<duration>(noteInterval, notePerMember * static_cast<std::int64_t>(names.size())), m_own.instance);
+    tellSpending(peers, now);
+    for (const std::string &bytes : m_agreement.evidenceNotes(maxNoteBytes)) {
+        m_notes->send(peers, note_kind::Evidence, bytes);
+    }
+}
+
+void control::takeNote(note_kind kind, std::string_view bytes)
+{
+    switch (kind) {
+    case note_kind::Spending:
+        if (const std::optional<spending_note> note = decodeNote(bytes)) {
+            m_spending.take(*note, systemNow());
+        }
+        break;
+    case note_kind::Evidence:
+        m_agreement.takeEvidenceNote(bytes);
+        break;
+    }
+}
+
+void control::tellSpending(const std::vector<address> &peers, time_point now)
+{
     spending_note note;
     note.from = m_own.instance;
     note.start = m_agreement.members().self().incarnation + 1; // never zero
@@ -156,7 +179,7 @@
     }
     const std::string bytes = encodeNote(note);
     if (bytes.size() <= maxNoteBytes) {
-        m_notes->send(peers, bytes);
+        m_notes->send(peers, note_kind::Spending, bytes);
     } else {
         logEvent(log_event::AccountsNotTold, {{"accounts", note.spent.size()}});
     }
--- a/tests/unit/short_moves.cpp
+++ b/tests/unit/short_moves.cpp
@@ -3,9 +3,12 @@
 #include "chicoryrouter/random.h"
 #include "chicoryrouter/routing_table.h"
 #include "chicoryrouter/version_mover.h"
+#include "trials/move_trial.h"
 
 #include <criterion/criterion.h>
 
+#include <set>
+
 using namespace chicoryrouter;
 using namespace std::chrono_literals;
 
@@ -160,3 +163,89 @@
     ahead.update(none, {40, 4, 64}, start + 19300ms);
     cr_assert(ahead.wantedVerdict() == move_verdict::TakenBack);
 }
+
+// The evidence of the old version changes all the time and comes first by name: that of the new one must be told all the same.
+Test(short_moves, no_evidence_waits_for_ever_behind_evidence_that_keeps_changing)
+{
+    constexpr std::size_t daemons = 66;
+    constexpr std::size_t perMessage = 12;
+    evidence_book book(1);
+    const evidence_key old{7, "v1", "chat"};
+    const evidence_key fresh{7, "v2", "chat"};
+    evidence_counts counts;
+    for (std::uint64_t origin = 2; origin <= daemons; ++origin) {
+        book.merge({origin, fresh, {5, 4, {}}});
+    }
+    std::set<std::uint64_t> told;
+    const std::size_t turns = 2 * (2 * daemons / perMessage + 1); // twice as many as hold everything once
+    for (std::size_t turn = 0; turn < turns; ++turn) {
+        ++counts.answered;
+        for (std::uint64_t origin = 2; origin <= daemons; ++origin) {
+            book.merge({origin, old, counts});
+        }
+        for (const evidence_cell &cell : book.news(perMessage)) {
+            if (cell.key == fresh) {
+                told.insert(cell.origin);
+            }
+        }
+    }
+    cr_assert_eq(told.size(), daemons - 1, "told of %zu", told.size());
+}
+
+// Each of 66 daemons sees one failure of the new version, while all see many answers of the old one: none can tell alone, all can together.
+Test(short_moves, what_66_daemons_saw_of_a_version_is_known_to_all_long_before_the_bound)
+{
+    constexpr std::size_t daemons = 66;
+    constexpr duration knownWithin = 2s; // of the 5 s after which nothing more may be sent to a bad version
+    trials::cluster_options options;
+    options.domains = trials::spreadOver(daemons, 5);
+    options.document = "services:\n  - name: writer\n    kind: model\n    current_version: v1\n    versions:\n      - {name: v1, max_concurrency: 64}\n"
+                       "      - {name: v2, max_concurrency: 64}\nfailure_domains:\n";
+    for (int i = 0; i < 5; ++i) {
+        options.document += "  - {name: d" + std::to_string(i) + ", region: r}\n";
+    }
+    options.document += "accounts:\n  - {name: a, max_in_flight: 100, token_hashes: [" + std::string(64, 'a')
+        + "]}\nroutes:\n"
+          "  - {name: chat, service: writer, repeatable: true, deadline: 60s}\n"
+          "moves:\n  - {service: writer, from: v1, to: v2, start_at: 2020-01-01T00:00:00Z, done_by: 2020-01-01T00:00:20Z}\n";
+    options.noteInterval = 330ms;
+    options.loss = 0.02;
+    trials::cluster all(options);
+    std::function<void()> oldAnswers = [&] {
+        for (std::size_t i = 0; i < daemons; ++i) {
+            all.at(i).onOutcome({"o" + std::to_string(i), "writer", "v1", "chat", attempt_result::Answered, 80ms}, all.now());
+        }
+        all.at(all.now() + 300ms, oldAnswers);
+    };
+    all.at(all.now(), oldAnswers);
+    all.runFor(5s);
+    for (std::size_t i = 0; i < daemons; ++i) {
+        all.at(i).onOutcome({"n" + std::to_string(i), "writer", "v2", "chat", attempt_result::Failed, {}}, all.now());
+    }
+    all.runFor(knownWithin);
+    for (std::size_t i = 0; i < daemons; ++i) {
+        const version_mover &mover = all.at(i).moves().at("writer");
+        const std::uint64_t known = all.at(i).evidence().total({mover.id(), "v2", "chat"}).failed;
+        cr_expect_geq(known, daemons * 9 / 10, "%s knows of %lu", all.nameOf(i).c_str(), static_cast<unsigned long>(known));
+    }
+}
+
+// A third of the answers on one route fail; each of 66 daemons sees one of them in seconds. What all know together must reach all in time.
+Test(short_moves, a_bad_version_on_66_daemons_gets_nothing_more_soon_after_it_shows)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        trials::move_trial_options options;
+        options.sizes = {"grown", 66, 5, 60, 64, 350.0, 2s, {0.43, 0.26, 0.31}};
+        options.kind = trials::badness::FailsOnOneRoute;
+        options.window = 15s;
+        options.newReadyAfter = 3s; // much is known of the old version by then
+        options.noteInterval = 330ms;
+        options.loss = 0.02;
+        options.seed = seed;
+        const trials::move_trial_result result = trials::runMoveTrial(options);
+        cr_assert(result.recorded && result.verdict == move_verdict::TakenBack, "seed %lu", static_cast<unsigned long>(seed));
+        cr_assert_gt(result.exposed, 0, "seed %lu: the version was never tried", static_cast<unsigned long>(seed));
+        cr_assert_eq(result.exposedPastBound, 0, "seed %lu: %lu requests later than 5 s after its 50th bad answer", static_cast<unsigned long>(seed),
+            static_cast<unsigned long>(result.exposedPastBound));
+    }
+}
