A test deployment stops its workers before its stand-ins end

Cause: small_deployment ended the store's stand-in while its threads still ran; a watch that waits there looks at the store every 10 ms for up to three seconds, also after its reader has gone. The end of the store and that of the threads are microseconds apart, more beside load. The product's daemons stop their threads first.

--- a/src/shell/worker_pool.h
+++ b/src/shell/worker_pool.h
@@ -23,6 +23,7 @@
     boost::asio::io_context &next(); // contexts in turn
     boost::asio::io_context &at(std::size_t index);
     [[nodiscard]] std::size_t size() const { return m_workers.size(); }
+    [[nodiscard]] bool stopped() const { return m_stopped; }
     void stop(); // abandons what is open and joins; call when nothing more is to be served
 
 private:
--- a/tests/support/hosted_platform.cpp
+++ b/tests/support/hosted_platform.cpp
@@ -8,6 +8,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <openssl/evp.h>
 
+#include <cstdio>
+#include <cstdlib>
+
 namespace chicoryrouter {
 
 namespace asio = boost::asio;
@@ -73,8 +76,22 @@
 
 // ---- The store -------------------------------------------------------------------------------------------------------------------------
 
+hosted_stand_in::hosted_stand_in(const worker_pool &workers)
+    : m_workers(workers)
+{
+}
+
+hosted_stand_in::~hosted_stand_in()
+{
+    if (!m_workers.stopped()) {
+        std::fputs("a stand-in ends while requests to it may still be answered: stop its workers first\n", stderr);
+        std::abort();
+    }
+}
+
 hosted_store::hosted_store(worker_pool &workers)
-    : m_server(workers, {"127.0.0.1", 0}, [this](http_exchange &exchange) { return handle(exchange); })
+    : hosted_stand_in(workers)
+    , m_server(workers, {"127.0.0.1", 0}, [this](http_exchange &exchange) { return handle(exchange); })
 {
 }
 
@@ -328,7 +345,8 @@
 }
 
 hosted_endpoint::hosted_endpoint(worker_pool &workers, std::string id)
-    : m_id(std::move(id))
+    : hosted_stand_in(workers)
+    , m_id(std::move(id))
     , m_server(workers, {"127.0.0.1", 0}, [this](http_exchange &exchange) { return handle(exchange); })
 {
 }
@@ -425,7 +443,8 @@
 // ---- Duties ----------------------------------------------------------------------------------------------------------------------------
 
 hosted_cloud::hosted_cloud(worker_pool &workers)
-    : m_server(workers, {"127.0.0.1", 0}, [this](http_exchange &exchange) -> asio::awaitable<void> {
+    : hosted_stand_in(workers)
+    , m_server(workers, {"127.0.0.1", 0}, [this](http_exchange &exchange) -> asio::awaitable<void> {
         duty_call call;
         call.path = exchange.request.path;
         call.holder = std::string(exchange.request.header("X-Duty-Holder"));
--- a/tests/support/hosted_platform.h
+++ b/tests/support/hosted_platform.h
@@ -19,6 +19,17 @@
 
 namespace chicoryrouter {
 
+// Requests are answered on the workers' threads out of what a stand-in holds: whoever ends it stops the workers first.
+class hosted_stand_in
+{
+protected:
+    explicit hosted_stand_in(const worker_pool &workers);
+    ~hosted_stand_in();
+
+private:
+    const worker_pool &m_workers;
+};
+
 // ---- The store -------------------------------------------------------------------------------------------------------------------------
 
 struct hosted_store_faults
@@ -31,7 +42,7 @@
     std::atomic<int> bytesPerSecond{0}; // of every answer to a list or watch, over a thin link; 0: at once
 };
 
-class hosted_store
+class hosted_store : hosted_stand_in
 {
 public:
     explicit hosted_store(worker_pool &workers);
@@ -103,7 +114,7 @@
     std::atomic<std::int64_t> workMillis{0}; // before the answer, and between two events
 };
 
-class hosted_endpoint
+class hosted_endpoint : hosted_stand_in
 {
 public:
     hosted_endpoint(worker_pool &workers, std::string id);
@@ -140,7 +151,7 @@
     nlohmann::json body;
 };
 
-class hosted_cloud
+class hosted_cloud : hosted_stand_in
 {
 public:
     explicit hosted_cloud(worker_pool &workers);
--- a/tests/support/small_deployment.h
+++ b/tests/support/small_deployment.h
@@ -28,6 +28,22 @@
         }
     }
 
+    ~small_deployment()
+    {
+        routers.clear();
+        workers.stop(); // watches wait in the stand-ins for seconds, also when nobody reads the answer any more
+    }
+
+    small_deployment(const small_deployment &) = delete;
+    small_deployment &operator=(const small_deployment &) = delete;
+
+    // One more endpoint, not in the store yet; lives as long as the deployment.
+    hosted_endpoint &add(const std::string &id)
+    {
+        more.push_back(std::make_unique<hosted_endpoint>(workers, id));
+        return *more.back();
+    }
+
     void start(const std::string &name = "entry-1")
     {
         routers.push_back(std::make_unique<platform::hosted_daemon>(hostedSettings(name, "west-1", store, &cloud)));
@@ -61,6 +77,7 @@
     hosted_endpoint writer2{workers, "writer-2"};
     hosted_endpoint shop1{workers, "shop-1"};
     hosted_endpoint shop2{workers, "shop-2"};
+    std::vector<std::unique_ptr<hosted_endpoint>> more;
     std::vector<std::unique_ptr<platform::hosted_daemon>> routers;
 };
 
--- a/tests/unit/hosted.cpp
+++ b/tests/unit/hosted.cpp
@@ -4,6 +4,8 @@
 #include "standin/sync_client.h"
 #include "support/small_deployment.h"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
 #include <criterion/criterion.h>
 
 #include <functional>
@@ -252,7 +254,7 @@
 Test(hosted, a_version_move_is_carried_out_and_recorded)
 {
     small_deployment all;
-    hosted_endpoint newer(all.workers, "writer-3");
+    hosted_endpoint &newer = all.add("writer-3");
     std::string entry = newer.entry("writer", "west-1");
     entry.replace(entry.find("v1"), 2, "v2");
     all.store.put("servers/writer-3", entry);
@@ -276,7 +278,7 @@
 Test(hosted, a_version_that_was_taken_back_gets_no_more_work)
 {
     small_deployment all;
-    hosted_endpoint newer(all.workers, "writer-3");
+    hosted_endpoint &newer = all.add("writer-3");
     newer.faults.failNext = 1'000'000;
     std::string entry = newer.entry("writer", "west-1");
     entry.replace(entry.find("v1"), 2, "v2");
@@ -306,7 +308,7 @@
 Test(hosted, an_emptied_failure_domain_gets_no_new_work)
 {
     small_deployment all;
-    hosted_endpoint other(all.workers, "shop-9");
+    hosted_endpoint &other = all.add("shop-9");
     all.store.put("servers/shop-9", other.entry("shop", "west-2"));
     all.start();
     all.store.put("op/evacuate/west-1", "{}");
@@ -376,6 +378,19 @@
     cr_assert(answer.whole && answer.response.body == wholeStream());
 }
 
+// Another process holds the port number of the notes: the daemon says so, and nothing of what had begun by then is left behind.
+Test(hosted, a_daemon_that_cannot_have_its_ports_does_not_start)
+{
+    small_deployment all;
+    boost::asio::io_context context;
+    const boost::asio::ip::udp::socket taken(context, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    settings own = hostedSettings("entry-1", "west-1", all.store, &all.cloud);
+    own.peer.port = taken.local_endpoint().port();
+    for (int i = 0; i < 20; ++i) {
+        cr_assert_throw(platform::hosted_daemon fresh(own), std::exception);
+    }
+}
+
 // Seven daemons in one failure domain: two watch the store, the others hear of changes from those two.
 Test(hosted, in_a_large_failure_domain_only_some_daemons_watch_the_store_and_all_hear)
 {
--- a/tests/unit/hosted_configuration.cpp
+++ b/tests/unit/hosted_configuration.cpp
@@ -83,8 +83,8 @@
 
 Test(hosted, a_configuration_that_changes_while_the_store_is_listed_is_in_force)
 {
-    small_deployment all;
     std::atomic<bool> changed{false};
+    small_deployment all;
     all.store.onPage = [&](const std::string &lastKey) {
         if (lastKey >= "op/config" && !changed.exchange(true)) {
             json next = hostedConfiguration(); // the page that was just read holds the first one
