Counts told by notes belong to the start of a process, not to its incarnation

Cause: a note named its sender's start by the membership's incarnation, which also grows when a daemon leaves or refutes that it is dead. To the others that was a new process that tells the same counts: the windows told on both sides were summed twice, and all tokens that it had ever spent were taken from its accounts' limits once more, so that accounts within their limits were refused.

Ruled out: windows reported twice (a report is recorded before it is sent); counts lost by the last note of a process (that would be too low).

Test, which fails before (10 where 5 requests ran): hosted/usage_of_a_daemon_that_stops_is_counted_once.

--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -93,6 +93,13 @@
     boost::asio::awaitable<bool> settleMove(std::string service);
     boost::asio::awaitable<std::optional<instance_list>> currentInstances();
 
+    struct move_stage
+    {
+        move_state state = move_state::Waiting;
+        std::uint32_t share = 0;
+        bool operator==(const move_stage &) const = default;
+    };
+
     void takeReports(const std::vector<load_report> &reports);
     void takeOutcomes();
     void measureLoad();
@@ -121,6 +128,7 @@
     peer_client m_peers;
     seeded_random m_random;
     agreement m_agreement;
+    const std::uint64_t m_start; // of this process, as notes tell it; the incarnation grows beside it, whenever this daemon refutes or leaves
     document_pull m_pull;
     fleet m_fleet;
     placement_loop m_placement;
@@ -138,7 +146,7 @@
     time_point m_gaugesAt{};                                 // when the gauges were last set
     time_point m_documentAt{};                               // when the document in force came into force here
     time_point m_demandFrom{};                               // since when m_askedBefore counts
-    std::map<std::string, move_state> m_announced;           // by service: the last state logged
+    std::map<std::string, move_stage> m_announced;           // by service: the last stage logged
     std::map<std::string, endpoint_use> m_uses;              // by endpoint: as last told in the log
     std::mutex m_outcomesLock;
     std::vector<attempt_outcome> m_outcomes;  // of request threads, since the last tick
--- a/src/shell/control_accounts.cpp
+++ b/src/shell/control_accounts.cpp
@@ -165,7 +165,7 @@
 {
     spending_note note;
     note.from = m_own.instance;
-    note.start = m_agreement.members().self().incarnation + 1; // never zero
+    note.start = m_start;
     note.sequence = ++m_noteSequence;
     for (const auto &[name, load] : m_accounts) {
         note.spent[name] = load->spent;
--- a/tests/unit/hosted.cpp
+++ b/tests/unit/hosted.cpp
@@ -364,6 +364,41 @@
     cr_assert_eq(holders.size(), 1);
 }
 
+// What a daemon counted stays the same counts when it says that it leaves, which is news of the same start.
+Test(hosted, usage_of_a_daemon_that_stops_is_counted_once)
+{
+    small_deployment all;
+    all.start("entry-1");
+    all.start("entry-2");
+    std::this_thread::sleep_for(1100ms); // the window in which the daemons start is not reported
+    for (int i = 0; i < 5; ++i) {
+        all.ask("POST", "/order/1", "o" + std::to_string(i));
+    }
+    std::this_thread::sleep_for(300ms); // the counts are told while it serves, and again while it leaves
+    all.routers.front()->stop();
+    all.routers.erase(all.routers.begin());
+    const auto lastWindow = [&] {
+        std::uint64_t newest = 0;
+        for (const duty_call &call : all.cloud.calls()) {
+            newest = call.path == "/usage" ? std::max(newest, call.body.at("Window").get<std::uint64_t>()) : newest;
+        }
+        return newest;
+    };
+    const auto asked = static_cast<std::uint64_t>(std::chrono::floor<std::chrono::seconds>(systemNow().time_since_epoch()).count());
+    cr_assert(eventually([&] { return lastWindow() >= asked; }), "the other daemon does not report");
+    std::map<std::uint64_t, std::uint64_t> counts;
+    for (const duty_call &call : all.cloud.calls()) {
+        if (call.path == "/usage") {
+            counts[call.body.at("Window")] = call.body.at("Counts").value("guild", std::uint64_t{0});
+        }
+    }
+    std::uint64_t sum = 0;
+    for (const auto &[window, number] : counts) {
+        sum += number;
+    }
+    cr_assert_eq(sum, 5, "%lu", static_cast<unsigned long>(sum));
+}
+
 Test(hosted, a_planned_stop_finishes_what_is_open)
 {
     small_deployment all;
