How fast a version is counts from the first token on; a move's progress is logged

An answer was evidence only when it was whole, two seconds after its first token, and each step waited for that; then three seconds at full share, so that a veto reaches everybody, which it does within one now.

Change: an attempt's first token is told as an outcome of its own (Began); its speed counts at once, and once. Steps of a short move count answers that have begun; its end still counts whole ones, and waits 2 s. move_changed is logged at each new share, with what it rests on.

--- a/include/chicoryrouter/evidence.h
+++ b/include/chicoryrouter/evidence.h
@@ -25,11 +25,12 @@
 {
     std::uint64_t answered = 0;                          // answers in all, failed ones included
     std::uint64_t failed = 0;                            // <= answered
-    std::array<std::uint32_t, latencyBuckets> latency{}; // of answers that did not fail; sums up to <= answered - failed
+    std::array<std::uint32_t, latencyBuckets> latency{}; // to the first token, of answers that are still coming too
 
     void merge(const evidence_counts &other);                          // the larger of each count
     void add(const evidence_counts &other);                            // sums, over origins
     [[nodiscard]] std::uint64_t latencies() const;                     // how many are counted
+    [[nodiscard]] std::uint64_t begun() const;                         // answers of which something is known
     [[nodiscard]] std::size_t percentileBucket(double fraction) const; // the bucket below or at which `fraction` of the answers lie
     [[nodiscard]] std::uint64_t slowerThan(std::size_t bucket) const;  // answers above that bucket
 };
@@ -56,7 +57,8 @@
 public:
     explicit evidence_book(std::uint64_t self);
 
-    void record(const evidence_key &key, bool failed, duration latency); // own answers; zero latency: none was seen
+    void record(const evidence_key &key, bool failed, duration latency); // own answers; zero latency: none was seen, or recordSpeed() told it
+    void recordSpeed(const evidence_key &key, duration latency);         // of an answer that has begun; zero: it says nothing
     bool merge(const evidence_cell &cell);                               // true: something was new
     void forgetExcept(const std::vector<std::uint64_t> &moves);          // moves that are over
 
--- a/include/chicoryrouter/request_machine.h
+++ b/include/chicoryrouter/request_machine.h
@@ -70,6 +70,7 @@
     Left,        // we turned away, or its end was announced: says nothing
     Unreachable, // no connection to it came about: nothing ran, and nothing would soon
     Overdue,     // no token for far longer than the target; it goes on, and this counts against the endpoint already now
+    Began,       // its first token came, and it goes on
 };
 
 enum class token_verdict : std::uint8_t {
@@ -158,6 +159,7 @@
     void onSent(std::uint32_t attempt, time_point now);
     void onCallerCaughtUp(time_point now); // reading was paused for a slow caller: the endpoint was not silent
     token_verdict onToken(std::uint32_t attempt, std::string_view requestId, std::uint32_t index, time_point now);
+    [[nodiscard]] duration firstTokenOf(std::uint32_t attempt) const; // from its send; zero: none came yet
     request_actions onEnd(std::uint32_t attempt, std::string_view requestId, std::uint32_t tokens, time_point now);
     request_actions onAttemptFailed(std::uint32_t attempt, attempt_reach reach, error_kind kind, time_point now);
     request_actions onNotice(std::string_view endpointId, time_point leaveBy, move_method method, time_point now);
@@ -207,6 +209,7 @@
     void closeAttempt(std::size_t index, attempt_result result, bool tellEndpoint, request_actions &actions);
     void exclude(const endpoint_ptr &where);
     attempt *find(std::uint32_t number);
+    [[nodiscard]] const attempt *find(std::uint32_t number) const;
     [[nodiscard]] bool mayRepeat() const;
     [[nodiscard]] bool attemptsLeft() const;
     [[nodiscard]] time_point hedgeAt() const;
--- a/include/chicoryrouter/version_mover.h
+++ b/include/chicoryrouter/version_mover.h
@@ -61,6 +61,16 @@
 std::optional<move_verdict> decodeVerdict(std::string_view text);
 std::string_view toText(move_state state);
 
+// What a share and a verdict rest on, for logs.
+struct move_progress
+{
+    std::size_t step = 0;
+    std::uint64_t answers = 0; // whole ones of the new version
+    double slowness = 0.0;     // log likelihood ratio: positive leans towards slower than before
+    bool passed = false;       // no route with traffic is still in doubt about failures
+    bool leaning = false;      // some test leans against the new version
+};
+
 class version_mover
 {
 public:
@@ -79,6 +89,7 @@
     [[nodiscard]] const version_move &facts() const { return m_facts; }
     [[nodiscard]] std::uint64_t id() const { return m_id; }
     [[nodiscard]] std::size_t step() const { return m_step; }
+    [[nodiscard]] move_progress progress() const { return {m_step, m_answers, slowness(), m_passed, m_leaning}; }
     [[nodiscard]] bool isShort() const; // it has seconds only
 
 private:
@@ -96,6 +107,7 @@
     move_state m_state = move_state::Waiting;
     std::size_t m_step = 0; // only grows
     std::uint32_t m_cap = 1;
+    std::uint64_t m_answers = 0;          // of the new version, whole ones
     bool m_leaning = false;               // some test leans against the new version: no higher step
     bool m_passed = false;                // every test of every route with traffic has passed
     std::array<double, 2> m_slowness{};   // log likelihood ratios of the two tests of slowness, over all routes whose usual latency is known
--- a/src/core/agreement.cpp
+++ b/src/core/agreement.cpp
@@ -290,10 +290,15 @@
     const bool onTrial = outcome.version == mover.facts().to;
     // A short move has fewer answers than endpoints times daemons: there only an endpoint that says it is cold is excused.
     const bool warmingUp = onTrial && (mover.isShort() ? outcome.endpointCold : ++m_seenWhileCold[outcome.endpointId] <= warmUpAnswers);
-    const bool failed = outcome.result != attempt_result::Answered;
     // A move that names no version it comes from is held against all others together.
     const std::string &counted = onTrial || !mover.facts().from.empty() ? outcome.version : mover.facts().from;
-    m_evidence.record({mover.id(), counted, outcome.route}, failed, warmingUp ? duration{} : outcome.firstToken);
+    const evidence_key key{mover.id(), counted, outcome.route};
+    const duration firstToken = warmingUp || outcome.beganTold ? duration{} : outcome.firstToken;
+    if (outcome.result == attempt_result::Began) {
+        m_evidence.recordSpeed(key, firstToken);
+    } else {
+        m_evidence.record(key, outcome.result != attempt_result::Answered, firstToken);
+    }
 }
 
 void agreement::setDemand(std::vector<account_demand> demand)
--- a/src/core/evidence.cpp
+++ b/src/core/evidence.cpp
@@ -45,6 +45,11 @@
     return std::accumulate(latency.begin(), latency.end(), std::uint64_t{0});
 }
 
+std::uint64_t evidence_counts::begun() const
+{
+    return std::max(answered, failed + latencies());
+}
+
 std::size_t evidence_counts::percentileBucket(double fraction) const
 {
     const double wanted = fraction * static_cast<double>(latencies());
@@ -80,6 +85,17 @@
     cell.noted.times = 0;
 }
 
+void evidence_book::recordSpeed(const evidence_key &key, duration latency)
+{
+    if (latency == duration{}) {
+        return;
+    }
+    cell_state &cell = m_cells[{key, m_self}];
+    ++cell.counts.latency.at(latencyBucket(latency));
+    cell.gossiped.times = 0;
+    cell.noted.times = 0;
+}
+
 bool evidence_book::merge(const evidence_cell &cell)
 {
     if (cell.origin == m_self) {
--- a/src/core/request_machine.cpp
+++ b/src/core/request_machine.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <cassert>
+#include <utility>
 
 namespace chicoryrouter {
 
@@ -482,12 +483,23 @@
     excluded.front() = where->key;
 }
 
-request_machine::attempt *request_machine::find(std::uint32_t number)
+const request_machine::attempt *request_machine::find(std::uint32_t number) const
 {
     const auto found = std::find_if(m_attempts.begin(), m_attempts.end(), [&](const attempt &open) { return open.number == number; });
     return found == m_attempts.end() ? nullptr : &*found;
 }
 
+request_machine::attempt *request_machine::find(std::uint32_t number)
+{
+    return const_cast<attempt *>(std::as_const(*this).find(number));
+}
+
+duration request_machine::firstTokenOf(std::uint32_t number) const
+{
+    const attempt *open = find(number);
+    return open == nullptr ? duration{} : open->firstToken;
+}
+
 bool request_machine::mayRepeat() const
 {
     return m_facts.promised.repeatable;
--- a/src/core/version_mover.cpp
+++ b/src/core/version_mover.cpp
@@ -18,7 +18,7 @@
 struct move_step
 {
     std::uint32_t share;          // thousandths of the service's traffic
-    std::uint64_t answersBefore;  // of the new version, in all, before this step is taken
+    std::uint64_t answersBefore;  // of the new version, in all, before this step is taken; in a short move those that have begun count
     std::uint64_t perRouteBefore; // and on each route that has traffic
 };
 
@@ -35,7 +35,7 @@
 
 constexpr move_pace longPace{{{{10, 0, 0}, {50, 20, 3}, {200, 80, 8}, {500, 250, 15}, {wholeShare, 500, 20}}}, 800, -9.2, 0.0, 5s, 2s};
 // A move that has only seconds begins with all the exposure that is allowed, and is content with fewer answers.
-constexpr move_pace shortPace{{{{100, 0, 0}, {100, 10, 1}, {300, 35, 2}, {600, 60, 3}, {wholeShare, 100, 4}}}, 150, -1.0, -3.0, 3s, 700ms};
+constexpr move_pace shortPace{{{{100, 0, 0}, {100, 10, 1}, {300, 35, 2}, {600, 60, 3}, {wholeShare, 100, 4}}}, 150, -1.0, -3.0, 2s, 700ms};
 constexpr duration shortMove = 2min;
 
 bool isShortMove(const version_move &facts)
@@ -216,11 +216,14 @@
 void version_mover::climb(const evidence_book &evidence, time_point now)
 {
     const move_pace &pace = paceOf(m_facts);
-    std::uint64_t answers = 0;
+    std::uint64_t answers = 0; // whole ones
+    std::uint64_t begun = 0;
     std::uint64_t oldAnswers = 0;
     const std::vector<std::string> routes = evidence.routes(m_id);
     for (const std::string &route : routes) {
-        answers += evidence.total({m_id, m_facts.to, route}).answered;
+        const evidence_counts fresh = evidence.total({m_id, m_facts.to, route});
+        answers += fresh.answered;
+        begun += isShort() ? fresh.begun() : fresh.answered;
         oldAnswers += evidence.total({m_id, m_facts.from, route}).answered;
     }
     const auto everyRouteHas = [&](std::uint64_t wanted) {
@@ -230,13 +233,14 @@
             return !counts || evidence.total({m_id, m_facts.to, route}).answered >= wanted;
         });
     };
+    m_answers = answers;
     const bool mayBeSlow = m_usualKnown && slowness() > pace.fastAt; // no evidence is not evidence of health
     const bool inDoubt = m_step <= lastFirstShare ? mayBeSlow : slowness() > 0.0;
-    if (isShort() && m_usualKnown && inDoubt && answers >= doubtEndsAt) {
-        condemn("is not shown to be as fast as before after " + std::to_string(answers) + " answers");
+    if (isShort() && m_usualKnown && inDoubt && begun >= doubtEndsAt) {
+        condemn("is not shown to be as fast as before after " + std::to_string(begun) + " answers");
         return;
     }
-    while (m_step + 1 < pace.steps.size() && !m_leaning && !mayBeSlow && answers >= pace.steps[m_step + 1].answersBefore
+    while (m_step + 1 < pace.steps.size() && !m_leaning && !mayBeSlow && begun >= pace.steps[m_step + 1].answersBefore
         && everyRouteHas(pace.steps[m_step + 1].perRouteBefore)) {
         ++m_step;
     }
--- a/src/shell/control_moves.cpp
+++ b/src/shell/control_moves.cpp
@@ -24,9 +24,10 @@
 void logMove(const version_mover &mover)
 {
     const version_move &facts = mover.facts();
+    const move_progress held = mover.progress();
     logEvent(log_event::MoveChanged,
-        {{"service", facts.service}, {"from", facts.from}, {"to", facts.to}, {"state", toText(mover.state())}, {"share", mover.share()},
-            {"why", mover.reason()}});
+        {{"service", facts.service}, {"from", facts.from}, {"to", facts.to}, {"state", toText(mover.state())}, {"share", mover.share()}, {"step", held.step},
+            {"answers", held.answers}, {"slowness", held.slowness}, {"passed", held.passed}, {"leaning", held.leaning}, {"why", mover.reason()}});
 }
 
 } // namespace
@@ -50,20 +51,21 @@
         return result;
     };
     m_agreement.updateMoves(around, systemNow());
-    std::map<std::string, move_state> states;
+    std::map<std::string, move_stage> stages;
     bool changed = false;
     for (const auto &[service, mover] : m_agreement.moves()) {
         const auto before = m_announced.find(service);
-        if (before == m_announced.end() || before->second != mover.state()) {
+        const move_stage stage{mover.state(), mover.share()};
+        if (before == m_announced.end() || before->second != stage) {
             changed = true;
             logMove(mover);
         }
-        states[service] = mover.state();
+        stages[service] = stage;
         // Also when the wish is withdrawn while the endpoints of that version still stand.
         m_fleet.barVersion(service, mover.facts().to, mover.state() == move_state::TakenBack);
     }
-    changed = changed || states.size() != m_announced.size();
-    m_announced = std::move(states);
+    changed = changed || stages.size() != m_announced.size();
+    m_announced = std::move(stages);
     const std::vector<version_share> shares = m_agreement.shares();
     if (changed || !m_fleet.hasShares(shares)) {
         m_fleet.setShares(shares);
--- a/src/shell/log_events.cpp
+++ b/src/shell/log_events.cpp
@@ -42,7 +42,8 @@
         "endpoint service version failure_domain use before slots open_here first_token_us"},
     {EndpointNotice, "endpoint_notice", log_part::Load, log_level::Info, "an endpoint is on notice", "endpoint leaves_in_ms"},
     {MembersChanged, "members_changed", log_part::Member, log_level::Info, "the daemons as they are believed to be", "members"},
-    {MoveChanged, "move_changed", log_part::Move, log_level::Info, "a version move changed", "service from to state share why"},
+    {MoveChanged, "move_changed", log_part::Move, log_level::Info, "a version move changed",
+        "service from to state share step answers slowness passed leaning why"},
     {AccountsNotTold, "accounts_not_told", log_part::Load, log_level::Error, "too many accounts for one note to the peers", "accounts"},
 
     {StoreLost, "store_lost", log_part::Config, log_level::Warning, "the platform's store does not answer; what was last known stays in force", "revision"},
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -309,8 +309,22 @@
 {
     note(log_event::AttemptOverdue, {{"endpoint", action.where->id}});
     if (m_host.onOutcome) {
-        const request_facts &facts = m_machine.facts();
-        m_host.onOutcome({action.where->id, facts.promised.service, action.where->version, facts.promised.route, attempt_result::Overdue});
+        m_host.onOutcome(outcomeOf(*action.where, attempt_result::Overdue, {}));
+    }
+}
+
+attempt_outcome request_session::outcomeOf(const endpoint &where, attempt_result result, duration firstToken) const
+{
+    const contract &promised = m_machine.facts().promised;
+    return {where.id, promised.service, where.version, promised.route, result, firstToken};
+}
+
+// How fast a version is shows at its first token, seconds before a long answer is whole.
+void request_session::tellBegan(const open_attempt &open, std::uint32_t number)
+{
+    const bool answersBadly = m_status >= 500;
+    if (m_host.onOutcome && !answersBadly) {
+        m_host.onOutcome(outcomeOf(*open.where, attempt_result::Began, m_machine.firstTokenOf(number)));
     }
 }
 
@@ -318,11 +332,11 @@
 {
     action.where->load->giveBack();
     if (action.result != attempt_result::Unused && m_host.onOutcome) {
-        const request_facts &facts = m_machine.facts();
         const bool answeredBadly = action.result == attempt_result::Answered && m_status >= 500;
         const attempt_result result = answeredBadly ? attempt_result::Failed : action.result;
         const bool relayed = m_host.dialect->relaysAnswers;
-        attempt_outcome outcome{action.where->id, facts.promised.service, action.where->version, facts.promised.route, result, action.firstToken};
+        attempt_outcome outcome = outcomeOf(*action.where, result, action.firstToken);
+        outcome.beganTold = action.firstToken > duration{};
         outcome.reportsLoad = relayed && m_openThere.has_value();
         outcome.openThere = m_openThere.value_or(0);
         m_host.onOutcome(outcome);
--- a/src/shell/request_session_attempts.cpp
+++ b/src/shell/request_session_attempts.cpp
@@ -228,8 +228,9 @@
     const time_point now = systemNow();
     const token_verdict verdict = m_machine.onToken(number, event.requestId, event.index, now);
     if (verdict == token_verdict::Deliver) {
-        if (const auto open = m_open.find(number); open != m_open.end()) {
+        if (const auto open = m_open.find(number); open != m_open.end() && open->second->awaiting != nullptr) {
             open->second->awaiting = nullptr;
+            tellBegan(*open->second, number);
         }
         if (m_tokens.empty() && m_host.onBegan) {
             m_host.onBegan(facts().account);
--- a/tests/unit/short_moves.cpp
+++ b/tests/unit/short_moves.cpp
@@ -230,6 +230,40 @@
     }
 }
 
+// Answers take two seconds; the version is shown to be as fast by their first tokens, and whoever may go on does so at once.
+Test(short_moves, a_good_version_with_long_answers_is_in_charge_before_the_time_set)
+{
+    unsigned done = 0;
+    constexpr unsigned seeds = 20;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        trials::move_trial_options options;
+        options.sizes = {"standard", 9, 4, 12, 64, 95.0, 2s, {0.31, 0.26, 0.43}};
+        options.window = 15s;
+        options.newReadyAfter = 500ms;
+        options.noteInterval = 100ms;
+        options.seed = seed;
+        const trials::move_trial_result result = trials::runMoveTrial(options);
+        cr_expect(result.recorded, "seed %lu", static_cast<unsigned long>(seed));
+        done += result.verdict == move_verdict::Done ? 1 : 0;
+    }
+    cr_assert_geq(done, seeds * 9 / 10, "%u of %u were completed", done, seeds);
+}
+
+Test(short_moves, the_first_token_of_an_answer_is_counted_once)
+{
+    evidence_book book(1);
+    const evidence_key key{7, "v2", "chat"};
+    book.recordSpeed(key, 80ms);
+    cr_assert_eq(book.total(key).begun(), 1);
+    cr_assert_eq(book.total(key).answered, 0);
+    book.record(key, false, {});
+    cr_assert_eq(book.total(key).begun(), 1);
+    cr_assert_eq(book.total(key).latencies(), 1);
+    book.recordSpeed(key, {});
+    book.record(key, true, {});
+    cr_assert_eq(book.total(key).begun(), 2);
+}
+
 // A third of the answers on one route fail; each of 66 daemons sees one of them in seconds. What all know together must reach all in time.
 Test(short_moves, a_bad_version_on_66_daemons_gets_nothing_more_soon_after_it_shows)
 {
