--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -1,8 +1,7 @@
-// The control strand's loops: configuration, endpoints, gossip, publishing. Version moves and status are in files of their own.
+// The control strand's loops: configuration, endpoints, publishing. What daemons tell each other, version moves and status are in files of their own.
 #include "shell/control.h"
 
 #include "chicoryrouter/hash.h"
-#include "chicoryrouter/packing.h"
 #include "chicoryrouter/units.h"
 #include "shell/clock.h"
 #include "shell/log.h"
@@ -207,21 +206,6 @@
     }
 }
 
-asio::awaitable<void> control::pullDocument(std::string from)
-{
-    const member_facts *peer = m_agreement.members().find(from);
-    std::optional<std::string> answer;
-    if (peer != nullptr) {
-        answer = co_await m_peers.call(peer->peer, "/document", "", systemNow() + callWithin);
-    }
-    m_pull.ended();
-    const std::optional<std::string> bytes = answer ? unpackBytes(*answer, maxPeerBodyBytes) : std::nullopt;
-    const std::optional<document_envelope> envelope = bytes ? decodeEnvelope(*bytes) : std::nullopt;
-    if (envelope) {
-        offerDocument(*envelope, from);
-    }
-}
-
 asio::awaitable<std::uint64_t> control::applyDocument(std::string yaml, std::uint64_t expectedRevision)
 {
     const std::string key(configurationKey);
@@ -390,105 +374,7 @@
     }
 }
 
-// ---- Gossip ----------------------------------------------------------------------------------------------------------------------------
-
-asio::awaitable<void> control::gossip()
-{
-    while (true) {
-        co_await pause(m_own.gossipInterval);
-        for (probe &what : m_agreement.onTick(systemNow())) {
-            asio::co_spawn(m_context, runProbe(std::move(what)), asio::detached);
-        }
-    }
-}
-
-asio::awaitable<void> control::runProbe(probe what)
-{
-    const time_point deadline = systemNow() + m_own.gossipInterval * 2;
-    bool answered = false;
-    if (what.through.empty()) {
-        answered = co_await exchange(what.where, what.target);
-    } else {
-        const std::string question = what.target + "\n" + what.where.ip + "\n" + std::to_string(what.where.port);
-        const std::optional<std::string> answer = co_await m_peers.call(what.throughWhere, "/relay", question, deadline);
-        answered = answer && *answer == "answered";
-    }
-    if (answered) {
-        m_agreement.members().onAnswered(what.target, systemNow());
-    } else if (what.through.empty()) {
-        m_agreement.members().onUnanswered(what.target, systemNow());
-    }
-}
-
-// One exchange of gossip; true when `instance` itself answered.
-asio::awaitable<bool> control::exchange(address where, std::string instance)
-{
-    std::string message = m_agreement.compose(instance, systemNow());
-    const std::optional<std::string> answer = co_await m_peers.call(where, "/gossip", std::move(message), systemNow() + m_own.gossipInterval * 2);
-    if (!answer) {
-        co_return false;
-    }
-    const gossip_result result = hear(*answer);
-    const bool fromInstance = result.from == instance;
-    co_return fromInstance;
-}
-
-// Takes in one message and acts on what it brings.
-gossip_result control::hear(const std::string &message)
-{
-    gossip_result result = m_agreement.receive(message, systemNow());
-    takeReports(result.loads);
-    const bool holdsOne = m_agreement.documents().inForce()->revision != 0;
-    if (result.hasNewerDocument && m_pull.onNewerHeard(holdsOne, systemNow())) {
-        asio::co_spawn(m_context, pullDocument(result.from), asio::detached);
-    }
-    return result;
-}
-
-asio::awaitable<std::optional<std::string>> control::onPeerCall(std::string path, std::string body)
-{
-    if (path == "/gossip") {
-        const gossip_result result = hear(body);
-        co_return result.understood ? std::optional(m_agreement.compose(result.from, systemNow())) : std::nullopt;
-    }
-    if (path == "/relay") {
-        const auto first = body.find('\n');
-        const auto second = body.find('\n', first + 1);
-        if (first == std::string::npos || second == std::string::npos) {
-            co_return std::nullopt;
-        }
-        const address where{body.substr(first + 1, second - first - 1), static_cast<std::uint16_t>(std::atoi(body.c_str() + second + 1))};
-        const bool answered = co_await exchange(where, body.substr(0, first));
-        co_return std::string(answered ? "answered" : "silent");
-    }
-    if (path == "/document") {
-        co_return packBytes(encodeEnvelope(m_agreement.documentForPeers()));
-    }
-    if (path == "/instances") {
-        const bool same = body == std::to_string(hashBytes(m_listText));
-        if (m_listText.empty()) {
-            co_return std::nullopt;
-        }
-        co_return same ? std::string() : m_listText;
-    }
-    if (m_source.onPeerCall) {
-        co_return co_await m_source.onPeerCall(std::move(path), std::move(body));
-    }
-    co_return std::nullopt;
-}
-
-asio::awaitable<std::optional<std::string>> askControl(control *steering, std::string path, std::string body)
-{
-    if (steering == nullptr) {
-        co_return std::nullopt; // still starting
-    }
-    co_return co_await asio::co_spawn(steering->context(), steering->onPeerCall(std::move(path), std::move(body)), asio::use_awaitable);
-}
-
-asio::awaitable<std::optional<std::string>> control::callPeer(address where, std::string path, std::string body, time_point deadline)
-{
-    co_return co_await m_peers.call(std::move(where), std::move(path), std::move(body), deadline);
-}
+// ---- Members ---------------------------------------------------------------------------------------------------------------------------
 
 void control::refreshMembers()
 {
--- a/src/shell/gateway.cpp
+++ b/src/shell/gateway.cpp
@@ -4,6 +4,7 @@
 #include "chicoryrouter/bounded_counter.h"
 #include "chicoryrouter/hash.h"
 #include "shell/clock.h"
+#include "shell/completions_dialect.h"
 #include "shell/request_session.h"
 
 #include <boost/asio/dispatch.hpp>
@@ -13,7 +14,6 @@
 
 #include <array>
 #include <cassert>
-#include <charconv>
 #include <cstdio>
 
 namespace chicoryrouter {
@@ -23,8 +23,6 @@
 
 namespace {
 
-constexpr std::uint32_t mostTokens = 32'768;
-constexpr std::uint32_t usualTokens = 256;
 constexpr std::size_t maxKeyBytes = 200;
 constexpr duration peerFetchWithin = std::chrono::seconds(5);
 constexpr duration handoverWithin = std::chrono::seconds(15); // nobody holds the request for so long: it is lost
@@ -65,125 +63,6 @@
     return {{"X-Request-Id", id}};
 }
 
-std::string dumpJson(const json &value)
-{
-    return value.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
-json parseBody(const std::string &body)
-{
-    json value = json::parse(body, nullptr, false);
-    if (!value.is_object()) {
-        throw error(error_kind::BadRequest, "the body is not a JSON object");
-    }
-    return value;
-}
-
-template<typename T>
-T field(const json &object, const char *key, T fallback)
-{
-    const auto found = object.find(key);
-    if (found == object.end() || found->is_null()) {
-        return fallback;
-    }
-    try {
-        return found->get<T>();
-    } catch (const json::exception &) {
-        throw error(error_kind::BadRequest, std::string("field '") + key + "' has the wrong type");
-    }
-}
-
-std::string chatPrompt(const json &body)
-{
-    const auto messages = body.find("messages");
-    if (messages == body.end() || !messages->is_array() || messages->empty()) {
-        throw error(error_kind::BadRequest, "field 'messages' is missing or empty");
-    }
-    std::string prompt;
-    for (const json &message : *messages) {
-        if (!message.is_object()) {
-            throw error(error_kind::BadRequest, "a message is not an object");
-        }
-        prompt += field<std::string>(message, "role", "user") + ": " + field<std::string>(message, "content", "") + "\n";
-    }
-    return prompt;
-}
-
-request_payload modelPayload(const json &body, bool chat)
-{
-    request_payload payload;
-    payload.chat = chat;
-    payload.stream = field(body, "stream", false);
-    const auto wanted = field<std::int64_t>(body, "max_tokens", usualTokens);
-    if (wanted < 1 || wanted > mostTokens) {
-        throw error(error_kind::BadRequest, "field 'max_tokens' must be from 1 to " + std::to_string(mostTokens));
-    }
-    payload.maxTokens = static_cast<std::uint32_t>(wanted);
-    payload.prompt = chat ? chatPrompt(body) : field<std::string>(body, "prompt", "");
-    if (payload.prompt.empty()) {
-        throw error(error_kind::BadRequest, "field 'prompt' is missing or empty");
-    }
-    return payload;
-}
-
-std::string eventText(const request_session &session, std::uint32_t index, const std::string &tail)
-{
-    const std::string token = dumpJson(session.token(index));
-    const std::string piece = session.payload().chat ? "\"delta\":{\"content\":" + token + "}" : "\"text\":" + token;
-    return "id: " + std::to_string(index) + "\ndata: " + tail + piece + ",\"finish_reason\":null}]}\n\n";
-}
-
-std::string eventHead(const request_session &session)
-{
-    const char *object = session.payload().chat ? "chat.completion.chunk" : "text_completion";
-    return R"({"id":")" + session.facts().id + R"(","object":")" + object + R"(","model":")" + session.facts().promised.route + R"(","choices":[{"index":0,)";
-}
-
-std::string errorEvent(const std::string &id, error_kind kind)
-{
-    return "event: error\ndata: " + errorBody(kind, id, "") + "\n\n";
-}
-
-// The events from `next` on, which moves to their end; with the closing one when the request ended here.
-std::string takeEvents(const request_session &session, std::uint32_t &next, const std::string &head)
-{
-    std::string batch;
-    for (const std::uint32_t end = session.readable(); next < end; ++next) {
-        batch += eventText(session, next, head);
-    }
-    if (session.isOver() && !session.isHandedOver()) {
-        batch += session.failed() ? errorEvent(session.facts().id, session.failure()) : "data: [DONE]\n\n";
-    }
-    return batch;
-}
-
-std::string wholeAnswer(const request_session &session, const std::string &text, std::uint32_t tokens)
-{
-    json choice = {{"index", 0}, {"finish_reason", "stop"}};
-    if (session.payload().chat) {
-        choice["message"] = {{"role", "assistant"}, {"content", text}};
-    } else {
-        choice["text"] = text;
-    }
-    const json body = {{"id", session.facts().id}, {"object", session.payload().chat ? "chat.completion" : "text_completion"},
-        {"model", session.facts().promised.route}, {"choices", json::array({choice})}, {"usage", {{"completion_tokens", tokens}}}};
-    return dumpJson(body);
-}
-
-std::uint32_t resumeIndex(const http_request &request)
-{
-    const std::string_view text = request.header("Last-Event-ID");
-    if (text.empty()) {
-        return 0;
-    }
-    std::uint32_t last = 0;
-    const auto [end, fault] = std::from_chars(text.data(), text.data() + text.size(), last);
-    if (fault != std::errc() || end != text.data() + text.size()) {
-        throw error(error_kind::BadRequest, "Last-Event-ID is not the number of a token");
-    }
-    return last + 1;
-}
-
 } // namespace
 
 gateway::gateway(request_host &host, std::string instanceName)
--- /dev/null
+++ b/src/shell/http_connection.h
@@ -0,0 +1,411 @@
+// A caller's connection to the HTTP server: one coroutine on the thread it was given to reads requests, has them handled and answers.
+#pragma once
+
+#include "shell/asio_error.h"
+#include "shell/clock.h"
+#include "shell/http.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <vector>
+
+namespace chicoryrouter {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+inline constexpr std::size_t readAheadBytes = 4096; // at a time, of requests that come before their turn
+
+class connection;
+
+// What the server and its connections share.
+struct connection_set
+{
+    std::mutex lock;
+    std::set<connection *> open;
+    std::atomic<bool> closing{false};
+    std::atomic<bool> lastAnswers{false}; // every answer ends its connection
+    std::atomic<std::size_t> busy{0};     // connections with a request that is being answered, or an answer on its way
+    http_server_limits limits;            // guarded by `lock`
+
+    http_server_limits limitsNow()
+    {
+        const std::lock_guard guard(lock);
+        return limits;
+    }
+
+    std::vector<std::shared_ptr<connection>> alive();
+    void closeAll(bool unlessBusy);
+};
+
+class connection : public http_exchange, public std::enable_shared_from_this<connection>
+{
+public:
+    connection(tcp::socket socket, std::shared_ptr<connection_set> all, const http_server_limits &limits)
+        : m_stream(std::move(socket))
+        , m_all(std::move(all))
+        , m_limits(limits)
+    {
+        const std::lock_guard guard(m_all->lock);
+        m_all->open.insert(this);
+    }
+
+    ~connection() override
+    {
+        setBusy(false);
+        const std::lock_guard guard(m_all->lock);
+        m_all->open.erase(this);
+    }
+
+    asio::awaitable<void> serve(const http_handler &handler)
+    {
+        bool keep = true;
+        bool first = true;
+        while (keep) { // also when the server is closing: what was accepted is served once
+            m_limits = m_all->limitsNow();
+            const read_result got = co_await receive(first);
+            first = false;
+            if (got == read_result::Closed) {
+                break;
+            }
+            if (got == read_result::Answered) {
+                break;
+            }
+            setBusy(true);
+            co_await handle(handler);
+            stopWatching();
+            keep = m_keepAlive && !m_broken && !m_all->closing;
+            setBusy(!keep);
+        }
+        if (!m_broken) {
+            co_await drain(); // closing over unread bytes would reset the connection, and with it an answer on its way
+        }
+    }
+
+    asio::awaitable<void> respond(int status, std::string contentType, std::string body, http_headers extra) override
+    {
+        http::response<http::string_body> response{http::status(status), m_version};
+        setHeaders(response, contentType, extra);
+        response.body() = std::move(body);
+        co_await write(response);
+    }
+
+    asio::awaitable<void> respondAs(int status, http_headers headers, std::string body) override
+    {
+        http::response<http::string_body> response{http::status(status), m_version};
+        insertHeaders(response, headers);
+        response.body() = std::move(body);
+        co_await write(response);
+    }
+
+    asio::awaitable<bool> startStreamAs(int status, http_headers headers) override
+    {
+        http::response<http::empty_body> response{http::status(status), m_version};
+        insertHeaders(response, headers);
+        co_return co_await begin(response);
+    }
+
+    asio::awaitable<bool> startStream(int status, std::string contentType, http_headers extra) override
+    {
+        http::response<http::empty_body> response{http::status(status), m_version};
+        setHeaders(response, contentType, extra);
+        response.set(http::field::cache_control, "no-store");
+        co_return co_await begin(response);
+    }
+
+    asio::awaitable<bool> writeChunk(std::string_view bytes) override
+    {
+        if (m_broken || bytes.empty()) {
+            co_return !m_broken;
+        }
+        m_stream.expires_after(m_limits.writeWithin);
+        beast::error_code code;
+        co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(bytes.data(), bytes.size())), into(code));
+        m_broken = m_broken || code;
+        co_return !m_broken;
+    }
+
+    asio::awaitable<void> endStream() override
+    {
+        if (!m_broken) {
+            m_stream.expires_after(m_limits.writeWithin);
+            beast::error_code code;
+            co_await asio::async_write(m_stream, http::make_chunk_last(), into(code));
+            m_broken = m_broken || code;
+        }
+    }
+
+    void abandon() override
+    {
+        m_broken = true;
+        m_stream.close();
+    }
+
+    void watchCaller(std::function<void()> onGone) override
+    {
+        m_onGone = std::move(onGone);
+        ++m_watch;
+        waitReadable();
+    }
+
+    [[nodiscard]] bool started() const override { return m_started; }
+    [[nodiscard]] asio::any_io_executor executor() const override { return const_cast<connection *>(this)->m_stream.get_executor(); }
+
+    // Any thread. Takes the caller's share in the connection, so that it is its own thread that lets go of it. `unlessBusy`: stays open while a
+    // request of its caller is with us; what was not read yet is not ours to answer.
+    static void closeSoon(std::shared_ptr<connection> which, bool unlessBusy)
+    {
+        const asio::any_io_executor owner = which->m_stream.get_executor();
+        asio::post(owner, [self = std::move(which), unlessBusy] {
+            if (!unlessBusy || !self->m_busy) {
+                self->m_broken = true;
+                self->m_stream.close();
+            }
+        });
+    }
+
+private:
+    enum class read_result {
+        Request,
+        Answered, // an error was answered; the connection ends
+        Closed,
+    };
+
+    void setBusy(bool busy)
+    {
+        if (busy != m_busy) {
+            m_all->busy += busy ? 1 : -1;
+        }
+        m_busy = busy;
+    }
+
+    [[nodiscard]] bool mayKeep() const { return m_keepAlive && !m_all->closing && !m_all->lastAnswers; }
+
+    // A whole answer.
+    asio::awaitable<void> write(http::response<http::string_body> &response)
+    {
+        response.keep_alive(mayKeep());
+        response.prepare_payload();
+        m_started = true;
+        m_keepAlive = response.keep_alive();
+        m_stream.expires_after(m_limits.writeWithin);
+        beast::error_code code;
+        co_await http::async_write(m_stream, response, into(code));
+        m_broken = m_broken || code;
+    }
+
+    // The head of a streamed answer.
+    asio::awaitable<bool> begin(http::response<http::empty_body> &response)
+    {
+        response.keep_alive(mayKeep());
+        response.chunked(true);
+        m_started = true;
+        m_keepAlive = response.keep_alive();
+        http::response_serializer<http::empty_body> serializer(response);
+        m_stream.expires_after(m_limits.writeWithin);
+        beast::error_code code;
+        co_await http::async_write_header(m_stream, serializer, into(code));
+        m_broken = m_broken || code;
+        co_return !m_broken;
+    }
+
+    template<typename Response>
+    static void insertHeaders(Response &response, const http_headers &headers)
+    {
+        for (const http_header &item : headers) {
+            response.insert(item.name, item.value);
+        }
+    }
+
+    template<typename Response>
+    static void setHeaders(Response &response, const std::string &contentType, const http_headers &extra)
+    {
+        response.set(http::field::content_type, contentType);
+        for (const http_header &item : extra) {
+            response.set(item.name, item.value);
+        }
+    }
+
+    asio::awaitable<read_result> receive(bool first)
+    {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
+        parser.body_limit(m_limits.maxBodyBytes);
+        beast::error_code code;
+        if (!first && m_buffer.size() == 0) {
+            m_stream.expires_after(m_limits.idleWithin);
+            co_await m_stream.socket().async_wait(tcp::socket::wait_read, into(code));
+        }
+        m_stream.expires_after(m_limits.receiveWithin);
+        co_await http::async_read(m_stream, m_buffer, parser, into(code));
+        m_started = false;
+        if (!code && !endIsCertain(parser.get())) {
+            code = http::error::bad_transfer_encoding;
+        }
+        if (code) {
+            co_return co_await answerReadError(code, parser.got_some());
+        }
+        take(parser.release());
+        co_return read_result::Request;
+    }
+
+    // A coding that the library does not undo leaves the body's end to be guessed, and what is guessed wrongly becomes a request of its own.
+    static bool endIsCertain(const http::request<http::string_body> &message)
+    {
+        const auto coding = message[http::field::transfer_encoding];
+        return coding.empty() || beast::iequals(coding, "chunked");
+    }
+
+    void take(http::request<http::string_body> message)
+    {
+        m_version = message.version();
+        m_keepAlive = message.keep_alive();
+        request = http_request{};
+        request.method = std::string(message.method_string());
+        request.target = std::string(message.target());
+        const std::string_view target(request.target);
+        const auto mark = target.find('?');
+        request.path = std::string(target.substr(0, mark));
+        request.query = mark == std::string_view::npos ? std::string() : std::string(target.substr(mark + 1));
+        for (const auto &field : message) {
+            request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+        }
+        request.body = std::move(message.body());
+    }
+
+    asio::awaitable<read_result> answerReadError(beast::error_code code, bool gotSome)
+    {
+        const bool quietEnd = code == http::error::end_of_stream || code == asio::error::operation_aborted || code == asio::error::connection_reset;
+        const bool idle = code == beast::error::timeout && !gotSome;
+        if (quietEnd || idle || m_all->closing) {
+            co_return read_result::Closed;
+        }
+        error_kind kind = error_kind::BadRequest;
+        if (code == http::error::header_limit) {
+            kind = error_kind::HeaderTooLarge;
+        } else if (code == http::error::body_limit) {
+            kind = error_kind::BodyTooLarge;
+        } else if (code == beast::error::timeout) {
+            kind = error_kind::SlowSender;
+        }
+        m_keepAlive = false;
+        setBusy(true);
+        // The timeout closed our own side already when the sender was slow; then nobody can be told.
+        co_await respond(answerFor(kind).httpStatus, "application/json", errorBody(kind, "", code.message()), {});
+        co_await drain();
+        co_return read_result::Answered;
+    }
+
+    // Reads on for a moment, so that the answer is not lost to a reset while the sender still sends.
+    asio::awaitable<void> drain()
+    {
+        beast::error_code code;
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, code);
+        m_stream.expires_after(std::chrono::seconds(1));
+        std::array<char, 4096> scratch{};
+        std::size_t total = 0;
+        while (!code && total < m_limits.maxBodyBytes) {
+            total += co_await m_stream.async_read_some(asio::buffer(scratch), into(code));
+        }
+    }
+
+    asio::awaitable<void> handle(const http_handler &handler)
+    {
+        error_kind kind = error_kind::Internal;
+        std::string detail;
+        try {
+            co_await handler(*this);
+            co_return;
+        } catch (const error &fault) {
+            kind = fault.kind();
+            detail = fault.detail();
+        } catch (const std::exception &fault) {
+            detail = fault.what();
+        }
+        if (m_started) {
+            abandon();
+        } else {
+            co_await respond(answerFor(kind).httpStatus, "application/json", errorBody(kind, "", detail), {});
+        }
+    }
+
+    void waitReadable()
+    {
+        m_stream.socket().async_wait(
+            tcp::socket::wait_read, [self = shared_from_this(), watch = m_watch](beast::error_code code) { self->onReadable(watch, code); });
+    }
+
+    // A caller may send its next requests ahead: they are taken in, up to a bound, since its close shows only behind them.
+    void onReadable(std::uint64_t watch, beast::error_code code)
+    {
+        if (watch != m_watch || !m_onGone || code == asio::error::operation_aborted) {
+            return;
+        }
+        beast::error_code fault;
+        m_stream.socket().non_blocking(true, fault);
+        while (!fault && m_buffer.size() < m_limits.maxHeaderBytes + m_limits.maxBodyBytes) {
+            const std::size_t got = m_stream.socket().read_some(m_buffer.prepare(readAheadBytes), fault);
+            m_buffer.commit(got);
+        }
+        if (fault == asio::error::would_block) {
+            waitReadable();
+        } else if (fault) {
+            const auto tell = std::move(m_onGone);
+            m_onGone = nullptr;
+            m_broken = true;
+            tell();
+        }
+    }
+
+    void stopWatching()
+    {
+        ++m_watch;
+        m_onGone = nullptr;
+        beast::error_code ignored;
+        m_stream.socket().cancel(ignored);
+    }
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    std::shared_ptr<connection_set> m_all;
+    http_server_limits m_limits;
+    std::function<void()> m_onGone;
+    std::uint64_t m_watch = 0; // only the newest watch may report
+    unsigned m_version = 11;
+    bool m_keepAlive = true;
+    bool m_started = false;
+    bool m_broken = false;
+    bool m_busy = false; // counted in m_all->busy
+};
+
+// Owners for all that are open. They are let go of without the lock, since the last owner's destructor takes it.
+inline std::vector<std::shared_ptr<connection>> connection_set::alive()
+{
+    std::vector<std::shared_ptr<connection>> owners;
+    const std::lock_guard guard(lock);
+    for (connection *item : open) {
+        if (auto owner = item->weak_from_this().lock()) {
+            owners.push_back(std::move(owner));
+        }
+    }
+    return owners;
+}
+
+inline void connection_set::closeAll(bool unlessBusy)
+{
+    for (std::shared_ptr<connection> &item : alive()) {
+        connection::closeSoon(std::move(item), unlessBusy);
+    }
+}
+
+} // namespace chicoryrouter
--- /dev/null
+++ b/src/shell/peer_connection.h
@@ -0,0 +1,305 @@
+// One connection between two daemons: an nghttp2 session over an Asio socket. Both sides share it, they differ in what they do with
+// finished streams.
+#pragma once
+
+#include "shell/asio_error.h"
+#include "shell/clock.h"
+#include "shell/peer_link.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <nghttp2/nghttp2.h>
+
+#include <array>
+#include <cstring>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace chicoryrouter {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+inline constexpr std::size_t maxOpenStreams = 256; // per connection
+
+inline nghttp2_nv header(const char *name, const std::string &value)
+{
+    auto *bytes = reinterpret_cast<std::uint8_t *>(const_cast<char *>(name)); // nghttp2 copies both; it only lacks the const
+    auto *content = reinterpret_cast<std::uint8_t *>(const_cast<char *>(value.data()));
+    return {bytes, content, std::strlen(name), value.size(), NGHTTP2_NV_FLAG_NONE};
+}
+
+// One request and its answer on one stream.
+struct peer_stream
+{
+    std::map<std::string, std::string> headers; // received
+    std::string received;
+    std::string sending;
+    std::size_t sent = 0;
+    bool closed = false;
+    bool tooLarge = false;
+    std::shared_ptr<asio::steady_timer> done; // client: cancelled when the stream is closed
+};
+
+// A connection with its nghttp2 session; runs on one executor. Both sides share it, they differ in what they do with finished streams.
+class peer_connection : public std::enable_shared_from_this<peer_connection>
+{
+public:
+    peer_connection(tcp::socket socket, bool isServer, std::shared_ptr<peer_counters> counters)
+        : m_socket(std::move(socket))
+        , m_isServer(isServer)
+        , m_counters(std::move(counters))
+    {
+        nghttp2_session_callbacks *callbacks = nullptr;
+        nghttp2_session_callbacks_new(&callbacks);
+        nghttp2_session_callbacks_set_on_begin_headers_callback(callbacks, onBeginHeaders);
+        nghttp2_session_callbacks_set_on_header_callback(callbacks, onHeader);
+        nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, onData);
+        nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, onFrame);
+        nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, onStreamClose);
+        if (isServer) {
+            nghttp2_session_server_new(&m_session, callbacks, this);
+        } else {
+            nghttp2_session_client_new(&m_session, callbacks, this);
+        }
+        nghttp2_session_callbacks_del(callbacks);
+        const std::array<nghttp2_settings_entry, 2> entries = {
+            {{NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, maxOpenStreams}, {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, static_cast<std::uint32_t>(maxPeerBodyBytes)}}};
+        nghttp2_submit_settings(m_session, NGHTTP2_FLAG_NONE, entries.data(), entries.size());
+    }
+
+    ~peer_connection() { nghttp2_session_del(m_session); }
+    peer_connection(const peer_connection &) = delete;
+    peer_connection &operator=(const peer_connection &) = delete;
+
+    std::function<void(std::int32_t, const std::shared_ptr<peer_stream> &)> onRequest; // server: a whole request is here
+
+    void start()
+    {
+        asio::co_spawn(
+            m_socket.get_executor(), [self = shared_from_this()]() -> asio::awaitable<void> { co_await self->readLoop(); }, asio::detached);
+        flush();
+    }
+
+    std::shared_ptr<peer_stream> submitRequest(const std::string &path, const std::string &time, const std::string &proof, std::string body)
+    {
+        const std::string method = "POST";
+        const std::string scheme = "http";
+        const std::string authority = "peer";
+        const std::array<nghttp2_nv, 6> names = {header(":method", method), header(":scheme", scheme), header(":authority", authority), header(":path", path),
+            header("x-time", time), header("x-proof", proof)};
+        auto stream = std::make_shared<peer_stream>();
+        stream->sending = std::move(body);
+        stream->done = std::make_shared<asio::steady_timer>(m_socket.get_executor(), asio::steady_timer::time_point::max());
+        const nghttp2_data_provider provider = {{0}, readBody};
+        const std::int32_t id = nghttp2_submit_request(m_session, nullptr, names.data(), names.size(), &provider, nullptr);
+        if (id < 0) {
+            close();
+            return nullptr;
+        }
+        m_streams[id] = stream;
+        flush();
+        return stream;
+    }
+
+    void submitAnswer(std::int32_t id, const std::string &status, const std::string &proof)
+    {
+        const std::array<nghttp2_nv, 2> names = {header(":status", status), header("x-proof", proof)};
+        const nghttp2_data_provider provider = {{0}, readBody};
+        nghttp2_submit_response(m_session, id, names.data(), names.size(), &provider);
+        flush();
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        m_socket.close(ignored);
+        m_open = false;
+        for (const auto &[id, stream] : m_streams) {
+            stream->closed = true;
+            if (stream->done != nullptr) {
+                stream->done->cancel();
+            }
+        }
+        m_streams.clear();
+    }
+
+    // An answer did not come in time. When nothing at all came since the call began, the connection may be cut: the next call makes
+    // a new one. Otherwise only this stream is given up.
+    void abandon(const std::shared_ptr<peer_stream> &late, time_point began)
+    {
+        if (m_lastReceived < began) {
+            close();
+            return;
+        }
+        for (const auto &[id, stream] : m_streams) {
+            if (stream == late) {
+                nghttp2_submit_rst_stream(m_session, NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
+                break;
+            }
+        }
+        flush();
+    }
+
+    [[nodiscard]] bool isOpen() const { return m_open; }
+    [[nodiscard]] asio::any_io_executor executor() { return m_socket.get_executor(); }
+
+private:
+    static peer_connection &from(void *user) { return *static_cast<peer_connection *>(user); }
+
+    peer_stream *stream(std::int32_t id)
+    {
+        const auto found = m_streams.find(id);
+        return found == m_streams.end() ? nullptr : found->second.get();
+    }
+
+    static int onBeginHeaders(nghttp2_session *, const nghttp2_frame *frame, void *user)
+    {
+        peer_connection &self = from(user);
+        if (self.m_isServer && frame->hd.type == NGHTTP2_HEADERS) {
+            self.m_streams[frame->hd.stream_id] = std::make_shared<peer_stream>();
+        }
+        return 0;
+    }
+
+    static int onHeader(nghttp2_session *,
+        const nghttp2_frame *frame,
+        const std::uint8_t *name,
+        std::size_t nameLength,
+        const std::uint8_t *value,
+        std::size_t valueLength,
+        std::uint8_t,
+        void *user)
+    {
+        if (peer_stream *open = from(user).stream(frame->hd.stream_id)) {
+            const std::string key(reinterpret_cast<const char *>(name), nameLength);
+            open->headers[key] = std::string(reinterpret_cast<const char *>(value), valueLength);
+        }
+        return 0;
+    }
+
+    static int onData(nghttp2_session *session, std::uint8_t, std::int32_t id, const std::uint8_t *data, std::size_t length, void *user)
+    {
+        peer_stream *open = from(user).stream(id);
+        if (open == nullptr || open->tooLarge) {
+            return 0;
+        }
+        if (open->received.size() + length > maxPeerBodyBytes) {
+            open->tooLarge = true;
+            nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, id, NGHTTP2_ENHANCE_YOUR_CALM);
+            return 0;
+        }
+        open->received.append(reinterpret_cast<const char *>(data), length);
+        return 0;
+    }
+
+    static int onFrame(nghttp2_session *, const nghttp2_frame *frame, void *user)
+    {
+        peer_connection &self = from(user);
+        const bool whole = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
+        if (self.m_isServer && whole && (frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS)) {
+            const auto found = self.m_streams.find(frame->hd.stream_id);
+            if (found != self.m_streams.end() && !found->second->tooLarge) {
+                self.onRequest(found->first, found->second);
+            }
+        }
+        return 0;
+    }
+
+    static int onStreamClose(nghttp2_session *, std::int32_t id, std::uint32_t code, void *user)
+    {
+        peer_connection &self = from(user);
+        const auto found = self.m_streams.find(id);
+        if (found == self.m_streams.end()) {
+            return 0;
+        }
+        if (code != NGHTTP2_NO_ERROR) {
+            found->second->headers.clear(); // what came is not an answer
+        }
+        found->second->closed = true;
+        if (found->second->done != nullptr) {
+            found->second->done->cancel();
+        }
+        self.m_streams.erase(found);
+        return 0;
+    }
+
+    static ssize_t readBody(
+        nghttp2_session *, std::int32_t id, std::uint8_t *buffer, std::size_t length, std::uint32_t *flags, nghttp2_data_source *, void *user)
+    {
+        peer_stream *open = from(user).stream(id);
+        if (open == nullptr) {
+            return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
+        }
+        const std::size_t part = std::min(length, open->sending.size() - open->sent);
+        std::copy_n(open->sending.data() + open->sent, part, buffer);
+        open->sent += part;
+        if (open->sent == open->sending.size()) {
+            *flags |= NGHTTP2_DATA_FLAG_EOF;
+        }
+        return static_cast<ssize_t>(part);
+    }
+
+    asio::awaitable<void> readLoop()
+    {
+        const auto self = shared_from_this();
+        std::array<std::uint8_t, 16384> buffer{};
+        while (m_open) {
+            boost::system::error_code code;
+            const std::size_t got = co_await m_socket.async_read_some(asio::buffer(buffer), into(code));
+            m_counters->bytesReceived += got;
+            m_lastReceived = systemNow();
+            if (code || nghttp2_session_mem_recv(m_session, buffer.data(), got) < 0) {
+                break;
+            }
+            flush();
+        }
+        close();
+    }
+
+    void flush()
+    {
+        if (!m_writing && m_open) {
+            m_writing = true;
+            asio::co_spawn(
+                m_socket.get_executor(), [self = shared_from_this()]() -> asio::awaitable<void> { co_await self->writeLoop(); }, asio::detached);
+        }
+    }
+
+    asio::awaitable<void> writeLoop()
+    {
+        const auto self = shared_from_this();
+        while (m_open) {
+            const std::uint8_t *data = nullptr;
+            const ssize_t length = nghttp2_session_mem_send(m_session, &data);
+            if (length <= 0) {
+                break;
+            }
+            const std::string copy(reinterpret_cast<const char *>(data), static_cast<std::size_t>(length));
+            m_counters->bytesSent += copy.size();
+            boost::system::error_code code;
+            co_await asio::async_write(m_socket, asio::buffer(copy), into(code));
+            if (code) {
+                close();
+            }
+        }
+        m_writing = false;
+    }
+
+    tcp::socket m_socket;
+    bool m_isServer;
+    std::shared_ptr<peer_counters> m_counters;
+    nghttp2_session *m_session = nullptr;
+    std::map<std::int32_t, std::shared_ptr<peer_stream>> m_streams;
+    time_point m_lastReceived{};
+    bool m_writing = false;
+    bool m_open = true;
+};
+
+} // namespace chicoryrouter
