--- a/src/shell/log_events.cpp
+++ b/src/shell/log_events.cpp
@@ -15,7 +15,7 @@
     {FailureTold, "failure_told", log_part::Request, log_level::Info, "the caller was told of the failure", "request error status why revision come_back_ms"},
     {RequestWaits, "request_waits", log_part::Route, log_level::Info, "waits for a place", "request service waiting wait_left_ms"},
     {RequestPlaced, "request_placed", log_part::Route, log_level::Info, "has a place",
-        "request endpoint failure_domain version reason open_here slots_here load_permille first_token_us"},
+        "request endpoint failure_domain version reason open_here slots_here load_permille first_token_us known_ms"},
     {RequestNotPlaced, "request_not_placed", log_part::Route, log_level::Info, "got no place", "request service error waiting"},
     {AttemptSent, "attempt_sent", log_part::Request, log_level::Info, "is sent again", "request attempt endpoint from deadline_left_ms"},
     {AttemptFailed, "attempt_failed", log_part::Request, log_level::Info, "an attempt failed", "request attempt endpoint error reach pieces after_ms"},
--- a/src/shell/metrics.h
+++ b/src/shell/metrics.h
@@ -18,6 +18,7 @@
     FirstToken, // from arrival to the first piece of the answer
     Pause,      // between two pieces
     Total,      // from arrival to the whole answer
+    Knowledge,  // age of what is known of the endpoints, when one of them is chosen
     Count
 };
 
--- a/src/shell/request_host.h
+++ b/src/shell/request_host.h
@@ -12,6 +12,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <atomic>
 #include <deque>
 #include <functional>
 #include <map>
@@ -74,6 +75,7 @@
     const dialect_table *dialect = &dialectTable<engine_dialect>(); // set before the first request
     bool keepsAnswers = true;                                       // false: what is over is forgotten, since no caller can ask for it again
     std::function<void(const std::string &account)> onBegan;        // an endpoint began to answer a request; may stay empty
+    std::atomic<time_point> endpointsKnownAt{time_point{}};         // as of when, on the clock that counts suspension; the epoch: never heard
     request_copier *copier = nullptr;                               // null: no peers. Outlives every request
 
     retry_budget &budgetOf(const std::string &service); // any thread; lives as long as the host
--- a/tests/unit/hosted.cpp
+++ b/tests/unit/hosted.cpp
@@ -426,6 +426,31 @@
     }
 }
 
+// What a daemon knows of its endpoints ages while the store is away; each choice shows by how much.
+Test(hosted, the_age_of_what_is_known_is_measured_at_each_choice)
+{
+    small_deployment all;
+    all.start();
+    const auto choices = [&](const std::string &bucket) {
+        http_call call;
+        call.method = "GET";
+        call.target = "/metrics";
+        sync_client client;
+        const std::string text = client.callUntilCut(all.routers.front()->readiness(), call).response.body;
+        const std::string line = "chicoryrouter_knowledge_age_seconds_bucket{route=\"order\",le=\"" + bucket + "\"} ";
+        const auto at = text.find(line);
+        return at == std::string::npos ? -1 : std::atoi(text.c_str() + at + line.size());
+    };
+    cr_assert_eq(all.ask("POST", "/order/1", "o1").response.status, 200);
+    cr_assert_eq(choices("+Inf"), 1);
+    const int before = choices("1");
+    all.store.faults.down = true;
+    std::this_thread::sleep_for(1200ms);
+    cr_assert_eq(all.ask("POST", "/order/2", "o2").response.status, 200);
+    cr_assert_eq(choices("+Inf"), 2);
+    cr_assert_eq(choices("1"), before, "what is known is older than a second");
+}
+
 // Seven daemons in one failure domain: two watch the store, the others hear of changes from those two.
 Test(hosted, in_a_large_failure_domain_only_some_daemons_watch_the_store_and_all_hear)
 {
