--- a/tests/unit/short_moves.cpp
+++ b/tests/unit/short_moves.cpp
@@ -43,6 +43,22 @@
     unsigned all = 0;
 };
 
+// Daemons over failure domains, with a move from the first moment on.
+trials::cluster_options clusterOf(std::size_t daemons, std::size_t domains)
+{
+    trials::cluster_options options;
+    options.domains = trials::spreadOver(daemons, domains);
+    options.document = "services:\n  - name: writer\n    kind: model\n    current_version: v1\n    versions:\n      - {name: v1, max_concurrency: 64}\n"
+                       "      - {name: v2, max_concurrency: 64}\nfailure_domains:\n";
+    for (std::size_t i = 0; i < domains; ++i) {
+        options.document += "  - {name: d" + std::to_string(i) + ", region: r}\n";
+    }
+    options.document += "accounts:\n  - {name: a, max_in_flight: 100, token_hashes: [" + std::string(64, 'a')
+        + "]}\nroutes:\n  - {name: chat, service: writer, repeatable: true, deadline: 60s}\n"
+          "moves:\n  - {service: writer, from: v1, to: v2, start_at: 2019-01-01T00:00:00Z, done_by: 2030-01-01T00:00:00Z}\n";
+    return options;
+}
+
 // A hundred requests a second on three routes for twelve seconds.
 outcome play(const behaviour &fresh, std::uint64_t seed)
 {
@@ -197,17 +213,7 @@
 {
     constexpr std::size_t daemons = 66;
     constexpr duration knownWithin = 2s; // of the 5 s after which nothing more may be sent to a bad version
-    trials::cluster_options options;
-    options.domains = trials::spreadOver(daemons, 5);
-    options.document = "services:\n  - name: writer\n    kind: model\n    current_version: v1\n    versions:\n      - {name: v1, max_concurrency: 64}\n"
-                       "      - {name: v2, max_concurrency: 64}\nfailure_domains:\n";
-    for (int i = 0; i < 5; ++i) {
-        options.document += "  - {name: d" + std::to_string(i) + ", region: r}\n";
-    }
-    options.document += "accounts:\n  - {name: a, max_in_flight: 100, token_hashes: [" + std::string(64, 'a')
-        + "]}\nroutes:\n"
-          "  - {name: chat, service: writer, repeatable: true, deadline: 60s}\n"
-          "moves:\n  - {service: writer, from: v1, to: v2, start_at: 2020-01-01T00:00:00Z, done_by: 2020-01-01T00:00:20Z}\n";
+    trials::cluster_options options = clusterOf(daemons, 5);
     options.noteInterval = 330ms;
     options.loss = 0.02;
     trials::cluster all(options);
@@ -230,6 +236,74 @@
     }
 }
 
+// One daemon finds a version bad while others stand still, are cut off one way or as a domain, or are replaced. Five seconds later nobody
+// who has been in touch all that time sends it anything; a pair that cannot hear each other counts as in touch.
+Test(short_moves, a_veto_reaches_every_daemon_in_touch_whatever_else_happens)
+{
+    constexpr std::size_t daemons = 20;
+    constexpr duration within = 5s;
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        trials::cluster_options options = clusterOf(daemons, 4);
+        options.noteInterval = 100ms;
+        options.loss = 0.05;
+        options.seed = seed;
+        trials::cluster all(options);
+        all.surroundings = [](std::size_t, const version_move &) {
+            return move_surroundings{40, 8, 64};
+        };
+        seeded_random random(seed * 31);
+        const time_point begun = all.now();
+        std::vector<time_point> calmFrom(daemons, begun); // by daemon: in touch since then
+        const auto someTime = [&](duration most) {
+            return duration(static_cast<std::int64_t>(uniformBelow(random, static_cast<std::uint64_t>(most.count()))));
+        };
+        const auto disturb = [&] {
+            const std::size_t which = 1 + uniformBelow(random, all.size() - 1); // the first one finds out
+            const duration span = 500ms + someTime(4s);
+            const std::size_t kind = uniformBelow(random, 4);
+            if (kind == 0) {
+                all.pauseNode(which, span);
+                calmFrom[which] = all.now() + span;
+            } else if (kind == 1) {
+                const std::size_t other = uniformBelow(random, all.size());
+                all.cut(which, other);
+                all.at(all.now() + span, [&all, which, other] { all.cut(which, other, false); });
+            } else if (kind == 2) {
+                const std::string domain = "d" + std::to_string(1 + uniformBelow(random, 3));
+                all.cutDomain(domain, true);
+                all.at(all.now() + span, [&all, domain] { all.cutDomain(domain, true, false); });
+                for (std::size_t i = 0; i < all.size(); ++i) {
+                    const bool inside = all.at(i).members().self().failureDomain == domain;
+                    calmFrom[i] = inside ? std::max(calmFrom[i], all.now() + span) : calmFrom[i];
+                }
+            } else if (all.isLiving(which)) {
+                all.restart(which);
+                calmFrom.push_back(all.now());
+            }
+        };
+        for (int i = 0; i < 12; ++i) {
+            all.at(begun + 1s + someTime(14s), disturb);
+        }
+        time_point condemnedAt = noDeadline;
+        all.at(begun + 3s, [&] {
+            for (int i = 0; i < 40; ++i) {
+                all.at(0).onOutcome({"o", "writer", "v1", "chat", attempt_result::Answered, 80ms}, all.now());
+                all.at(0).onOutcome({"n", "writer", "v2", "chat", attempt_result::Failed, {}}, all.now());
+            }
+            condemnedAt = all.now() + 500ms; // it looks at its evidence at its next tick
+        });
+        while (all.now() < begun + 25s) {
+            all.runFor(100ms);
+            for (std::size_t i = 0; i < all.size(); ++i) {
+                const auto move = all.at(i).moves().find("writer");
+                const bool inTouch = all.isLiving(i) && condemnedAt != noDeadline && all.now() > std::max(calmFrom[i], condemnedAt) + within;
+                const bool sends = move != all.at(i).moves().end() && move->second.share() > 0;
+                cr_assert(!inTouch || !sends, "seed %lu: %s still sends", static_cast<unsigned long>(seed), all.nameOf(i).c_str());
+            }
+        }
+    }
+}
+
 // Answers take two seconds; the version is shown to be as fast by their first tokens, and whoever may go on does so at once.
 Test(short_moves, a_good_version_with_long_answers_is_in_charge_before_the_time_set)
 {
