--- a/include/chicoryrouter/chicoryrouter.h
+++ b/include/chicoryrouter/chicoryrouter.h
@@ -39,15 +39,20 @@
 #include "chicoryrouter/agreement.h"     // gossip: all of the below in one object
 #include "chicoryrouter/evidence.h"      // counts that merge
 #include "chicoryrouter/membership.h"    // who lives
+#include "chicoryrouter/spending.h"      // tokens of client accounts, over all daemons
+#include "chicoryrouter/telling.h"       // whose turn it is in messages of bounded size
+#include "chicoryrouter/usage_ledger.h"  // requests by window and client account
 #include "chicoryrouter/version_mover.h" // shares, vetoes, verdicts
 
 // ---- Placement -------------------------------------------------------------------------------------------------------------------------
 #include "chicoryrouter/lease.h"     // who places and orders
 #include "chicoryrouter/placement.h" // how many, which class, where
+#include "chicoryrouter/scaling.h"   // how many, from the load, where endpoints are ordered by number
 
 // ---- Small tools -----------------------------------------------------------------------------------------------------------------------
 #include "chicoryrouter/bounded_counter.h" // counts with a bound, on many threads
 #include "chicoryrouter/hash.h"            // rendezvous ranks, prefix keys
+#include "chicoryrouter/packing.h"         // smaller messages between daemons
 #include "chicoryrouter/random.h"          // the random source concept
 #include "chicoryrouter/rcu_cell.h"        // read-copy-update
 #include "chicoryrouter/time.h"            // moments and spans
--- a/tests/unit/fuzz.cpp
+++ b/tests/unit/fuzz.cpp
@@ -3,8 +3,10 @@
 #include "records.h"
 #include "relay_dialect.h"
 
+#include "chicoryrouter/agreement.h"
 #include "chicoryrouter/error.h"
 #include "chicoryrouter/random.h"
+#include "chicoryrouter/spending.h"
 #include "support/hosted_platform.h"
 
 #include <criterion/criterion.h>
@@ -209,3 +211,32 @@
         cr_assert(facts.ofAnotherRequest == (headers[0].value != "r1" && !headers[0].value.empty()));
     }
 }
+
+// Datagrams come from whoever knows the port: what is none of ours is passed over, what is broken costs itself only.
+Test(fuzz, notes_between_daemons_are_read_or_passed_over)
+{
+    seeded_random random(11);
+    evidence_note evidence;
+    for (std::uint64_t origin = 1; origin <= 3; ++origin) {
+        evidence_counts counts;
+        counts.answered = 9;
+        counts.failed = 2;
+        counts.latency[20] = 7;
+        evidence.cells.push_back({origin, {17, "v2", "chat"}, counts});
+    }
+    evidence.vetoes.push_back({17, move_mark_kind::Vetoed, "fails on route chat"});
+    spending_note spending{"entry-1", 5, 6, {{"guild", 700}}, {{"writer", {1.0, 2.0}}}, {{3, {{"guild", 4}}}}};
+    agreement daemon({"entry-9", "west-1", {"127.0.0.1", 1}, 1, member_state::Alive}, {}, 1);
+    spending_tally tally("entry-9");
+    cr_assert_eq(decodeEvidence(encodeEvidence(evidence))->cells.size(), 3);
+    cr_assert(decodeNote(encodeNote(spending)).has_value());
+    for (int i = 0; i < rounds; ++i) {
+        daemon.takeEvidenceNote(broken(encodeEvidence(evidence), random));
+        daemon.takeEvidenceNote(broken(encodeNote(spending), random));
+        for (const std::string &bytes : {broken(encodeNote(spending), random), broken(encodeEvidence(evidence), random)}) {
+            if (const std::optional<spending_note> note = decodeNote(bytes)) {
+                tally.take(*note, someday);
+            }
+        }
+    }
+}
