--- a/src/shell/http_connection.h
+++ b/src/shell/http_connection.h
@@ -26,13 +26,13 @@
 
 inline constexpr std::size_t readAheadBytes = 4096; // at a time, of requests that come before their turn
 
-class connection;
+class http_connection;
 
 // What the server and its connections share.
-struct connection_set
+struct http_connection_set
 {
     std::mutex lock;
-    std::set<connection *> open;
+    std::set<http_connection *> open;
     std::atomic<bool> closing{false};
     std::atomic<bool> lastAnswers{false}; // every answer ends its connection
     std::atomic<std::size_t> busy{0};     // connections with a request that is being answered, or an answer on its way
@@ -44,14 +44,14 @@
         return limits;
     }
 
-    std::vector<std::shared_ptr<connection>> alive();
+    std::vector<std::shared_ptr<http_connection>> alive();
     void closeAll(bool unlessBusy);
 };
 
-class connection : public http_exchange, public std::enable_shared_from_this<connection>
+class http_connection : public http_exchange, public std::enable_shared_from_this<http_connection>
 {
 public:
-    connection(tcp::socket socket, std::shared_ptr<connection_set> all, const http_server_limits &limits)
+    http_connection(tcp::socket socket, std::shared_ptr<http_connection_set> all, const http_server_limits &limits)
         : m_stream(std::move(socket))
         , m_all(std::move(all))
         , m_limits(limits)
@@ -60,7 +60,7 @@
         m_all->open.insert(this);
     }
 
-    ~connection() override
+    ~http_connection() override
     {
         setBusy(false);
         const std::lock_guard guard(m_all->lock);
@@ -159,11 +159,11 @@
     }
 
     [[nodiscard]] bool started() const override { return m_started; }
-    [[nodiscard]] asio::any_io_executor executor() const override { return const_cast<connection *>(this)->m_stream.get_executor(); }
+    [[nodiscard]] asio::any_io_executor executor() const override { return const_cast<http_connection *>(this)->m_stream.get_executor(); }
 
     // Any thread. Takes the caller's share in the connection, so that it is its own thread that lets go of it. `unlessBusy`: stays open while a
     // request of its caller is with us; what was not read yet is not ours to answer.
-    static void closeSoon(std::shared_ptr<connection> which, bool unlessBusy)
+    static void closeSoon(std::shared_ptr<http_connection> which, bool unlessBusy)
     {
         const asio::any_io_executor owner = which->m_stream.get_executor();
         asio::post(owner, [self = std::move(which), unlessBusy] {
@@ -377,7 +377,7 @@
 
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
-    std::shared_ptr<connection_set> m_all;
+    std::shared_ptr<http_connection_set> m_all;
     http_server_limits m_limits;
     std::function<void()> m_onGone;
     std::uint64_t m_watch = 0; // only the newest watch may report
@@ -389,11 +389,11 @@
 };
 
 // Owners for all that are open. They are let go of without the lock, since the last owner's destructor takes it.
-inline std::vector<std::shared_ptr<connection>> connection_set::alive()
+inline std::vector<std::shared_ptr<http_connection>> http_connection_set::alive()
 {
-    std::vector<std::shared_ptr<connection>> owners;
+    std::vector<std::shared_ptr<http_connection>> owners;
     const std::lock_guard guard(lock);
-    for (connection *item : open) {
+    for (http_connection *item : open) {
         if (auto owner = item->weak_from_this().lock()) {
             owners.push_back(std::move(owner));
         }
@@ -401,10 +401,10 @@
     return owners;
 }
 
-inline void connection_set::closeAll(bool unlessBusy)
+inline void http_connection_set::closeAll(bool unlessBusy)
 {
-    for (std::shared_ptr<connection> &item : alive()) {
-        connection::closeSoon(std::move(item), unlessBusy);
+    for (std::shared_ptr<http_connection> &item : alive()) {
+        http_connection::closeSoon(std::move(item), unlessBusy);
     }
 }
 
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -84,7 +84,7 @@
     void startConnection(tcp::socket socket)
     {
         const auto executor = socket.get_executor();
-        const auto fresh = std::make_shared<connection>(std::move(socket), connections, connections->limitsNow());
+        const auto fresh = std::make_shared<http_connection>(std::move(socket), connections, connections->limitsNow());
         asio::co_spawn(
             executor, [self = shared_from_this(), fresh]() -> asio::awaitable<void> { co_await fresh->serve(self->handler); }, asio::detached);
     }
@@ -92,7 +92,7 @@
     worker_pool &workers;
     tcp::acceptor acceptor;
     http_handler handler;
-    std::shared_ptr<connection_set> connections = std::make_shared<connection_set>();
+    std::shared_ptr<http_connection_set> connections = std::make_shared<http_connection_set>();
     std::uint16_t port = 0;
 };
 
--- a/src/shell/peer_connection.h
+++ b/src/shell/peer_connection.h
@@ -28,7 +28,7 @@
 
 inline constexpr std::size_t maxOpenStreams = 256; // per connection
 
-inline nghttp2_nv header(const char *name, const std::string &value)
+inline nghttp2_nv peerHeader(const char *name, const std::string &value)
 {
     auto *bytes = reinterpret_cast<std::uint8_t *>(const_cast<char *>(name)); // nghttp2 copies both; it only lacks the const
     auto *content = reinterpret_cast<std::uint8_t *>(const_cast<char *>(value.data()));
@@ -92,8 +92,8 @@
         const std::string method = "POST";
         const std::string scheme = "http";
         const std::string authority = "peer";
-        const std::array<nghttp2_nv, 6> names = {header(":method", method), header(":scheme", scheme), header(":authority", authority), header(":path", path),
-            header("x-time", time), header("x-proof", proof)};
+        const std::array<nghttp2_nv, 6> names = {peerHeader(":method", method), peerHeader(":scheme", scheme), peerHeader(":authority", authority),
+            peerHeader(":path", path), peerHeader("x-time", time), peerHeader("x-proof", proof)};
         auto stream = std::make_shared<peer_stream>();
         stream->sending = std::move(body);
         stream->done = std::make_shared<asio::steady_timer>(m_socket.get_executor(), asio::steady_timer::time_point::max());
@@ -110,7 +110,7 @@
 
     void submitAnswer(std::int32_t id, const std::string &status, const std::string &proof)
     {
-        const std::array<nghttp2_nv, 2> names = {header(":status", status), header("x-proof", proof)};
+        const std::array<nghttp2_nv, 2> names = {peerHeader(":status", status), peerHeader("x-proof", proof)};
         const nghttp2_data_provider provider = {{0}, readBody};
         nghttp2_submit_response(m_session, id, names.data(), names.size(), &provider);
         flush();
