--- a/tests/unit/hosted_configuration.cpp
+++ b/tests/unit/hosted_configuration.cpp
@@ -81,6 +81,14 @@
     cr_assert(eventually([&] { return all.ask("POST", "/order/1", "k").response.status == 401; }), "the old key is still in force");
 }
 
+// The page with the configuration takes five seconds; those behind it have their own time.
+Test(hosted, a_list_goes_on_after_a_page_that_took_long)
+{
+    small_deployment all(test::withRoutes(hostedConfiguration(), 700, 1));
+    all.store.faults.bytesPerSecond = 40'000;
+    all.start(); // it lists everything, and knows the endpoints of the last page
+}
+
 Test(hosted, a_configuration_that_changes_while_the_store_is_listed_is_in_force)
 {
     std::atomic<bool> changed{false};
