Route long prompt prefixes to one endpoint over all failure domains

The load bound besides counted open streams, which hardly delay a prompt.

From 1,000 shared tokens on, the prefix is ranked over all domains (12 to 16 ms of computation against 3 ms of round trip), and up to two own prompts that await their first token don't drive it away. Shorter prefixes stay in the own domain. If the ranked endpoint isn't free, the former rule applies.

Ruled out: ranking all prefixes over all domains (short ones cost more on the link than they save). Both new tests fail before: the first meets four endpoints, the second leaves for twenty open streams.

--- a/include/chicoryrouter/request_machine.h
+++ b/include/chicoryrouter/request_machine.h
@@ -41,8 +41,9 @@
     std::string account;
     contract route; // the route's contract at arrival; later configuration documents do not change it
     service_kind kind = service_kind::Model;
-    double weight = 1.0;      // of the client account
-    std::uint64_t prefix = 0; // prefixKey() of the prompt; 0: no prefix to reuse
+    double weight = 1.0;            // of the client account
+    std::uint64_t prefix = 0;       // prefixKey() of the prompt; 0: no prefix to reuse
+    std::uint32_t prefixTokens = 0; // length of that prefix; 0: unknown
     time_point arrival{};
     time_point waitUntil = noDeadline;  // deadline of the first send
     time_point deadline = noDeadline;   // deadline of the last byte
--- a/include/chicoryrouter/router.h
+++ b/include/chicoryrouter/router.h
@@ -8,6 +8,8 @@
 //   3. Without one: choose the shortest estimated wait among `sampleSize` random endpoints.
 //   4. Prefer this daemon's failure domain. Another domain is used when the local one has no free slot, or when the local endpoint is at
 //      least half full and its estimated wait exceeds the remote one's by more than the round trip.
+//   5. Prompts that share at least `longPrefixTokens` are ranked over all failure domains: computing such a prefix again in each domain takes
+//      longer than the link, and the caches of one domain hold only a part of all prefixes.
 // This strategy is called `prefix_bounded`. Other strategies exist only as baselines for `chicory-bench routing`.
 #pragma once
 
@@ -31,6 +33,7 @@
 struct route_query
 {
     std::uint64_t prefix = 0;                       // prefixKey() of the prompt; 0: no prefix to reuse
+    std::uint32_t prefixTokens = 0;                 // length of that prefix; 0: unknown
     std::array<std::uint64_t, 4> failedEndpoints{}; // keys of endpoints where this request failed; used again only if no other is free
     std::uint64_t excludedEndpoint = 0;             // key of an endpoint that must not be used: it leaves or already has this request; 0: none
     std::string version{};                          // use this version while it has a share of the traffic; empty: draw one by share
@@ -44,8 +47,9 @@
 
 struct router_options
 {
-    double loadBound = 1.25;      // an endpoint above this multiple of the mean load is not chosen by prefix
-    std::uint32_t sampleSize = 3; // endpoints compared when none is chosen by prefix
+    double loadBound = 1.25;               // an endpoint above this multiple of the mean load is not chosen by prefix
+    std::uint32_t sampleSize = 3;          // endpoints compared when none is chosen by prefix
+    std::uint32_t longPrefixTokens = 1000; // shared prompt tokens from which the prefix is worth a round trip to another failure domain
 };
 
 // Chooses an endpoint and acquires a slot there. The caller must return the slot with endpoint_load::release().
--- a/src/core/request_machine.cpp
+++ b/src/core/request_machine.cpp
@@ -55,6 +55,7 @@
     , m_delivered(m_facts.alreadyDelivered)
 {
     m_query.prefix = m_facts.prefix;
+    m_query.prefixTokens = m_facts.prefixTokens;
 }
 
 // ---- Slots -----------------------------------------------------------------------------------------------------------------------------
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -14,11 +14,16 @@
 constexpr int maxChoiceAttempts = 3;                          // another thread may acquire the last slot after it was seen free
 constexpr std::uint32_t minLocalLoadPercent = 50;             // below this load of the local endpoint no remote one is used
 
+constexpr std::uint32_t maxAwaitingForPrefix = 2; // own requests without a first token, up to which a long prefix is not computed elsewhere
+
+using endpoint_lists = std::array<const endpoint_list *, 2>; // lists whose endpoints are ranked together; the second may be null
+
 struct mean_load
 {
     std::uint64_t open = 0;
     std::uint64_t slots = 0;
     std::uint64_t reported = 0; // mean reported load of one endpoint, in thousandths
+    std::size_t sampled = 0;    // endpoints in the sums
 };
 
 std::uint32_t openRequests(const endpoint &candidate)
@@ -49,10 +54,9 @@
     return candidate.load->reportedPermille.load(std::memory_order_relaxed);
 }
 
-// Estimates the load from a sample spread evenly over the list, so that the cost of a decision hardly grows with the list's length.
-mean_load sampleMeanLoad(const endpoint_list &list, seeded_random &random)
+// Adds a sample spread evenly over the list, so that the cost of a decision hardly grows with the list's length.
+void addSample(mean_load &mean, const endpoint_list &list, seeded_random &random)
 {
-    mean_load mean;
     const std::size_t sampleCount = std::min(list.size(), meanLoadSampleSize);
     const std::size_t stride = std::max<std::size_t>(list.size() / std::max<std::size_t>(sampleCount, 1), 1);
     const std::size_t start = list.empty() ? 0 : uniformBelow(random, list.size());
@@ -62,34 +66,54 @@
         mean.slots += slotCount(candidate);
         mean.reported += reportedPermille(candidate);
     }
-    mean.reported /= std::max<std::size_t>(sampleCount, 1);
+    mean.sampled += sampleCount;
+}
+
+mean_load sampleMeanLoad(const endpoint_lists &lists, seeded_random &random)
+{
+    mean_load mean;
+    for (const endpoint_list *list : lists) {
+        if (list != nullptr) {
+            addSample(mean, *list, random);
+        }
+    }
+    mean.reported /= std::max<std::size_t>(mean.sampled, 1);
     return mean;
 }
 
+bool isLongPrefix(const route_query &query, const router_options &options)
+{
+    return query.prefix != 0 && query.prefixTokens >= options.longPrefixTokens;
+}
+
 // Load is compared as a fraction of each endpoint's slots, so that small endpoints are not mistaken for idle ones. One request above the
 // bound is always allowed; otherwise no request could start while all endpoints are idle. The local counters cover this daemon's requests
 // only, so the total load that a busy endpoint reports is compared with the mean as well.
-bool withinBound(const endpoint &candidate, const mean_load &mean, double bound)
+//
+// A long prefix is worth waiting for: streams that are past their first token hardly delay it, so only the prompts before it count.
+bool withinBound(const endpoint &candidate, const mean_load &mean, bool longPrefix, double bound)
 {
     const double allowed = bound * static_cast<double>(mean.open + 1) * slotCount(candidate) / static_cast<double>(mean.slots);
-    const bool ownFits = openRequests(candidate) < static_cast<std::uint32_t>(allowed) + 1;
+    const bool shortQueue = longPrefix && candidate.load->awaitingAnswer.load(std::memory_order_relaxed) < maxAwaitingForPrefix;
+    const bool ownFits = shortQueue || openRequests(candidate) < static_cast<std::uint32_t>(allowed) + 1;
     const std::uint32_t reported = reportedPermille(candidate);
     return ownFits && (reported < busyPermille || reported <= bound * static_cast<double>(mean.reported));
 }
 
-const endpoint_ptr *selectByPrefix(const endpoint_list &list, const route_query &query, const router_options &options, seeded_random &random)
+const endpoint_ptr *selectByPrefix(const endpoint_lists &lists, const route_query &query, const router_options &options, seeded_random &random)
 {
-    const mean_load mean = sampleMeanLoad(list, random);
-    if (mean.slots == 0) {
-        return nullptr;
-    }
+    const mean_load mean = sampleMeanLoad(lists, random);
+    const bool longPrefix = isLongPrefix(query, options);
     const endpoint_ptr *best = nullptr;
     std::uint64_t bestWeight = 0;
-    for (std::size_t i = 0; i < list.size(); ++i) {
-        const std::uint64_t weight = rendezvousWeight(query.prefix, list.key(i));
-        if (weight > bestWeight && hasFreeSlot(*list[i], query) && withinBound(*list[i], mean, options.loadBound)) {
-            best = &list[i];
-            bestWeight = weight;
+    for (const endpoint_list *list : lists) {
+        for (std::size_t i = 0; mean.slots != 0 && list != nullptr && i < list->size(); ++i) {
+            const std::uint64_t weight = rendezvousWeight(query.prefix, list->key(i));
+            const endpoint_ptr &candidate = (*list)[i];
+            if (weight > bestWeight && hasFreeSlot(*candidate, query) && withinBound(*candidate, mean, longPrefix, options.loadBound)) {
+                best = &candidate;
+                bestWeight = weight;
+            }
         }
     }
     return best;
@@ -132,7 +156,7 @@
 route_choice chooseFromList(const endpoint_list &list, const route_query &query, const router_options &options, seeded_random &random)
 {
     if (query.prefix != 0) {
-        if (const endpoint_ptr *best = selectByPrefix(list, query, options, random)) {
+        if (const endpoint_ptr *best = selectByPrefix({&list, nullptr}, query, options, random)) {
             return {best, route_reason::Prefix};
         }
     }
@@ -153,6 +177,11 @@
 
 route_choice chooseInGroup(const version_group &group, const route_query &query, const router_options &options, seeded_random &random)
 {
+    if (isLongPrefix(query, options)) {
+        if (const endpoint_ptr *best = selectByPrefix({&group.local, &group.remote}, query, options, random)) {
+            return {best, route_reason::Prefix};
+        }
+    }
     const route_choice local = chooseFromList(group.local, query, options, random);
     if (local.chosen != nullptr) {
         const endpoint_ptr *remote = selectBySample(group.remote, query, options, random);
--- a/src/shell/relay_gateway.h
+++ b/src/shell/relay_gateway.h
@@ -22,6 +22,7 @@
     std::string key;                    // the client account's secret; empty if there is none
     time_point deadline = noDeadline;   // the caller does not wait beyond this
     std::uint64_t prefix = 0;           // identifies the prompt prefix shared with other requests; 0 if there is none
+    std::uint32_t prefixTokens = 0;     // length of that prefix; 0: unknown
     std::optional<std::int64_t> tokens; // prompt tokens plus the maximum output tokens; empty if not stated
     request_payload payload;
 };
@@ -123,6 +124,7 @@
         facts.deadline = std::min(facts.deadline, call.deadline);
         facts.waitUntil = std::min(facts.waitUntil, now + (facts.deadline - now) / 2);
         facts.prefix = call.prefix;
+        facts.prefixTokens = call.prefixTokens;
         logEvent(log_event::RequestAdmitted,
             {{"request", call.id}, {"route", effectiveRoute.route}, {"account", facts.account}, {"tokens", call.tokens.value_or(0)},
                 {"tokens_left", tokensLeft}, {"revision", config.document->revision}, {"deadline_left_ms", inMilliseconds(facts.deadline - now)}});
@@ -204,7 +206,9 @@
             co_await exchange.respondWithHeaders(session->status(), Dialect::answerHeaders(session->answerHeaders()), session->text());
             co_return;
         }
-        const relayed_call call{session->facts().id, {}, session->facts().deadline, 0, {}, {}};
+        relayed_call call;
+        call.id = session->facts().id;
+        call.deadline = session->facts().deadline;
         const duration retryAfter = retryDelay(minRetryDelay, retryJitter, systemNow(), call.deadline, gateway::currentThread().random);
         co_await refuse(exchange, call, session->failure(), {}, retryAfter, true);
     }
--- a/tests/unit/routing.cpp
+++ b/tests/unit/routing.cpp
@@ -141,3 +141,41 @@
     table.groups[1].share = 0;
     cr_assert_eq((*chooseEndpoint(table, query, {}, random).chosen)->version, "v1", "a version taken back gets nothing more");
 }
+
+// Daemons of every failure domain must agree on the endpoint of a long prefix; otherwise each domain computes it again.
+Test(routing, a_long_prefix_meets_the_same_endpoint_from_every_failure_domain)
+{
+    constexpr std::size_t domains = 4;
+    std::vector<endpoint_ptr> endpoints;
+    for (std::size_t i = 0; i < 2 * domains; ++i) {
+        endpoints.push_back(makeEndpoint("e" + std::to_string(i), "fd-" + std::to_string(i % domains), 64));
+    }
+    seeded_random random(1);
+    std::set<std::string> metByLong;
+    std::set<std::string> metByShort;
+    for (std::size_t own = 0; own < domains; ++own) {
+        service_table table = makeTable(0, 0);
+        for (const endpoint_ptr &item : endpoints) {
+            (item->failureDomain == "fd-" + std::to_string(own) ? table.groups[0].local : table.groups[0].remote).append(item);
+        }
+        metByLong.insert((*chooseEndpoint(table, {.prefix = 12345, .prefixTokens = 13'000}, {}, random).chosen)->id);
+        const endpoint_ptr near = *chooseEndpoint(table, {.prefix = 12345, .prefixTokens = 200}, {}, random).chosen;
+        cr_expect_eq(near->failureDomain, "fd-" + std::to_string(own), "a short prefix is not worth the link");
+        metByShort.insert(near->id);
+    }
+    cr_expect_eq(metByLong.size(), 1);
+    cr_expect_eq(metByShort.size(), domains);
+}
+
+// Streams that only emit tokens do not delay a prompt, so they must not drive a prefix away from its cache; prompts in the queue do.
+Test(routing, a_long_prefix_leaves_its_endpoint_when_prompts_queue_there_but_not_for_open_streams)
+{
+    const service_table table = makeTable(8, 64);
+    seeded_random random(1);
+    const route_query query{.prefix = 12345, .prefixTokens = 13'000};
+    const endpoint_ptr usual = *chooseEndpoint(table, query, {}, random).chosen;
+    usual->load->inFlight = 20; // open streams; none awaits its first token
+    cr_expect_eq((*chooseEndpoint(table, query, {}, random).chosen)->id, usual->id);
+    usual->load->awaitingAnswer = 5;
+    cr_expect_neq((*chooseEndpoint(table, query, {}, random).chosen)->id, usual->id);
+}
