Scaling: replace expensive endpoints before callers connect, and stop none whose replacement may be refused

(2) After a refusal the on-demand ones in its place were ordered half a second later. (3) When a refusal's backoff ended, the reclaimable ones counted as wanted again, so on-demand ones of the same domain were a surplus and were stopped, the order was refused again, and new ones had to boot (35.5 s: 2 -> 0 -> 2 in one domain).

Change: before any load the number found is kept while cheap endpoints replace expensive ones; until eight seconds of load no fewer than that run. No endpoint is stopped in a failure domain whose replacements are missing.

The test nothing_is_ordered_before_load_was_seen was wrong in what it forbade: its point is that nothing is taken away on no evidence. It is replaced by two that are as strict: the number never falls before and in the first seconds of load and nothing is ordered once the exchange is done; without endpoints and load nothing is ordered at all. asking_again_for_refused_endpoints... fails without (3).

--- a/include/chicoryrouter/scaling.h
+++ b/include/chicoryrouter/scaling.h
@@ -64,8 +64,9 @@
 public:
     void observe(const service_load &load, std::uint32_t endpoints, std::uint32_t slots, time_point now); // to be called about once a second
 
-    // Orders to give now: those whose count differs from the last order or from the endpoints that run. Empty until the load has been observed
-    // for two seconds.
+    // Orders to give now: those whose count differs from the last order or from the endpoints that run. Empty for the first two seconds. Until
+    // the load has been observed for long enough, the number found at the start is kept, but cheaper endpoints may replace expensive ones: before
+    // callers connect, that costs no cached prompt and interrupts no stream.
     std::vector<scale_order> next(
         const scale_bounds &bounds, const std::vector<placement_offer> &offers, const std::vector<running_endpoint> &running, time_point now);
     void onAnswer(const scale_order &order, order_result answer, time_point now);
@@ -88,8 +89,13 @@
         time_point now) const;
 
     demand_meter m_demand{std::chrono::seconds(8)};
+    [[nodiscard]] bool mayReduce(time_point now) const; // whether the load has been observed for long enough to run fewer endpoints than found
+
+    time_point m_startedAt = noDeadline;     // when endpoints were first observed
     time_point m_observedSince = noDeadline; // when load was first observed
-    std::uint32_t m_desiredEndpoints = 0;
+    std::uint32_t m_foundEndpoints = 0;      // endpoints that ran at the start, if it was before any load; 0: load came first
+    std::uint32_t m_measuredEndpoints = 0;   // endpoints that the observed load calls for
+    std::uint32_t m_desiredEndpoints = 0;    // the same, but not below m_foundEndpoints until mayReduce()
     std::map<capacity_pool, last_order> m_ordered;
     std::map<capacity_pool, time_point> m_unavailableUntil; // end of the backoff after NoCapacity
 };
--- a/src/core/scaling.cpp
+++ b/src/core/scaling.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace chicoryrouter {
 
@@ -15,7 +16,7 @@
 constexpr double shareAfterDomainLoss = 0.75; // part of the endpoints that must remain after one failure domain loses its reclaimable ones
 constexpr std::uint32_t minEndpoints = 3;
 constexpr duration observeBeforeOrders = 2s;   // time of observation before the first order
-constexpr duration observeBeforeReducing = 8s; // the same before the first reduction: after a start callers reconnect gradually, so early load is too low
+constexpr duration observeBeforeReducing = 8s; // of load, before the first reduction: after a start callers reconnect gradually, so early load is too low
 constexpr duration orderRepeatInterval = 8s;   // longer than the boot time of an endpoint
 constexpr duration noCapacityBackoff = 4s;
 
@@ -33,11 +34,22 @@
 
 void scale_planner::observe(const service_load &load, std::uint32_t endpoints, std::uint32_t slots, time_point now)
 {
+    if (endpoints > 0) {
+        m_startedAt = std::min(m_startedAt, now);
+    }
     if (load.open <= 0.0) {
-        return; // no load to measure, for example before the first callers connect
+        const bool starting = m_observedSince == noDeadline && now < m_startedAt + observeBeforeOrders; // later, replacements may run beside the found ones
+        m_foundEndpoints = starting ? std::max(m_foundEndpoints, endpoints) : m_foundEndpoints;
+    } else {
+        m_observedSince = std::min(m_observedSince, now);
+        m_measuredEndpoints = std::max(m_demand.observe(endpointsFor(load, endpoints, slots), now), minEndpoints);
     }
-    m_observedSince = std::min(m_observedSince, now);
-    m_desiredEndpoints = std::max(m_demand.observe(endpointsFor(load, endpoints, slots), now), minEndpoints);
+    m_desiredEndpoints = mayReduce(now) ? m_measuredEndpoints : std::max(m_measuredEndpoints, m_foundEndpoints);
+}
+
+bool scale_planner::mayReduce(time_point now) const
+{
+    return m_observedSince != noDeadline && now >= m_observedSince + observeBeforeReducing;
 }
 
 // Returns the number of endpoints for each pool, as if every pool had capacity.
@@ -93,7 +105,8 @@
     const scale_bounds &bounds, const std::vector<placement_offer> &offers, const std::vector<running_endpoint> &running, time_point now)
 {
     std::vector<scale_order> orders;
-    if (m_observedSince == noDeadline || now < m_observedSince + observeBeforeOrders) {
+    const time_point firstOrders = m_foundEndpoints > 0 ? m_startedAt : m_observedSince;
+    if (firstOrders == noDeadline || now < firstOrders + observeBeforeOrders) {
         return orders;
     }
     std::map<capacity_pool, std::uint32_t> present;
@@ -103,22 +116,28 @@
     std::map<capacity_pool, std::uint32_t> wanted = plan(bounds, offers);
     substituteOnDemand(wanted, present, bounds.maxPerDomain, now);
     std::uint32_t missing = 0;
+    std::set<std::string> incomplete; // failure domains with missing endpoints
     std::uint32_t wantedTotal = 0;
     std::uint32_t presentTotal = 0;
     for (const auto &[pool, count] : wanted) {
-        missing += count - std::min(count, present[pool]); // refused endpoints do not count: substituteOnDemand() removed them
+        if (count > present[pool]) { // refused endpoints do not count: substituteOnDemand() removed them
+            missing += count - present[pool];
+            incomplete.insert(pool.first);
+        }
         wantedTotal += count;
         presentTotal += present[pool];
     }
-    // Reduce only by the surplus over the total that is wanted, so that endpoints are not stopped before their replacements in other pools run.
-    const bool mayReduce = now >= m_observedSince + observeBeforeReducing;
-    std::uint32_t surplus = mayReduce ? presentTotal - std::min(presentTotal, wantedTotal) : 0;
+    // Reduce only by the surplus over the total that is wanted, so that endpoints are not stopped before their replacements in other pools run,
+    // and not where replacements are missing: they may be refused, and then the endpoint that was stopped would have to be started again.
+    const bool keepsEnough = mayReduce(now) || m_foundEndpoints > 0;
+    std::uint32_t surplus = keepsEnough ? presentTotal - std::min(presentTotal, wantedTotal) : 0;
     for (const auto &[pool, count] : wanted) {
         const std::uint32_t have = present[pool];
         last_order &last = m_ordered[pool];
-        const std::uint32_t removed = std::min(have - std::min(have, count), surplus);
+        const std::uint32_t removed = incomplete.count(pool.first) != 0 ? 0 : std::min(have - std::min(have, count), surplus);
         surplus -= removed;
-        const bool cancelsStart = last.count > std::max(have, count) && (missing > 0 || !mayReduce); // those endpoints are still starting: keep the last order
+        const bool cancelsStart
+            = last.count > std::max(have, count) && (missing > 0 || !mayReduce(now)); // those endpoints are still starting: keep the last order
         const std::uint32_t asked = cancelsStart ? last.count : std::max(count, have - removed);
         const bool same = last.count == asked && last.repeatAt != time_point{};
         const bool due = asked != have && now >= last.repeatAt;
--- a/tests/unit/scaling.cpp
+++ b/tests/unit/scaling.cpp
@@ -30,7 +30,13 @@
             ++orders;
             const bool refused = dry && order.cls == instance_class::Reclaimable && order.count > counts[{order.failureDomain, order.cls}];
             if (!refused) {
-                counts[{order.failureDomain, order.cls}] = order.count;
+                std::uint32_t &count = counts[{order.failureDomain, order.cls}];
+                const auto stopped = stoppedAt.find({order.failureDomain, order.cls});
+                restarts += dry && order.count > count && stopped != stoppedAt.end() && now < stopped->second + 2s ? 1 : 0;
+                if (order.count < count) {
+                    stoppedAt[{order.failureDomain, order.cls}] = now;
+                }
+                count = order.count;
             }
             planner.onAnswer(order, refused ? order_result::NoCapacity : order_result::Accepted, now);
         }
@@ -57,8 +63,10 @@
     }
 
     std::map<std::pair<std::string, instance_class>, std::uint32_t> counts;
+    std::map<std::pair<std::string, instance_class>, time_point> stoppedAt;
     bool dry = false;
     int orders = 0;
+    int restarts = 0; // while dry, of endpoints in pools where some were stopped within the last two seconds
 };
 
 void run(scale_planner &planner, small_platform &platform, const service_load &load, time_point from, duration span)
@@ -71,11 +79,34 @@
 
 } // namespace
 
-Test(scaling, nothing_is_ordered_before_load_was_seen)
+// Before the first callers connect, nothing shows how many endpoints are needed: their number must stay, while cheap ones replace expensive ones.
+Test(scaling, before_any_load_the_number_is_kept_and_expensive_endpoints_leave_only_when_their_replacements_run)
+{
+    scale_planner planner;
+    small_platform platform;
+    for (const char *domain : {"a", "b", "c", "d"}) {
+        platform.counts[{domain, instance_class::OnDemand}] = 3;
+    }
+    platform.dry = true;
+    run(planner, platform, {}, start, 10s);
+    cr_expect_eq(platform.total(instance_class::OnDemand), 12, "no reclaimable ones are available");
+    platform.dry = false;
+    run(planner, platform, {}, start + 10s, 20s);
+    cr_expect_eq(platform.total(instance_class::OnDemand), 0);
+    cr_expect_geq(platform.total(instance_class::Reclaimable), 12);
+    const int orders = platform.orders;
+    run(planner, platform, {}, start + 30s, 60s);
+    cr_expect_eq(platform.orders, orders, "nothing changed, so nothing is ordered");
+    run(planner, platform, {5.0, 0.5}, start + 90s, 7s);
+    cr_expect_geq(platform.total(instance_class::Reclaimable), 12, "seven seconds of load are too few to run fewer");
+    run(planner, platform, {5.0, 0.5}, start + 97s, 30s);
+    cr_expect_leq(platform.total(instance_class::Reclaimable), 6);
+}
+
+Test(scaling, nothing_is_ordered_while_neither_load_nor_endpoints_were_seen)
 {
     scale_planner planner;
     small_platform platform;
-    platform.counts[{"a", instance_class::OnDemand}] = 5;
     run(planner, platform, {}, start, 20s);
     cr_assert_eq(platform.orders, 0);
 }
@@ -130,6 +161,29 @@
     cr_assert_eq(platform.total(instance_class::OnDemand), 0);
 }
 
+// While none are available, reclaimable endpoints are asked for again and again. Each time, the on-demand ones in their place must go on running:
+// one that is stopped for a replacement that is then refused has to boot again, with an empty cache.
+Test(scaling, asking_again_for_refused_endpoints_stops_none_that_stand_in_for_them)
+{
+    scale_planner planner;
+    small_platform platform;
+    run(planner, platform, {70.0, 24.0}, start, 20s);
+    platform.dry = true;
+    time_point now = start + 20s;
+    for (const char *domain : {"a", "b", "c", "d"}) { // reclaimed one after the other, so refusals end one after the other
+        platform.counts[{domain, instance_class::Reclaimable}] = 0;
+        run(planner, platform, {70.0, 24.0}, now, 1s);
+        cr_expect_geq(platform.counts[std::pair(std::string(domain), instance_class::OnDemand)], 1);
+        now += 1s;
+    }
+    for (int step = 0; step < 144; ++step) {
+        const double falling = 1.0 - step / 200.0; // fewer are needed with time: some refusals end while there is a surplus
+        run(planner, platform, {70.0 * falling, 24.0 * falling}, now + step * 500ms, 500ms);
+        cr_expect_geq(platform.total(instance_class::OnDemand), planner.desiredEndpoints());
+    }
+    cr_expect_eq(platform.restarts, 0, "%d on-demand endpoints were stopped and started again", platform.restarts);
+}
+
 Test(scaling, the_number_follows_the_queue_and_never_leaves_the_bounds)
 {
     cr_assert_gt(endpointsFor({50.0, 20.0}, 8, 64), endpointsFor({50.0, 5.0}, 8, 64));
