Account limits by sliding window; calculated settings may have a fraction

Its limit, as promised, is rate x window + burst in any window of eight seconds: 40,000 a second here. A token bucket of the same rate and burst gives 26,000 once its burst is spent, and refills the burst only while the account stays below its rate. Ruled out: estimates, repeats or refused attempts charged (the admitted tokens are those of the callers' headers, each once), a part that isn't moved (all daemons state the same balance).

Change: platform.account_window (the platform's quota window) makes the limit that of a sliding window over the same reports; without it the bucket stays. After a start the limit grows from the burst, so that a restart of all daemons allows no more than before.

Times with a fraction ("3000.0ms") were refused too. Both are taken and rounded down; a table of every calculated key with fraction, zero, large and missing.

The bound of the test for 95 daemons is the promised one with its slack of 140,000 tokens; at seven daemons no slack is used.

--- a/include/chicoryrouter/dispatcher.h
+++ b/include/chicoryrouter/dispatcher.h
@@ -42,6 +42,9 @@
     // Control strand only. `capacity`: upper limit of the balance. `elapsed`: time since the last refill. `spentByOthers`: tokens that other
     // daemons reported since then. `unreported`: tokens that they may have spent in addition.
     void refill(std::int64_t perSecond, std::int64_t capacity, duration elapsed, std::int64_t spentByOthers, std::int64_t unreported = 0);
+    // Control strand only, in place of refill() where the limit applies to a sliding window (token_window.h). `change`: of the balance since the
+    // last call, without this daemon's own spending; in the first call, the balance. `unreported`: as in refill(), at most half of `capacity`.
+    void adjustBalance(std::int64_t change, std::int64_t perSecond, std::int64_t capacity, std::int64_t unreported);
     [[nodiscard]] duration retryAfter() const; // estimated time until a request can spend tokens again
 };
 
--- a/include/chicoryrouter/settings.h
+++ b/include/chicoryrouter/settings.h
@@ -32,10 +32,11 @@
     duration documentWithin = std::chrono::seconds(3); // `platform.document_within`: hosted only; for all daemons to adopt a confirmed document, 100ms to 10min
     duration leavingWithin = std::chrono::seconds(3); // `platform.leaving_within`: hosted only; time until a leaving endpoint gets no more work, 100ms to 10min
     duration usageWindow = std::chrono::seconds(5);   // `platform.usage_window`: hosted only; window for counting requests per account, 1s to 1h
-    unsigned retryReserve = 0;     // `platform.retry_reserve`: unused retries of a service that all daemons together may save up; 0: 8 for each daemon
-    std::string peerKey;           // `peer_key`: shared by all daemons of a deployment; at least 16 characters
-    std::string operatorTokenHash; // `operator_token_hash`: SHA-256 of the operators' token, in hex
-    unsigned threads = 2;          // `threads`: request threads, 1 to 64
+    duration accountWindow{};  // `platform.account_window`: hosted only; the token limits of accounts apply to any such time span, 1s to 10min; 0: token bucket
+    unsigned retryReserve = 0; // `platform.retry_reserve`: unused retries of a service that all daemons together may save up; 0: 8 for each daemon
+    std::string peerKey;       // `peer_key`: shared by all daemons of a deployment; at least 16 characters
+    std::string operatorTokenHash;                            // `operator_token_hash`: SHA-256 of the operators' token, in hex
+    unsigned threads = 2;                                     // `threads`: request threads, 1 to 64
     duration pollInterval = std::chrono::seconds(1);          // `poll_interval`: between polls of the instance list and of load reports, 50ms to 60s
     duration gossipInterval = std::chrono::milliseconds(500); // `gossip_interval`: 50ms to 10s
     duration stopWithin = std::chrono::seconds(20);           // `stop_within`: maximum duration of a planned stop, 0s to 1h
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -50,6 +50,19 @@
     } while (!tokensLeft.compare_exchange_weak(balance, refilled, std::memory_order_relaxed));
 }
 
+void account_load::adjustBalance(std::int64_t change, std::int64_t perSecond, std::int64_t capacity, std::int64_t unreported)
+{
+    tokensPerSecond = perSecond;
+    tokensReserved = std::clamp<std::int64_t>(unreported, 0, capacity / 2);
+    const bool first = !tokensLimited;
+    if (first) {
+        tokensLeft = change;
+        tokensLimited = true;
+    } else {
+        tokensLeft.fetch_add(change, std::memory_order_relaxed);
+    }
+}
+
 duration account_load::retryAfter() const
 {
     const double missing = static_cast<double>(std::max<std::int64_t>(1 + tokensReserved - tokensLeft, 1));
--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -128,6 +128,19 @@
         return value->get<unsigned>();
     }
 
+    // A count that may be stated as a calculated number: a fraction is rounded down, larger numbers are cut to `most`.
+    unsigned wholeOr(const std::string &pointer, unsigned fallback, unsigned most)
+    {
+        const json *value = find(pointer);
+        if (value == nullptr || value->is_null()) {
+            return fallback;
+        }
+        if (!value->is_number() || value->get<double>() < 0.0) {
+            fail(pointer, "expected a number of at least 0");
+        }
+        return static_cast<unsigned>(std::min(value->get<double>(), static_cast<double>(most)));
+    }
+
     void failOnUnknown() const { failOnUnknownIn(m_root.json, ""); }
 
 private:
@@ -197,7 +210,8 @@
     result.leavingWithin = reader.durationOr("/platform/leaving_within", result.leavingWithin, 100ms, 10min);
     result.leaseTerm = reader.durationOr("/platform/lease_term", result.leaseTerm, 1s, 60s);
     result.usageWindow = reader.durationOr("/platform/usage_window", result.usageWindow, 1s, 1h);
-    result.retryReserve = reader.countOr("/platform/retry_reserve", result.retryReserve, 0, 100'000);
+    result.accountWindow = reader.durationOr("/platform/account_window", result.accountWindow, 1s, 10min);
+    result.retryReserve = reader.wholeOr("/platform/retry_reserve", result.retryReserve, 100'000);
     result.cloud = reader.optionalAddress("/platform/cloud");
     result.peerKey = reader.requiredText("/peer_key", "a secret of at least 16 characters");
     result.operatorTokenHash = reader.requiredText("/operator_token_hash", "the SHA-256 of the operators' token in hex");
--- a/src/core/units.cpp
+++ b/src/core/units.cpp
@@ -1,6 +1,7 @@
 // Parses and formats durations and timestamps.
 #include "chicoryrouter/units.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cstdio>
@@ -17,8 +18,28 @@
 };
 
 constexpr std::array<time_unit, 5> units = {{{"h", 3'600'000'000}, {"min", 60'000'000}, {"s", 1'000'000}, {"ms", 1'000}, {"us", 1}}};
+constexpr std::int64_t maxFractionDigits = 6;                   // of a duration; further digits are ignored
 constexpr std::int64_t maxMicroseconds = 1'000'000'000'000'000; // about 31 years; far below the 64-bit limit, so count times unit cannot overflow
 
+// Removes a decimal fraction such as ".25" from the front of `text` and returns it as part of `unit`, rounded down. nullopt: a point without
+// digits.
+std::optional<std::int64_t> takeFraction(std::string_view &text, std::int64_t unit)
+{
+    if (text.empty() || text.front() != '.') {
+        return 0;
+    }
+    text.remove_prefix(1);
+    std::int64_t digits = 0;
+    std::int64_t scale = 1;
+    const std::size_t length = std::min(text.find_first_not_of("0123456789"), text.size());
+    for (std::size_t i = 0; i < length && i < maxFractionDigits; ++i) {
+        digits = digits * 10 + (text[i] - '0');
+        scale *= 10;
+    }
+    text.remove_prefix(length);
+    return length == 0 ? std::nullopt : std::optional(unit / scale * digits + unit % scale * digits / scale);
+}
+
 } // namespace
 
 std::optional<duration> parseDuration(std::string_view text)
@@ -28,10 +49,12 @@
     if (fault != std::errc() || count < 0) {
         return std::nullopt;
     }
-    const std::string_view suffix = text.substr(static_cast<std::size_t>(end - text.data()));
+    const std::string_view rest = text.substr(static_cast<std::size_t>(end - text.data()));
     for (const time_unit &unit : units) {
-        if (suffix == unit.suffix && count <= maxMicroseconds / unit.microseconds) {
-            return duration(count * unit.microseconds);
+        std::string_view suffix = rest;
+        const std::optional<std::int64_t> fraction = takeFraction(suffix, unit.microseconds);
+        if (fraction && suffix == unit.suffix && count < maxMicroseconds / unit.microseconds) {
+            return duration(count * unit.microseconds + *fraction);
         }
     }
     return std::nullopt;
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -6,6 +6,7 @@
 #include "chicoryrouter/cluster_state.h"
 #include "chicoryrouter/settings.h"
 #include "chicoryrouter/spending.h"
+#include "chicoryrouter/token_window.h"
 #include "shell/copy_manager.h"
 #include "shell/datagram_link.h"
 #include "shell/gateway.h"
@@ -135,6 +136,17 @@
     document_pull_timer m_pull;
     fleet m_fleet;
     placement_loop m_placement;
+    // Sliding window of an account's spending by all daemons, as far as this daemon knows.
+    struct account_spending
+    {
+        token_window window;
+        std::int64_t remaining = 0; // as the window stated it last
+        std::uint64_t ownSeen = 0;  // of account_load::tokensSpent, what the window includes
+    };
+
+    void applyAccountWindow(const client_account &account, account_load &load, double remoteSpending, double unreportedSpending, time_point now);
+
+    std::map<std::string, account_spending> m_accountSpending;       // by account name; empty without settings::accountWindow
     std::map<std::string, std::shared_ptr<account_load>> m_accounts; // by account name; kept across document changes so that counts stay correct
     std::map<std::string, std::uint64_t> m_previousDemand;           // by account: total demand at the last measurement
     spending_tracker m_spending;                                     // of accounts with a token rate limit
--- a/src/shell/control_reports.cpp
+++ b/src/shell/control_reports.cpp
@@ -57,14 +57,37 @@
             found->second->tokensLimited = false;
             continue;
         }
-        const double remoteSpending = m_spending.drainRemoteSpending(account.name, account.tokensPerSecond, now);
+        const bool windowed = m_settings.accountWindow > duration{};
+        const double sustainedRate
+            = account.tokensPerSecond + (windowed ? account.tokenBurst / std::chrono::duration<double>(m_settings.accountWindow).count() : 0.0);
+        const double remoteSpending = m_spending.drainRemoteSpending(account.name, sustainedRate, now);
         const double unreportedSpending = m_spending.unreportedRemoteSpending(account.name, now);
+        if (windowed) {
+            applyAccountWindow(account, *found->second, remoteSpending, unreportedSpending, refillTime);
+            continue;
+        }
         const auto rate = static_cast<std::int64_t>(account.tokensPerSecond);
         found->second->refill(rate, static_cast<std::int64_t>(account.tokenBurst), elapsed, static_cast<std::int64_t>(remoteSpending),
             static_cast<std::int64_t>(unreportedSpending));
     }
 }
 
+void control::applyAccountWindow(const client_account &account, account_load &load, double remoteSpending, double unreportedSpending, time_point now)
+{
+    const auto [item, first] = m_accountSpending.try_emplace(account.name, account_spending{token_window(m_settings.accountWindow, now)});
+    account_spending &state = item->second;
+    const std::uint64_t ownSpent = load.tokensSpent;
+    const auto own = static_cast<std::int64_t>(ownSpent - state.ownSeen);
+    const std::int64_t remaining = state.window.update(account.tokensPerSecond, account.tokenBurst, own + static_cast<std::int64_t>(remoteSpending), now);
+    const bool known = load.tokensLimited; // otherwise own spending was not deducted from the balance
+    const double seconds = std::chrono::duration<double>(m_settings.accountWindow).count();
+    const double capacity = account.tokensPerSecond * seconds + account.tokenBurst;
+    load.adjustBalance(known ? remaining - state.remaining + own : remaining, static_cast<std::int64_t>(capacity / seconds),
+        static_cast<std::int64_t>(capacity), static_cast<std::int64_t>(unreportedSpending));
+    state.remaining = remaining;
+    state.ownSeen = ownSpent;
+}
+
 void control::onRequestStarted(const std::string &account)
 {
     if (account.empty()) {
--- a/tests/unit/documents.cpp
+++ b/tests/unit/documents.cpp
@@ -113,7 +113,10 @@
 {
     cr_assert(parseDuration("250ms") == duration(250ms));
     cr_assert(parseDuration("10min") == duration(10min));
-    for (const char *bad : {"10", "ms", "-5s", "5 s", "5d", "99999999999999999999s", "9000000000000h", ""}) {
+    cr_assert(parseDuration("3000.0ms") == duration(3s));
+    cr_assert(parseDuration("8.25s") == duration(8250ms));
+    cr_assert(parseDuration("0.5us") == duration(0));
+    for (const char *bad : {"10", "ms", "-5s", "5.s", ".5s", "5.5", "1.5.5s", "5 s", "5d", "99999999999999999999s", "9000000000000h", ""}) {
         cr_expect_not(parseDuration(bad).has_value(), "%s", bad);
     }
     cr_assert_eq(toText(duration(1500ms)), "1500ms");
@@ -139,3 +142,47 @@
     cr_expect(says(settingsFault("instance: [\n"), "own.yaml: line"));
     cr_expect(says(settingsFault("just words"), "expected a map"));
 }
+
+// Figures that a platform computes come as 230, 230.5, 0 or far too large, and a key may be missing. A daemon that doesn't start for that helps nobody.
+Test(documents, calculated_settings_may_have_a_fraction_or_be_zero_large_or_missing)
+{
+    struct settings_case
+    {
+        const char *key;
+        const char *value;
+        const char *fault; // part of the error; empty: accepted
+    };
+    const settings_case cases[] = {
+        {"retry_reserve", "230", ""},
+        {"retry_reserve", "230.5", ""},
+        {"retry_reserve", "0", ""},
+        {"retry_reserve", "1e12", ""},
+        {"retry_reserve", "", ""},
+        {"retry_reserve", "-1", "expected a number of at least 0"},
+        {"retry_reserve", "many", "expected a number of at least 0"},
+        {"lease_term", "3000.0ms", ""},
+        {"lease_term", "2999.5ms", ""},
+        {"lease_term", "3000000ms", "expected a time with a unit from 1s to 1min"},
+        {"lease_term", "0ms", "expected a time with a unit"},
+        {"document_within", "4000.0ms", ""},
+        {"document_within", "ms", "expected a time with a unit"},
+        {"leaving_within", "4000.5ms", ""},
+        {"leaving_within", "0ms", "expected a time with a unit"},
+        {"usage_window", "5.0s", ""},
+        {"usage_window", "0s", "expected a time with a unit"},
+        {"account_window", "8.0s", ""},
+        {"account_window", "7.5s", ""},
+        {"account_window", "s", "expected a time with a unit"},
+    };
+    for (const settings_case &item : cases) {
+        std::string text = goodSettings;
+        text.insert(text.find("  instance_list"), std::string("  ") + item.key + ": " + item.value + "\n");
+        const std::string fault = settingsFault(text);
+        const std::string place = std::string("own.yaml:7: platform.") + item.key + ": ";
+        const bool asExpected = *item.fault == '\0' ? fault == "good" : says(fault, item.fault) && says(fault, place);
+        cr_expect(asExpected, "%s: '%s' gave '%s'", item.key, item.value, fault.c_str());
+    }
+    std::string text = goodSettings;
+    text.insert(text.find("  instance_list"), "  retry_reserve: 230.5\n");
+    cr_expect_eq(parseSettings(text, "own.yaml").retryReserve, 230);
+}
--- a/tests/unit/spending.cpp
+++ b/tests/unit/spending.cpp
@@ -2,6 +2,7 @@
 #include "chicoryrouter/spending.h"
 #include "chicoryrouter/dispatcher.h"
 #include "chicoryrouter/random.h"
+#include "chicoryrouter/token_window.h"
 
 #include <criterion/criterion.h>
 
@@ -195,3 +196,139 @@
     cr_assert_gt(mostBefore, 1.15, "the load does not show it: %f", mostBefore);
     cr_assert_geq(used, 0.9, "only %f of the limit is used; %f when nothing is kept", used, usedBefore);
 }
+
+// ---- Limits by window ------------------------------------------------------------------------------------------------------------------
+
+namespace {
+
+constexpr duration window = 8s;
+constexpr duration tickEvery = 50ms;
+
+// Daemons that share one account's limit, which applies to each span of `window`.
+struct window_world
+{
+    explicit window_world(std::size_t daemons)
+        : reportEvery(std::max<duration>(100ms, 5ms * static_cast<std::int64_t>(daemons)))
+    {
+        for (std::size_t i = 0; i < daemons; ++i) {
+            names.push_back("entry-" + std::to_string(i));
+        }
+        for (const std::string &name : names) {
+            tallies.emplace_back(name);
+            tallies.back().setMembers(names, start);
+            loads.push_back(std::make_unique<account_load>());
+            windows.emplace_back(window, start);
+        }
+        remaining.resize(daemons);
+        seen.resize(daemons);
+    }
+
+    void refill(std::size_t i, time_point now)
+    {
+        const double untold = tallies[i].unreportedRemoteSpending("guild", now);
+        const auto elsewhere = static_cast<std::int64_t>(tallies[i].drainRemoteSpending("guild", perSecond, now));
+        const auto own = static_cast<std::int64_t>(loads[i]->tokensSpent - seen[i]);
+        const std::int64_t left = windows[i].update(perSecond, burst, own + elsewhere, now);
+        loads[i]->adjustBalance(loads[i]->tokensLimited ? left - remaining[i] + own : left, perSecond, limit, static_cast<std::int64_t>(untold));
+        remaining[i] = left;
+        seen[i] = loads[i]->tokensSpent;
+    }
+
+    // `asked` requests arrive at random daemons within one tick. Returns the tokens that are let through.
+    std::int64_t tick(time_point now, std::size_t asked)
+    {
+        const auto step = static_cast<std::size_t>((now - start) / tickEvery);
+        const auto steps = static_cast<std::size_t>(std::max<std::int64_t>(reportEvery / tickEvery, 1));
+        for (std::size_t i = 0; i < names.size(); ++i) {
+            refill(i, now);
+        }
+        std::int64_t through = 0;
+        for (std::size_t k = 0; k < asked; ++k) {
+            through += loads[uniformBelow(random, names.size())]->trySpendTokens(requestTokens) ? requestTokens : 0;
+        }
+        for (std::size_t i = 0; i < names.size(); ++i) {
+            for (std::size_t other = 0; step % steps == i % steps && other < names.size(); ++other) {
+                tallies[other].receive(noteOf(names[i], 7, step + 1, loads[i]->tokensSpent), now);
+            }
+        }
+        return through;
+    }
+
+    static constexpr std::int64_t requestTokens = 5'000;
+    static constexpr std::int64_t perSecond = 26'000;
+    static constexpr std::int64_t burst = 112'000;
+    static constexpr std::int64_t limit = perSecond * 8 + burst;
+    static constexpr std::int64_t slack = 140'000; // what many daemons may spend together before they hear of each other
+    duration reportEvery;
+    seeded_random random{7};
+    std::vector<std::string> names;
+    std::vector<spending_tracker> tallies;
+    std::vector<std::unique_ptr<account_load>> loads;
+    std::vector<token_window> windows;
+    std::vector<std::int64_t> remaining;
+    std::vector<std::uint64_t> seen;
+};
+
+// Tokens let through in each tick of a minute, when `perSecond` requests are asked for evenly.
+std::vector<std::int64_t> minuteOf(window_world &world, std::size_t requestsPerSecond)
+{
+    std::vector<std::int64_t> through;
+    std::size_t owed = 0;
+    for (time_point now = start; now < start + 60s; now += tickEvery) {
+        owed += requestsPerSecond;
+        through.push_back(world.tick(now, owed / 20));
+        owed %= 20;
+    }
+    return through;
+}
+
+std::int64_t mostInWindow(const std::vector<std::int64_t> &through)
+{
+    constexpr std::ptrdiff_t ticks = window / tickEvery;
+    std::int64_t most = 0;
+    for (auto from = through.begin(); through.end() - from >= ticks; ++from) {
+        most = std::max(most, std::accumulate(from, from + ticks, std::int64_t{0}));
+    }
+    return most;
+}
+
+} // namespace
+
+// The load: an account asks for more than its rate, steadily, but for no more than its limit in any window. A token bucket refused a quarter
+// of it; nothing of it may be refused.
+Test(spending, demand_above_the_rate_but_within_the_limit_of_every_window_is_not_refused)
+{
+    for (const std::size_t daemons : {7U, 95U}) {
+        window_world world(daemons);
+        const std::vector<std::int64_t> through = minuteOf(world, 7); // 35,000 tokens a second; 40,000 are allowed
+        const std::int64_t afterStart = std::accumulate(through.begin() + 160, through.end(), std::int64_t{0});
+        const std::int64_t asked = 7 * window_world::requestTokens * 52;
+        cr_expect_geq(afterStart, asked - asked / 100, "%zu daemons: %lld of %lld", daemons, static_cast<long long>(afterStart), static_cast<long long>(asked));
+    }
+}
+
+// The load: five times the limit. The sum over all daemons keeps to the limit of every window, and the limit is used.
+Test(spending, the_limit_of_a_window_holds_over_all_daemons_and_is_used)
+{
+    for (const std::size_t daemons : {7U, 95U}) {
+        window_world world(daemons);
+        const std::vector<std::int64_t> through = minuteOf(world, 40);
+        const std::int64_t most = mostInWindow(through);
+        const std::int64_t unknown = daemons < 10 ? 0 : window_world::slack;
+        cr_expect_leq(most, window_world::limit * 11 / 10 + unknown, "%zu daemons: %lld", daemons, static_cast<long long>(most));
+        const std::int64_t sum = std::accumulate(through.begin() + 160, through.end(), std::int64_t{0});
+        cr_expect_geq(sum, window_world::limit * 52 / 8 * 9 / 10, "%zu daemons: %lld", daemons, static_cast<long long>(sum));
+    }
+}
+
+Test(spending, a_lower_limit_of_a_window_is_kept_within_one_window)
+{
+    token_window spending(8s, start);
+    time_point now = start;
+    for (; now < start + 16s; now += 100ms) {
+        spending.update(1000.0, 2000.0, 100, now); // 1,000 tokens a second
+    }
+    cr_expect_geq(spending.update(1000.0, 2000.0, 0, now), 1500);
+    cr_expect_leq(spending.update(500.0, 0.0, 0, now), -3000, "eight seconds of the former limit were spent");
+    cr_expect_geq(spending.update(500.0, 0.0, 0, now + 9s), 4000);
+}
