Account windows: daemons that don't hear each other divide the limit

It had been idle, so each side of the cut knew of a whole window left and spent it; silent daemons were charged their share of the rate only as time went by. With token buckets this was bounded by the burst. Change: a daemon uses the part of the limit that belongs to the daemons it hears. Ruled out: charging silent daemons faster (what an idle account has left is there at once). The test fails before: three groups spend 960,000 of 320,000 tokens; after, none exceeds the bound and 0.8 of the limit is used.

--- a/include/chicoryrouter/spending.h
+++ b/include/chicoryrouter/spending.h
@@ -49,6 +49,7 @@
     // Estimated tokens that the others have spent but not reported yet, extrapolated from the rate between their two newest reports.
     [[nodiscard]] double unreportedRemoteSpending(const std::string &account, time_point now) const;
     [[nodiscard]] std::size_t silentCount(time_point now) const;    // number of daemons that are silent, whose spending is assumed
+    [[nodiscard]] double reachableShare(time_point now) const;      // part of all daemons, this one included, that are not silent; above 0
     usage_counts remoteStartedRequests(std::uint64_t window) const; // by account, of all other daemons ever heard from, including removed ones
     [[nodiscard]] bool heardFromAllSince(time_point moment) const;  // whether every tracked daemon sent a report after `moment`
     [[nodiscard]] service_load remoteLoad(const std::string &service, time_point now) const; // summed over the daemons that are not silent
--- a/src/core/spending.cpp
+++ b/src/core/spending.cpp
@@ -116,6 +116,11 @@
     return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &item) { return isSilent(item.second, now); }));
 }
 
+double spending_tracker::reachableShare(time_point now) const
+{
+    return 1.0 - static_cast<double>(silentCount(now)) / static_cast<double>(m_peers.size() + 1);
+}
+
 usage_counts spending_tracker::remoteStartedRequests(std::uint64_t window) const
 {
     usage_counts sum;
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -144,7 +144,7 @@
         std::uint64_t ownSeen = 0;  // of account_load::tokensSpent, what the window includes
     };
 
-    void applyAccountWindow(const client_account &account, account_load &load, double remoteSpending, double unreportedSpending, time_point now);
+    void applyAccountWindow(const client_account &account, account_load &load, double remoteSpending, double unreportedSpending, double share);
 
     std::map<std::string, account_spending> m_accountSpending;       // by account name; empty without settings::accountWindow
     std::map<std::string, std::shared_ptr<account_load>> m_accounts; // by account name; kept across document changes so that counts stay correct
--- a/src/shell/control_reports.cpp
+++ b/src/shell/control_reports.cpp
@@ -58,12 +58,11 @@
             continue;
         }
         const bool windowed = m_settings.accountWindow > duration{};
-        const double sustainedRate
-            = account.tokensPerSecond + (windowed ? account.tokenBurst / std::chrono::duration<double>(m_settings.accountWindow).count() : 0.0);
-        const double remoteSpending = m_spending.drainRemoteSpending(account.name, sustainedRate, now);
+        const double assumedRate = windowed ? 0.0 : account.tokensPerSecond; // a window's limit excludes the share of silent daemons instead
+        const double remoteSpending = m_spending.drainRemoteSpending(account.name, assumedRate, now);
         const double unreportedSpending = m_spending.unreportedRemoteSpending(account.name, now);
         if (windowed) {
-            applyAccountWindow(account, *found->second, remoteSpending, unreportedSpending, refillTime);
+            applyAccountWindow(account, *found->second, remoteSpending, unreportedSpending, m_spending.reachableShare(now));
             continue;
         }
         const auto rate = static_cast<std::int64_t>(account.tokensPerSecond);
@@ -72,16 +71,19 @@
     }
 }
 
-void control::applyAccountWindow(const client_account &account, account_load &load, double remoteSpending, double unreportedSpending, time_point now)
+// Daemons that don't hear each other divide the limit: an idle account's whole window would otherwise be spent once on either side of a cut.
+// `share`: of the limit, for the daemons that this one hears.
+void control::applyAccountWindow(const client_account &account, account_load &load, double remoteSpending, double unreportedSpending, double share)
 {
-    const auto [item, first] = m_accountSpending.try_emplace(account.name, account_spending{token_window(m_settings.accountWindow, now)});
+    const auto [item, first] = m_accountSpending.try_emplace(account.name, account_spending{token_window(m_settings.accountWindow, m_refilledAt)});
     account_spending &state = item->second;
     const std::uint64_t ownSpent = load.tokensSpent;
     const auto own = static_cast<std::int64_t>(ownSpent - state.ownSeen);
-    const std::int64_t remaining = state.window.update(account.tokensPerSecond, account.tokenBurst, own + static_cast<std::int64_t>(remoteSpending), now);
+    const std::int64_t spent = own + static_cast<std::int64_t>(remoteSpending);
+    const std::int64_t remaining = state.window.update(account.tokensPerSecond * share, account.tokenBurst * share, spent, m_refilledAt);
     const bool known = load.tokensLimited; // otherwise own spending was not deducted from the balance
     const double seconds = std::chrono::duration<double>(m_settings.accountWindow).count();
-    const double capacity = account.tokensPerSecond * seconds + account.tokenBurst;
+    const double capacity = (account.tokensPerSecond * seconds + account.tokenBurst) * share;
     load.adjustBalance(known ? remaining - state.remaining + own : remaining, static_cast<std::int64_t>(capacity / seconds),
         static_cast<std::int64_t>(capacity), static_cast<std::int64_t>(unreportedSpending));
     state.remaining = remaining;
--- a/tests/unit/spending.cpp
+++ b/tests/unit/spending.cpp
@@ -226,9 +226,10 @@
     void refill(std::size_t i, time_point now)
     {
         const double untold = tallies[i].unreportedRemoteSpending("guild", now);
-        const auto elsewhere = static_cast<std::int64_t>(tallies[i].drainRemoteSpending("guild", perSecond, now));
+        const double share = tallies[i].reachableShare(now);
+        const auto elsewhere = static_cast<std::int64_t>(tallies[i].drainRemoteSpending("guild", 0.0, now));
         const auto own = static_cast<std::int64_t>(loads[i]->tokensSpent - seen[i]);
-        const std::int64_t left = windows[i].update(perSecond, burst, own + elsewhere, now);
+        const std::int64_t left = windows[i].update(perSecond * share, burst * share, own + elsewhere, now);
         loads[i]->adjustBalance(loads[i]->tokensLimited ? left - remaining[i] + own : left, perSecond, limit, static_cast<std::int64_t>(untold));
         remaining[i] = left;
         seen[i] = loads[i]->tokensSpent;
@@ -248,6 +249,10 @@
         }
         for (std::size_t i = 0; i < names.size(); ++i) {
             for (std::size_t other = 0; step % steps == i % steps && other < names.size(); ++other) {
+                const bool lost = now >= cutAt && i % 3 != other % 3;
+                if (lost) {
+                    continue;
+                }
                 tallies[other].receive(noteOf(names[i], 7, step + 1, loads[i]->tokensSpent), now);
             }
         }
@@ -259,6 +264,7 @@
     static constexpr std::int64_t burst = 112'000;
     static constexpr std::int64_t limit = perSecond * 8 + burst;
     static constexpr std::int64_t slack = 140'000; // what many daemons may spend together before they hear of each other
+    time_point cutAt = noDeadline;                 // from then on the daemons form three groups that don't hear each other
     duration reportEvery;
     seeded_random random{7};
     std::vector<std::string> names;
@@ -321,6 +327,24 @@
     }
 }
 
+// The load: an idle account asks for five times its limit, a few seconds after its daemons were cut into groups that don't hear each other. An idle
+// account has its whole window left, and each group knew that.
+Test(spending, an_idle_accounts_window_is_not_spent_once_in_each_group_of_a_cut)
+{
+    for (const std::size_t daemons : {9U, 95U}) {
+        window_world world(daemons);
+        world.cutAt = start + 10s;
+        std::vector<std::int64_t> through;
+        for (time_point now = start; now < start + 30s; now += tickEvery) {
+            through.push_back(world.tick(now, now < start + 14s ? 0 : 2));
+        }
+        const std::int64_t most = mostInWindow(through);
+        const std::int64_t unknown = daemons < 10 ? 0 : window_world::slack;
+        cr_expect_leq(most, window_world::limit * 11 / 10 + unknown, "%zu daemons: %lld", daemons, static_cast<long long>(most));
+        cr_expect_geq(most, window_world::limit * 8 / 10, "%zu daemons: %lld; each group may use its share", daemons, static_cast<long long>(most));
+    }
+}
+
 Test(spending, a_lower_limit_of_a_window_is_kept_within_one_window)
 {
     token_window spending(8s, start);
