Account windows as a class of the core; spending before a limit was set is not charged

Found by reading: while an account has no limit its tokens are counted, but neither the window nor the others' reports were emptied, so a limit set later charged at once all that had been spent since, and refused the account for a whole window. The window is dropped with the limit, and its first balance starts from the burst.

--- /dev/null
+++ b/include/chicoryrouter/account_window.h
@@ -0,0 +1,36 @@
+// Applies the limit of a client account to a sliding window of the spending of all daemons, and keeps the account's balance at this daemon.
+//
+// Daemons that don't hear each other divide the limit: an idle account has its whole window left, which would otherwise be spent once on either
+// side of a cut. A daemon that has just started learns from the others what they spent within the window.
+// No clock or thread; used on the control strand only.
+#pragma once
+
+#include "chicoryrouter/dispatcher.h"
+#include "chicoryrouter/spending.h"
+#include "chicoryrouter/token_window.h"
+
+namespace chicoryrouter {
+
+class account_window
+{
+public:
+    // `length`: of the window. `start`: when the account's limit began to apply here.
+    account_window(duration length, time_point start);
+
+    // To be called several times a second. Takes what the others reported from `others` and sets the balance in `load`. `now` is the time that the
+    // reports are measured in; `bootTime` includes suspension, since tokens accrue during it as well.
+    void refill(account_load &load, const client_account &limits, spending_tracker &others, time_point now, time_point bootTime);
+
+    [[nodiscard]] std::uint64_t recent() const { return m_ownRecent; } // tokens that this daemon spent within the window, as of the last refill()
+
+private:
+    duration m_length;
+    token_window m_all;            // spending of all daemons, as far as this one knows
+    token_window m_own;            // spending of this daemon
+    std::uint64_t m_ownRecent = 0; // tokens in m_own
+    std::uint64_t m_ownSeen = 0;   // account_load::tokensSpent at the last refill()
+    std::int64_t m_remaining = 0;  // as m_all stated it last
+    bool m_first = true;           // no refill() yet
+};
+
+} // namespace chicoryrouter
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -3,10 +3,10 @@
 // take a lock or read a published table; all others must be called on the control strand.
 #pragma once
 
+#include "chicoryrouter/account_window.h"
 #include "chicoryrouter/cluster_state.h"
 #include "chicoryrouter/settings.h"
 #include "chicoryrouter/spending.h"
-#include "chicoryrouter/token_window.h"
 #include "shell/copy_manager.h"
 #include "shell/datagram_link.h"
 #include "shell/gateway.h"
@@ -136,19 +136,7 @@
     document_pull_timer m_pull;
     fleet m_fleet;
     placement_loop m_placement;
-    // Sliding window of an account's spending by all daemons, as far as this daemon knows.
-    struct account_spending
-    {
-        token_window window;
-        token_window own;            // of this daemon's spending alone
-        std::uint64_t ownRecent = 0; // tokens in it
-        std::int64_t remaining = 0;  // as `window` stated it last
-        std::uint64_t ownSeen = 0;   // of account_load::tokensSpent, what the window includes
-    };
-
-    void applyAccountWindow(const client_account &account, account_load &load, double remoteSpending, double unreportedSpending, double share);
-
-    std::map<std::string, account_spending> m_accountSpending;       // by account name; empty without settings::accountWindow
+    std::map<std::string, account_window> m_accountWindows;          // by account name, accounts with a limit only; empty without settings::accountWindow
     std::map<std::string, std::shared_ptr<account_load>> m_accounts; // by account name; kept across document changes so that counts stay correct
     std::map<std::string, std::uint64_t> m_previousDemand;           // by account: total demand at the last measurement
     spending_tracker m_spending;                                     // of accounts with a token rate limit
--- a/src/shell/control_reports.cpp
+++ b/src/shell/control_reports.cpp
@@ -55,44 +55,22 @@
         }
         if (account.tokensPerSecond <= 0.0) {
             found->second->tokensLimited = false;
+            m_accountWindows.erase(account.name);
             continue;
         }
-        const bool windowed = m_settings.accountWindow > duration{};
-        const double assumedRate = windowed ? 0.0 : account.tokensPerSecond; // a window's limit excludes the share of silent daemons instead
-        const double remoteSpending = m_spending.drainRemoteSpending(account.name, assumedRate, now);
-        const double unreportedSpending = m_spending.unreportedRemoteSpending(account.name, now);
-        if (windowed) {
-            applyAccountWindow(account, *found->second, remoteSpending, unreportedSpending, m_spending.reachableShare(now));
+        if (m_settings.accountWindow > duration{}) {
+            account_window &window = m_accountWindows.try_emplace(account.name, m_settings.accountWindow, refillTime).first->second;
+            window.refill(*found->second, account, m_spending, now, refillTime);
             continue;
         }
+        const double remoteSpending = m_spending.drainRemoteSpending(account.name, account.tokensPerSecond, now);
+        const double unreportedSpending = m_spending.unreportedRemoteSpending(account.name, now);
         const auto rate = static_cast<std::int64_t>(account.tokensPerSecond);
         found->second->refill(rate, static_cast<std::int64_t>(account.tokenBurst), elapsed, static_cast<std::int64_t>(remoteSpending),
             static_cast<std::int64_t>(unreportedSpending));
     }
 }
 
-// Daemons that don't hear each other divide the limit: an idle account's whole window would otherwise be spent once on either side of a cut.
-// `share`: of the limit, for the daemons that this one hears.
-void control::applyAccountWindow(const client_account &account, account_load &load, double remoteSpending, double unreportedSpending, double share)
-{
-    const auto [item, first]
-        = m_accountSpending.try_emplace(account.name, account_spending{{m_settings.accountWindow, m_refilledAt}, {m_settings.accountWindow, m_refilledAt}});
-    account_spending &state = item->second;
-    const std::uint64_t ownSpent = load.tokensSpent;
-    const auto own = static_cast<std::int64_t>(ownSpent - state.ownSeen);
-    const std::int64_t spent = own + static_cast<std::int64_t>(remoteSpending);
-    state.ownRecent = static_cast<std::uint64_t>(std::max<std::int64_t>(-state.own.update(0.0, 0.0, own, m_refilledAt), 0));
-    state.window.addEarlier(m_spending.drainEarlierSpending(account.name), m_refilledAt);
-    const std::int64_t remaining = state.window.update(account.tokensPerSecond * share, account.tokenBurst * share, spent, m_refilledAt);
-    const bool known = load.tokensLimited; // otherwise own spending was not deducted from the balance
-    const double seconds = std::chrono::duration<double>(m_settings.accountWindow).count();
-    const double capacity = (account.tokensPerSecond * seconds + account.tokenBurst) * share;
-    load.adjustBalance(known ? remaining - state.remaining + own : remaining, static_cast<std::int64_t>(capacity / seconds),
-        static_cast<std::int64_t>(capacity), static_cast<std::int64_t>(unreportedSpending));
-    state.remaining = remaining;
-    state.ownSeen = ownSpent;
-}
-
 void control::onRequestStarted(const std::string &account)
 {
     if (account.empty()) {
@@ -209,8 +187,8 @@
             report.startedRequests[window] = std::move(counts);
         }
     }
-    for (const auto &[name, state] : m_accountSpending) {
-        report.recent[name] = state.ownRecent;
+    for (const auto &[name, window] : m_accountWindows) {
+        report.recent[name] = window.recent();
     }
     std::string bytes = encodeSpending(report);
     if (bytes.size() > maxSpendingBytes) {
--- a/tests/unit/spending.cpp
+++ b/tests/unit/spending.cpp
@@ -1,8 +1,8 @@
 // Account limits that daemons share by notes, usage windows, and what is assumed of daemons that fell silent.
 #include "chicoryrouter/spending.h"
+#include "chicoryrouter/account_window.h"
 #include "chicoryrouter/dispatcher.h"
 #include "chicoryrouter/random.h"
-#include "chicoryrouter/token_window.h"
 
 #include <criterion/criterion.h>
 
@@ -221,25 +221,10 @@
             loads.push_back(std::make_unique<account_load>());
             windows.emplace_back(window, start);
         }
-        ownWindows = windows;
         processes.assign(daemons, 7);
-        recent.resize(daemons);
-        remaining.resize(daemons);
-        seen.resize(daemons);
-    }
-
-    void refill(std::size_t i, time_point now)
-    {
-        const double untold = tallies[i].unreportedRemoteSpending("guild", now);
-        windows[i].addEarlier(tallies[i].drainEarlierSpending("guild"), now);
-        const double share = tallies[i].reachableShare(now);
-        const auto elsewhere = static_cast<std::int64_t>(tallies[i].drainRemoteSpending("guild", 0.0, now));
-        const auto own = static_cast<std::int64_t>(loads[i]->tokensSpent - seen[i]);
-        recent[i] = static_cast<std::uint64_t>(-ownWindows[i].update(0.0, 0.0, own, now));
-        const std::int64_t left = windows[i].update(perSecond * share, burst * share, own + elsewhere, now);
-        loads[i]->adjustBalance(loads[i]->tokensLimited ? left - remaining[i] + own : left, perSecond, limit, static_cast<std::int64_t>(untold));
-        remaining[i] = left;
-        seen[i] = loads[i]->tokensSpent;
+        guild.name = "guild";
+        guild.tokensPerSecond = perSecond;
+        guild.tokenBurst = burst;
     }
 
     // `asked` requests arrive at random daemons within one tick. Returns the tokens that are let through.
@@ -248,7 +233,7 @@
         const auto step = static_cast<std::size_t>((now - start) / tickEvery);
         const auto steps = static_cast<std::size_t>(std::max<std::int64_t>(reportEvery / tickEvery, 1));
         for (std::size_t i = 0; i < names.size(); ++i) {
-            refill(i, now);
+            windows[i].refill(*loads[i], guild, tallies[i], now, now);
         }
         std::int64_t through = 0;
         for (std::size_t k = 0; k < asked; ++k) {
@@ -261,7 +246,7 @@
                     continue;
                 }
                 spending_report report = noteOf(names[i], processes[i], step + 1, loads[i]->tokensSpent);
-                report.recent["guild"] = recent[i];
+                report.recent["guild"] = windows[i].recent();
                 tallies[other].receive(report, now);
             }
         }
@@ -274,10 +259,7 @@
         tallies[i] = spending_tracker(names[i]);
         tallies[i].setMembers(names, now);
         loads[i] = std::make_unique<account_load>();
-        windows[i] = token_window(window, now);
-        ownWindows[i] = token_window(window, now);
-        remaining[i] = 0;
-        seen[i] = 0;
+        windows[i] = account_window(window, now);
     }
 
     static constexpr std::int64_t requestTokens = 5'000;
@@ -291,12 +273,9 @@
     std::vector<std::string> names;
     std::vector<spending_tracker> tallies;
     std::vector<std::unique_ptr<account_load>> loads;
-    std::vector<token_window> windows;
-    std::vector<token_window> ownWindows;
+    std::vector<account_window> windows;
     std::vector<std::uint64_t> processes; // their starts
-    std::vector<std::uint64_t> recent;
-    std::vector<std::int64_t> remaining;
-    std::vector<std::uint64_t> seen;
+    client_account guild;
 };
 
 // Tokens let through in each tick of a minute, when `perSecond` requests are asked for evenly.
@@ -399,3 +378,26 @@
     cr_expect_leq(spending.update(500.0, 0.0, 0, now), -3000, "eight seconds of the former limit were spent");
     cr_expect_geq(spending.update(500.0, 0.0, 0, now + 9s), 4000);
 }
+
+// While an account has no limit, its spending is counted but not limited. When a limit is set, what was spent long before must not be charged.
+Test(spending, spending_before_a_limit_was_set_is_not_charged)
+{
+    account_load load;
+    spending_tracker others("entry-1");
+    others.setMembers({"entry-1", "entry-2"}, start);
+    others.receive(noteOf("entry-2", 7, 1, 100), start);
+    cr_assert(load.trySpendTokens(5'000'000), "no limit yet");
+    others.receive(noteOf("entry-2", 7, 2, 9'000'000), start + 100ms);
+    others.receive(noteOf("entry-2", 7, 3, 9'000'000), start + 150ms);
+    client_account guild;
+    guild.name = "guild";
+    guild.tokensPerSecond = 1000.0;
+    guild.tokenBurst = 2000.0;
+    account_window limited(window, start + 200ms);
+    limited.refill(load, guild, others, start + 200ms, start + 200ms);
+    cr_expect_eq(load.tokensLeft, 2000);
+    cr_expect(load.trySpendTokens(500));
+    limited.refill(load, guild, others, start + 300ms, start + 300ms);
+    cr_expect_eq(load.tokensLeft, 1600, "the burst, what 0.1 s brought, less what was spent");
+    cr_expect_eq(limited.recent(), 500);
+}
