Pace a cold endpoint from its first request on

Pace tokens were refilled by the 50 ms timer only, so until its next turn the endpoint counted as warm. Ruled out: pace tokens that several daemons saved (they expire), an endpoint that turned cold unseen (its entry says so). Change: the list of endpoints and each new table refill the tokens first. The test fails before (700 requests at once) and so did cold.cpp's own model, which refilled by hand after each list.

--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -61,7 +61,7 @@
     m_dirty = true;
 }
 
-std::vector<reclaim_notice> fleet::onInstanceList(const std::vector<instance_record> &list, time_point)
+std::vector<reclaim_notice> fleet::onInstanceList(const std::vector<instance_record> &list, time_point now)
 {
     std::vector<reclaim_notice> notices;
     std::set<std::string> listed;
@@ -86,6 +86,7 @@
         const bool removable = !item->second.listed && item->second.info.load->inFlight.load() == 0;
         item = removable ? m_endpoints.erase(item) : std::next(item);
     }
+    refillPaceTokens(now); // a cold endpoint that is new must be paced before a table with it is published
     m_dirty = true;
     return notices;
 }
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -421,6 +421,7 @@
 
 void control::publish()
 {
+    m_fleet.refillPaceTokens(systemNow()); // a document that has just come into force may state that cold endpoints are to be paced
     m_host.slots.publish(m_fleet.buildTable());
     logEndpointUses();
     for (const std::string &service : m_host.slots.servicesWaiting()) {
--- a/tests/unit/cold.cpp
+++ b/tests/unit/cold.cpp
@@ -48,6 +48,18 @@
         }
     }
 
+    // As list(), but requests come before the next refill of pace tokens.
+    void listAndUseAtOnce(time_point coldUntil)
+    {
+        instance_record record{"e0", "fd-1", instance_class::Reclaimable, "writer", "v1", {"10.0.0.1", 1}};
+        record.slots = 1000;
+        record.coldUntil = coldUntil;
+        for (const auto &item : fleets) {
+            item->onInstanceList({record}, someday);
+            tables.push_back(item->buildTable());
+        }
+    }
+
     // Requests that each daemon may start now.
     std::size_t take(std::size_t daemon) const
     {
@@ -116,3 +128,17 @@
     all.fleets[0]->refillPaceTokens(someday + 50ms);
     cr_assert_eq(all.take(0), 100);
 }
+
+// The load: requests wait at every daemon when a cold endpoint appears. Pace tokens are refilled by a timer, so until its next turn nothing paced
+// the endpoint: seven daemons sent it 26 requests in 30 ms, and it crashed.
+Test(cold, an_endpoint_that_appears_cold_is_paced_from_its_first_request_on)
+{
+    constexpr std::size_t daemons = 7;
+    cold_world all(daemons);
+    all.listAndUseAtOnce(someday + 10s);
+    std::size_t started = 0;
+    for (std::size_t i = 0; i < daemons; ++i) {
+        started += all.take(i);
+    }
+    cr_expect_leq(started, daemons, "%zu requests at once", started);
+}
