--- a/src/core/scaling.cpp
+++ b/src/core/scaling.cpp
@@ -38,7 +38,8 @@
         m_startedAt = std::min(m_startedAt, now);
     }
     if (load.open <= 0.0) {
-        const bool starting = m_observedSince == noDeadline && now < m_startedAt + observeBeforeOrders; // later, replacements may run beside the found ones
+        const bool found = m_startedAt != noDeadline && now < m_startedAt + observeBeforeOrders; // later, replacements may run beside them
+        const bool starting = found && m_observedSince == noDeadline;
         m_foundEndpoints = starting ? std::max(m_foundEndpoints, endpoints) : m_foundEndpoints;
     } else {
         m_observedSince = std::min(m_observedSince, now);
