Account windows: a limit grows from nothing after a start, not from the burst

Ruled out: a single restart (the others state what was spent). Change: for one window after a start an account may spend the part of its limit that the time since then is of the window. A daemon starts ten seconds before traffic, so this shows after restarts only. Remaining: an account that spends a whole window in three seconds, and then all daemons restart, still exceeds it: that needs the spending in the platform's store.

--- a/include/chicoryrouter/token_window.h
+++ b/include/chicoryrouter/token_window.h
@@ -4,7 +4,7 @@
 // window's limit includes the burst at all times. Use it where the limit is promised by window, for accounts whose demand stays above the
 // rate but within the window's limit.
 // What was spent before the start is known only as far as addEarlier() was told. So for one window after the start the account may also spend no
-// more than its burst and its rate since then.
+// more than the part of the limit that the time since then is of the window.
 // No clock or thread; used on the control strand only.
 #pragma once
 
--- a/src/core/token_window.cpp
+++ b/src/core/token_window.cpp
@@ -37,12 +37,13 @@
         m_sum -= m_slots.front().tokens;
         m_slots.pop_front();
     }
-    const auto allowed = [&](duration span) {
-        return static_cast<std::int64_t>(perSecond * std::chrono::duration<double>(span).count() + burst);
-    };
-    const std::int64_t remaining = allowed(m_length) - m_sum;
-    const bool startIsRecent = now < m_start + m_length;
-    return startIsRecent ? std::min(remaining, allowed(now - m_start) - (m_sum - m_earlier)) : remaining;
+    const double limit = perSecond * std::chrono::duration<double>(m_length).count() + burst;
+    const std::int64_t remaining = static_cast<std::int64_t>(limit) - m_sum;
+    if (now >= m_start + m_length) {
+        return remaining;
+    }
+    const double elapsedPart = std::chrono::duration<double>(now - m_start) / std::chrono::duration<double>(m_length);
+    return std::min(remaining, static_cast<std::int64_t>(limit * elapsedPart) - (m_sum - m_earlier));
 }
 
 } // namespace chicoryrouter
