--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -135,10 +135,11 @@
         if (value == nullptr || value->is_null()) {
             return fallback;
         }
-        if (!value->is_number() || value->get<double>() < 0.0) {
+        const double number = value->is_number() ? value->get<double>() : -1.0;
+        if (!(number >= 0.0)) { // also refuses what is not a number
             fail(pointer, "expected a number of at least 0");
         }
-        return static_cast<unsigned>(std::min(value->get<double>(), static_cast<double>(most)));
+        return static_cast<unsigned>(std::min(number, static_cast<double>(most)));
     }
 
     void failOnUnknown() const { failOnUnknownIn(m_root.json, ""); }
--- a/tests/unit/documents.cpp
+++ b/tests/unit/documents.cpp
@@ -160,6 +160,7 @@
         {"retry_reserve", "", ""},
         {"retry_reserve", "-1", "expected a number of at least 0"},
         {"retry_reserve", "many", "expected a number of at least 0"},
+        {"retry_reserve", ".nan", "expected a number of at least 0"},
         {"lease_term", "3000.0ms", ""},
         {"lease_term", "2999.5ms", ""},
         {"lease_term", "3000000ms", "expected a time with a unit from 1s to 1min"},
