Tests: one place lists the cold endpoint for both cases

cold_world::list() wrote the record again. No assertion changed; cold/* passes (4 tests), the rest of the tests was not run again after this.

--- a/tests/unit/cold.cpp
+++ b/tests/unit/cold.cpp
@@ -38,11 +38,9 @@
 
     void list(time_point coldUntil)
     {
-        instance_record record{"e0", "fd-1", instance_class::Reclaimable, "writer", "v1", {"10.0.0.1", 1}};
-        record.slots = 1000;
-        record.coldUntil = coldUntil;
+        listAndUseAtOnce(coldUntil);
+        tables.clear();
         for (const auto &item : fleets) {
-            item->onInstanceList({record}, someday);
             item->refillPaceTokens(someday);
             tables.push_back(item->buildTable());
         }
