--- a/include/chicoryrouter/request_machine.h
+++ b/include/chicoryrouter/request_machine.h
@@ -21,6 +21,7 @@
 #include "chicoryrouter/document.h"
 #include "chicoryrouter/endpoint.h"
 #include "chicoryrouter/error.h"
+#include "chicoryrouter/prompt_parts.h"
 #include "chicoryrouter/router.h"
 #include "chicoryrouter/time.h"
 
@@ -44,6 +45,7 @@
     double weight = 1.0;            // of the client account
     std::uint64_t prefix = 0;       // prefixKey() of the prompt; 0: no prefix to reuse
     std::uint32_t prefixTokens = 0; // length of that prefix; 0: unknown
+    prompt_parts promptParts{};     // of the prompt; empty: unknown
     time_point arrival{};
     time_point waitUntil = noDeadline;  // deadline of the first send
     time_point deadline = noDeadline;   // deadline of the last byte
--- a/src/shell/relay_gateway.h
+++ b/src/shell/relay_gateway.h
@@ -23,6 +23,7 @@
     time_point deadline = noDeadline;   // the caller does not wait beyond this
     std::uint64_t prefix = 0;           // identifies the prompt prefix shared with other requests; 0 if there is none
     std::uint32_t prefixTokens = 0;     // length of that prefix; 0: unknown
+    prompt_parts promptParts;           // of the prompt; empty if not stated
     std::optional<std::int64_t> tokens; // prompt tokens plus the maximum output tokens; empty if not stated
     request_payload payload;
 };
@@ -125,6 +126,7 @@
         facts.waitUntil = std::min(facts.waitUntil, now + (facts.deadline - now) / 2);
         facts.prefix = call.prefix;
         facts.prefixTokens = call.prefixTokens;
+        facts.promptParts = std::move(call.promptParts);
         logEvent(log_event::RequestAdmitted,
             {{"request", call.id}, {"route", effectiveRoute.route}, {"account", facts.account}, {"tokens", call.tokens.value_or(0)},
                 {"tokens_left", tokensLeft}, {"revision", config.document->revision}, {"deadline_left_ms", inMilliseconds(facts.deadline - now)}});
--- a/src/shell/request_session_attempts.cpp
+++ b/src/shell/request_session_attempts.cpp
@@ -295,7 +295,7 @@
     m_openAttempts.erase(number);
     recordEvent(log_event::AttemptFailed,
         {{"attempt", number}, {"endpoint", open->target->id}, {"error", responseFor(kind).name}, {"reach", toText(progress)}, {"pieces", m_tokens.size()},
-            {"after_ms", inMilliseconds(systemNow() - facts().arrival)}});
+            {"after_ms", inMilliseconds(systemNow() - facts().arrival)}, {"parts", m_tokens.empty() ? partNames(facts().promptParts) : std::string()}});
     perform(m_machine.onAttemptFailed(number, progress, kind, systemNow()));
 }
 
