--- a/src/shell/http.h
+++ b/src/shell/http.h
@@ -90,7 +90,8 @@
     void closeIdle();                                 // any thread; closes the connections that have no request in progress
     [[nodiscard]] std::size_t connections() const;    // open connections
     [[nodiscard]] std::size_t busy() const;           // connections with a request in progress or a response still being sent
-    void abortAll();                                  // closes every connection immediately; simulates a crash
+    void abortConnections();                          // any thread; closes every connection immediately, but goes on listening
+    void abortAll();                                  // the same, and stops listening; simulates a crash
 
 private:
     struct state;
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -150,10 +150,15 @@
     return m_state->connections->busy;
 }
 
+void http_server::abortConnections()
+{
+    m_state->connections->closeAll(false);
+}
+
 void http_server::abortAll()
 {
     close();
-    m_state->connections->closeAll(false);
+    abortConnections();
 }
 
 } // namespace chicoryrouter
--- a/tests/support/hosted_platform.cpp
+++ b/tests/support/hosted_platform.cpp
@@ -375,8 +375,34 @@
         .dump();
 }
 
+std::vector<time_point> hosted_endpoint::crashes()
+{
+    const std::lock_guard guard(m_lock);
+    return m_crashes;
+}
+
+void hosted_endpoint::crash()
+{
+    {
+        const std::lock_guard guard(m_lock);
+        m_crashes.push_back(systemNow());
+    }
+    m_server.abortConnections();
+}
+
+bool hosted_endpoint::isDown()
+{
+    constexpr duration downTime = 300ms; // after a crash
+    const std::lock_guard guard(m_lock);
+    return !m_crashes.empty() && systemNow() < m_crashes.back() + downTime;
+}
+
 asio::awaitable<void> hosted_endpoint::handle(http_exchange &exchange)
 {
+    if (isDown()) {
+        exchange.abandon();
+        co_return;
+    }
     const std::string request(exchange.request.header("X-Request-Id"));
     {
         const std::lock_guard guard(m_lock);
@@ -401,6 +427,11 @@
         co_await pause(exchange, 30s);
     }
     co_await pause(exchange, std::chrono::milliseconds(faults.workMillis.load()));
+    if (faults.crashesOnPart && exchange.request.header("X-Prompt-Prefix").find(hostedDeadlyPart) != std::string_view::npos) {
+        crash();
+        exchange.abandon();
+        co_return;
+    }
     const bool foreign = takeOne(faults.foreignNext);
     headers[0].value = foreign ? "somebody-else" : request;
     headers.push_back({"X-Response-Seal", "seal-" + m_id});
--- a/tests/support/hosted_platform.h
+++ b/tests/support/hosted_platform.h
@@ -112,6 +112,7 @@
     std::atomic<int> silentNext{0};          // run and never answered
     std::atomic<bool> otherInstance{false};  // its address has another endpoint now
     std::atomic<std::int64_t> workMillis{0}; // before the answer, and between two events
+    std::atomic<bool> crashesOnPart{false};  // as it begins to answer a prompt with hostedDeadlyPart it loses all its connections and is gone for a while
 };
 
 class hosted_endpoint : hosted_stand_in
@@ -125,20 +126,25 @@
     [[nodiscard]] address where() const { return {"127.0.0.1", m_server.port()}; }
     [[nodiscard]] std::map<std::string, int> runs(); // by request id
     [[nodiscard]] std::vector<http_request> seen();  // requests as they arrived, refused ones too
+    [[nodiscard]] std::vector<time_point> crashes(); // on hostedDeadlyPart
     [[nodiscard]] std::string entry(const std::string &service, const std::string &domain, const std::string &state = "ready") const;
 
 private:
     boost::asio::awaitable<void> handle(http_exchange &exchange);
     boost::asio::awaitable<void> stream(http_exchange &exchange, bool cut);
+    void crash();
+    [[nodiscard]] bool isDown();
 
     std::string m_id;
     std::mutex m_lock;
     std::map<std::string, int> m_runs;
     std::vector<http_request> m_seen;
+    std::vector<time_point> m_crashes;
     http_server m_server; // last
 };
 
-inline constexpr std::uint32_t hostedEvents = 6; // of every stream
+inline constexpr std::string_view hostedDeadlyPart = "dead1e55"; // a part of a prompt, see hosted_endpoint_faults::crashesOnPart
+inline constexpr std::uint32_t hostedEvents = 6;                 // of every stream
 std::string hostedEvent(std::uint32_t number);
 
 // ---- Duties ----------------------------------------------------------------------------------------------------------------------------
