Quarantine prompt parts that crash endpoints

Callers saw streams cut and 502 on one endpoint after the other: any request with a deadly part was sent to an endpoint, and on routes that may be resumed to a second one. Nothing connected the crashes.

Cause: the daemons judged endpoints by requests, never requests by endpoints (a query of death).

Change: prompt_quarantine (core, no I/O). Each daemon reports which parts a prompt had whose endpoint was lost before its answer got going, and which parts were answered; reports go to all daemons as datagrams. A part that was there in three crashes (five if one daemon alone saw them, six if it was answered before) and was never answered since is quarantined for 10 minutes: refused at once with 503 and no Retry-After; waiting, repeated and unanswered requests end. The quarantine is recorded in the platform's store, so it survives restarts and reaches daemons that hear no other. A crash that a quarantined part accounts for accuses no other part.

--- a/include/chicoryrouter/error.h
+++ b/include/chicoryrouter/error.h
@@ -22,11 +22,12 @@
     KeyRequired,    // the route needs an Idempotency-Key
     KeyReused,      // the Idempotency-Key was used before with another body
     // Load
-    AccountOverLimit, // the client account's own limit is reached
-    Overloaded,       // the queue for this priority is full
-    QueueTimeout,     // waited in the queue for as long as the route allows
-    NoEndpoint,       // no endpoint of the service accepts new requests
-    ShuttingDown,     // this entry instance accepts no new requests
+    AccountOverLimit,  // the client account's own limit is reached
+    Overloaded,        // the queue for this priority is full
+    QueueTimeout,      // waited in the queue for as long as the route allows
+    NoEndpoint,        // no endpoint of the service accepts new requests
+    ShuttingDown,      // this entry instance accepts no new requests
+    PromptQuarantined, // a part of the prompt crashes endpoints
     // Calls that run at most once
     PlatformUnavailable, // the key-value service could not record the claim on the key, so nothing was sent
     ClaimedElsewhere,    // another call with the same key is in progress
--- a/include/chicoryrouter/request_machine.h
+++ b/include/chicoryrouter/request_machine.h
@@ -169,8 +169,9 @@
     request_actions onAttemptFailed(std::uint32_t attempt, attempt_progress progress, error_kind kind, time_point now);
     request_actions onReclaimNotice(std::string_view endpointId, time_point reclaimDeadline, move_method method, time_point now);
     request_actions onTransferred(bool succeeded, time_point now);
-    request_actions onCallerGone(time_point now); // the caller disconnected; a must-finish request continues
-    request_actions onHandedOver(time_point now); // another daemon took the request over; it ends here without an answer
+    request_actions onCallerGone(time_point now);  // the caller disconnected; a must-finish request continues
+    request_actions onQuarantined(time_point now); // a part of the prompt crashes endpoints: ends the request unless its answer has got going
+    request_actions onHandedOver(time_point now);  // another daemon took the request over; it ends here without an answer
     request_actions onTimer(time_point now);
 
     [[nodiscard]] time_point nextDeadline() const;
--- a/src/core/request_machine.cpp
+++ b/src/core/request_machine.cpp
@@ -1,6 +1,7 @@
 // State machine of one request. The functions are in the order of a request's life cycle.
 #include "chicoryrouter/request_machine.h"
 
+#include "chicoryrouter/prompt_quarantine.h"
 #include "chicoryrouter/retry_budget.h"
 
 #include <algorithm>
@@ -339,6 +340,12 @@
     return fail(error_kind::CallerGone);
 }
 
+request_actions request_machine::onQuarantined(time_point)
+{
+    const bool provedSound = m_delivered >= answeredAfterPieces;
+    return m_over || provedSound ? request_actions{} : fail(error_kind::PromptQuarantined);
+}
+
 request_actions request_machine::onHandedOver(time_point)
 {
     request_actions actions;
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -69,6 +69,7 @@
     , m_pull(m_hooks.documentPullDelay)
     , m_fleet(daemonSettings.failureDomain, hashBytes(daemonSettings.instance))
     , m_placement(daemonSettings, m_context, m_client, m_store)
+    , m_quarantine(mixBits(hashBytes(daemonSettings.instance) ^ m_processStart))
     , m_spending(daemonSettings.instance)
     , m_usage(daemonSettings.usageWindow)
 {
@@ -368,6 +369,7 @@
     while (true) {
         co_await pause(tickInterval);
         applyOutcomes();
+        updateQuarantine();
         m_fleet.startDueProbes(systemNow());
         m_fleet.refillPaceTokens(systemNow());
         measureLoad();
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -5,6 +5,7 @@
 
 #include "chicoryrouter/account_window.h"
 #include "chicoryrouter/cluster_state.h"
+#include "chicoryrouter/prompt_quarantine.h"
 #include "chicoryrouter/settings.h"
 #include "chicoryrouter/spending.h"
 #include "shell/copy_manager.h"
@@ -35,7 +36,8 @@
     duration documentPullDelay{};                     // wait before a newer document is pulled from a peer, so that the replacement source can deliver it first
     std::function<void(const document &)> onDocument; // called when a document has taken effect
     std::function<void()> onLeave;                    // called when this instance is about to stop
-    std::function<void(metrics &)> updateGauges;      // called once a second to set additional gauges
+    std::function<void(std::uint64_t part, duration remaining)> onQuarantineChange; // a prompt part is quarantined from now on; 0: no longer
+    std::function<void(metrics &)> updateGauges;                                    // called once a second to set additional gauges
     // Handles peer calls whose path the control strand does not know; returns nullopt for unknown paths.
     std::function<boost::asio::awaitable<std::optional<std::string>>(std::string path, std::string body)> onPeerCall;
 };
@@ -57,6 +59,7 @@
     void leave(); // any thread: announces to peers that this instance leaves, and releases leases
 
     void onOutcome(const attempt_outcome &outcome); // any thread
+    void onPromptOutcome(prompt_outcome outcome);   // any thread
     [[nodiscard]] std::string statusJson();         // any thread but the control strand; blocks until the strand has answered
     [[nodiscard]] boost::asio::io_context &context() { return m_context; }
     [[nodiscard]] std::shared_ptr<const revisioned_document> currentDocument() const { return m_gateway.config.share()->document; } // any thread
@@ -71,6 +74,7 @@
     void offerDocument(const document_envelope &envelope, const std::string &source);
     void setEndpointsKnownAt(time_point moment); // in bootTimeNow() time, which includes machine suspension; an earlier value than the stored one is ignored
     void refreshMoves();
+    void adoptQuarantine(std::uint64_t part, duration remaining); // quarantined by another daemon
     cluster_state &clusterState() { return m_clusterState; }
     void runWithRestart(const std::string &name, const std::function<boost::asio::awaitable<void>()> &loop); // restarts the loop after an exception
     void onRequestStarted(const std::string &account); // any thread: an endpoint has started to answer a request
@@ -105,6 +109,7 @@
 
     void applyLoadReports(const std::vector<load_report> &reports);
     void applyOutcomes();
+    void updateQuarantine();
     void measureLoad();
     void countStartedRequests();
     void refillAccounts();
@@ -139,6 +144,7 @@
     std::map<std::string, account_window> m_accountWindows;          // by account name, accounts with a limit only; empty without settings::accountWindow
     std::map<std::string, std::shared_ptr<account_load>> m_accounts; // by account name; kept across document changes so that counts stay correct
     std::map<std::string, std::uint64_t> m_previousDemand;           // by account: total demand at the last measurement
+    prompt_quarantine m_quarantine;                                  // of prompt parts that crash endpoints
     spending_tracker m_spending;                                     // of accounts with a token rate limit
     std::unique_ptr<datagram_link> m_datagramLink;                   // UDP; null when `hosted` is off in the settings: no reports are sent or received
     std::uint64_t m_datagramSequence = 0;
@@ -155,6 +161,7 @@
     std::map<std::string, endpoint_use> m_loggedUses; // by endpoint id: the use last logged
     std::mutex m_outcomesLock;
     std::vector<attempt_outcome> m_outcomes;           // reported by request threads since the last tick; guarded by m_outcomesLock
+    std::vector<prompt_outcome> m_promptOutcomes;      // the same
     std::string m_instanceListText;                    // the latest instance list as received, served to peers that do not poll the platform
     std::uint64_t m_storeVersion = 0;                  // version of the configuration key when last read
     std::uint64_t m_handledMemberChanges = UINT64_MAX; // the membership change count that refreshMembers() last handled
--- a/src/shell/control_reports.cpp
+++ b/src/shell/control_reports.cpp
@@ -1,5 +1,5 @@
 // The control strand's exchange of UDP datagrams with other daemons: spending reports (tokens spent by account, started requests by window, load
-// by service) and evidence about versions under trial.
+// by service), evidence about versions under trial, and reports on prompts that crash endpoints.
 #include "chicoryrouter/hash.h"
 #include "shell/clock.h"
 #include "shell/control.h"
@@ -132,8 +132,8 @@
     return sum;
 }
 
-// Sends the spending report and the evidence to all live members when they are due. The interval grows with the number of members, so that the number
-// of datagrams that a daemon receives per second stays bounded.
+// Sends the spending report, the evidence and the reports on prompts to all live members when they are due. The interval grows with the number of members, so
+// that the number of datagrams that a daemon receives per second stays bounded.
 void control::sendDatagrams()
 {
     const time_point now = systemNow();
@@ -155,6 +155,9 @@
     for (const std::string &bytes : m_clusterState.evidenceDatagrams(maxSpendingBytes)) {
         m_datagramLink->send(peers, datagram_kind::Evidence, bytes);
     }
+    for (const std::string &bytes : m_quarantine.datagrams(maxSpendingBytes, bootTimeNow())) {
+        m_datagramLink->send(peers, datagram_kind::Quarantine, bytes);
+    }
 }
 
 void control::receiveDatagram(datagram_kind kind, std::string_view bytes)
@@ -168,6 +171,9 @@
     case datagram_kind::Evidence:
         m_clusterState.receiveEvidenceDatagram(bytes);
         break;
+    case datagram_kind::Quarantine:
+        m_quarantine.receive(bytes, bootTimeNow());
+        break;
     }
 }
 
--- a/src/shell/control_status.cpp
+++ b/src/shell/control_status.cpp
@@ -121,6 +121,8 @@
     counts.setGauge("open_requests", static_cast<double>(m_host.openCount()));
     counts.setGauge("log_lines_dropped_total", static_cast<double>(droppedLogLines()));
     counts.setGauge("log_lines_left_out_total", static_cast<double>(suppressedLogLines()));
+    counts.setGauge("prompt_parts_quarantined", static_cast<double>(m_quarantine.quarantined().size()));
+    counts.setGauge("prompt_parts_suspected", static_cast<double>(m_quarantine.suspectCount()));
     counts.setGauge("accounts_silent_peers", static_cast<double>(m_spending.silentCount(now)));
     std::map<std::pair<std::string, endpoint_use>, int> uses;
     for (const endpoint_ptr &item : m_fleet.endpoints()) {
--- a/src/shell/datagram_link.h
+++ b/src/shell/datagram_link.h
@@ -19,6 +19,7 @@
 enum class datagram_kind : char {
     Spending = 's',
     Evidence = 'e',
+    Quarantine = 'q',
 };
 
 // Sends and receives datagrams on one UDP socket. A datagram is the deployment's prefix, a datagram_kind and the payload.
--- a/src/shell/log_events.cpp
+++ b/src/shell/log_events.cpp
@@ -56,6 +56,8 @@
     {EndpointUse, "endpoint_use", log_part::Load, log_level::Info, "the use state of an endpoint changed",
         "endpoint service version failure_domain use before slots open_here first_token_us"},
     {EndpointNotice, "endpoint_notice", log_part::Load, log_level::Info, "an endpoint received notice that it will be reclaimed", "endpoint leaves_in_ms"},
+    {PromptQuarantine, "prompt_quarantine", log_part::Load, log_level::Warning, "the quarantine of a prompt part that crashes endpoints began or ended",
+        "part change crashes remaining_ms"},
     {MembersChanged, "members_changed", log_part::Member, log_level::Info, "the list of member daemons or their states changed", "members"},
     {MoveChanged, "move_changed", log_part::Move, log_level::Info, "the progress of a service's move to a new version changed",
         "service from to state share step answers slowness passed leaning why"},
--- a/src/shell/log_events.h
+++ b/src/shell/log_events.h
@@ -62,7 +62,8 @@
     DocumentPassedOver, // same revision, different content
     EntryUnreadable,
     EndpointUse,
-    EndpointNotice, // will be reclaimed
+    EndpointNotice,   // will be reclaimed
+    PromptQuarantine, // a prompt part that crashes endpoints
     MembersChanged,
     MoveChanged,     // move of a service to a new version
     AccountsNotTold, // spending not sent to the peers
--- a/src/shell/relay_gateway.h
+++ b/src/shell/relay_gateway.h
@@ -112,16 +112,20 @@
         }
         contract effectiveRoute = *route;
         effectiveRoute.service = pickWeightedService(*route, thread.random);
-        std::string account;
+        const account_entry *account = route->allowsAnonymous ? nullptr : &findAccount(config, call.key);
+        if (const std::optional<std::uint64_t> part = m_host.quarantinedPart(call.promptParts)) {
+            throw error(error_kind::PromptQuarantined, "the quarantined part is " + partName(*part));
+        }
         std::int64_t tokensLeft = 0;
-        if (!route->allowsAnonymous) {
-            account = chargeAccount(config, call, effectiveRoute, retryAfter, tokensLeft);
+        if (account != nullptr) {
+            tokensLeft = charge(*account, call, retryAfter);
+            effectiveRoute.rank = account->account.rank.value_or(effectiveRoute.rank);
         }
         const service *targetService = config.document->content.findService(effectiveRoute.service);
         if (targetService == nullptr) {
             throw error(error_kind::NoEndpoint, "the route's service is not configured");
         }
-        request_facts facts = makeFacts(call.id, std::move(account), effectiveRoute, targetService->kind, now);
+        request_facts facts = makeFacts(call.id, account == nullptr ? std::string() : account->account.name, effectiveRoute, targetService->kind, now);
         facts.deadline = std::min(facts.deadline, call.deadline);
         facts.waitUntil = std::min(facts.waitUntil, now + (facts.deadline - now) / 2);
         facts.prefix = call.prefix;
@@ -133,25 +137,28 @@
         return std::make_shared<request_session>(m_host, thread, std::move(facts), std::move(call.payload));
     }
 
-    // Finds the caller's account and deducts the request's tokens from its balance. The account's priority, if set, overrides the route's.
-    static std::string chargeAccount(const gateway_config &config, relayed_call &call, contract &effectiveRoute, duration &retryAfter, std::int64_t &tokensLeft)
+    static const account_entry &findAccount(const gateway_config &config, const std::string &key)
     {
-        const auto found = call.key.empty() ? config.accounts.end() : config.accounts.find(hashToken(call.key));
+        const auto found = key.empty() ? config.accounts.end() : config.accounts.find(hashToken(key));
         if (found == config.accounts.end()) {
             throw error(error_kind::UnknownAccount);
         }
-        const client_account &account = found->second.account;
+        return found->second;
+    }
+
+    // Deducts the request's tokens from the account's balance and returns what is left.
+    static std::int64_t charge(const account_entry &entry, relayed_call &call, duration &retryAfter)
+    {
+        const client_account &account = entry.account;
         const std::int64_t tokens = call.tokens.value_or(account.tokensPerPlainCall);
         call.tokens = tokens;
-        if (!found->second.load->trySpendTokens(tokens)) {
-            retryAfter = std::max(retryAfter, found->second.load->retryAfter());
+        if (!entry.load->trySpendTokens(tokens)) {
+            retryAfter = std::max(retryAfter, entry.load->retryAfter());
             throw error(error_kind::AccountOverLimit,
-                account.name + " requested " + std::to_string(tokens) + " tokens with a balance of " + std::to_string(found->second.load->tokensLeft)
+                account.name + " requested " + std::to_string(tokens) + " tokens with a balance of " + std::to_string(entry.load->tokensLeft)
                     + " and a refill rate of " + std::to_string(static_cast<std::int64_t>(account.tokensPerSecond)) + " tokens per second");
         }
-        tokensLeft = found->second.load->tokensLeft;
-        effectiveRoute.rank = account.rank.value_or(effectiveRoute.rank);
-        return account.name;
+        return entry.load->tokensLeft;
     }
 
     // Chooses a service at random, in proportion to the weights of the route's split. Without weights it is the route's own service.
--- a/src/shell/request_host.cpp
+++ b/src/shell/request_host.cpp
@@ -133,6 +133,23 @@
     }
 }
 
+std::optional<std::uint64_t> request_host::quarantinedPart(const prompt_parts &parts) const
+{
+    const prompt_parts &quarantined = quarantinedParts.read();
+    const auto found
+        = std::find_if(parts.begin(), parts.end(), [&](std::uint64_t part) { return std::binary_search(quarantined.begin(), quarantined.end(), part); });
+    return found == parts.end() ? std::nullopt : std::optional(*found);
+}
+
+void request_host::endQuarantined()
+{
+    for (const auto &session : openSessions()) {
+        if (quarantinedPart(session->facts().promptParts)) {
+            session->postQuarantined();
+        }
+    }
+}
+
 void request_host::moveStreams(const reclaim_notice &notice)
 {
     const std::uint64_t key = hashBytes(notice.endpointId);
--- a/src/shell/request_host.h
+++ b/src/shell/request_host.h
@@ -4,6 +4,8 @@
 
 #include "chicoryrouter/dispatcher.h"
 #include "chicoryrouter/fleet.h"
+#include "chicoryrouter/prompt_quarantine.h"
+#include "chicoryrouter/rcu_cell.h"
 #include "chicoryrouter/retry_budget.h"
 #include "shell/endpoint_dialect.h"
 #include "shell/http.h"
@@ -19,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -76,6 +79,8 @@
     const dialect_table *dialect = &dialectTable<engine_dialect>(); // set before the first request
     bool keepsAnswers = true;                                       // false: a request is forgotten when it ends, because no caller can ask for it again
     std::function<void(const std::string &account)> onFirstToken;   // called when an endpoint begins to answer a request; may stay empty
+    std::function<void(prompt_outcome)> onPromptOutcome;            // called for prompts with known parts; may stay empty
+    rcu_cell<prompt_parts> quarantinedParts;                        // in ascending order; requests with one of them are not sent to any endpoint
     std::atomic<time_point> endpointsKnownAt{time_point{}};         // bootTimeNow() as of the newest endpoint list, so suspension counts; the epoch: none yet
     request_copier *copier = nullptr;                               // null: no peers. Must outlive every request
 
@@ -96,6 +101,8 @@
     void removeWaiter(std::uint64_t ticket);
     void serveWaiting(const std::string &service, seeded_random &random); // any thread; gives free slots to waiting requests
     void moveStreams(const reclaim_notice &notice);                       // any thread; moves the streams away from an endpoint that will be reclaimed
+    [[nodiscard]] std::optional<std::uint64_t> quarantinedPart(const prompt_parts &parts) const; // any thread; the first one, if any
+    void endQuarantined();                                                                       // any thread; ends the open requests that are quarantined
 
 private:
     struct retired_session
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -47,7 +47,8 @@
     m_tokens = std::move(deliveredTokens);
     m_tokenCount = static_cast<std::uint32_t>(m_tokens.size());
     m_host.add(shared_from_this());
-    perform(m_machine.start(systemNow()));
+    const bool quarantinedSinceAdmission = m_host.quarantinedPart(facts().promptParts).has_value();
+    perform(quarantinedSinceAdmission ? m_machine.onQuarantined(systemNow()) : m_machine.start(systemNow()));
 }
 
 // ---- Readers ---------------------------------------------------------------------------------------------------------------------------
@@ -334,6 +335,22 @@
     }
 }
 
+// Tells what the prompt did to the endpoint. A failure that leaves the endpoint alive says nothing.
+void request_session::reportPrompt(const endpoint &target, bool answered)
+{
+    if (m_host.onPromptOutcome && !facts().promptParts.empty()) {
+        m_host.onPromptOutcome({facts().promptParts, target.key, answered});
+    }
+}
+
+// At the end of an answer: longer ones were reported at their piece number answeredAfterPieces.
+void request_session::reportShortAnswer(const endpoint &target)
+{
+    if (m_status == 200 && m_tokens.size() < answeredAfterPieces) {
+        reportPrompt(target, true);
+    }
+}
+
 void request_session::perform(const release_slot &action)
 {
     action.target->load->release();
@@ -399,6 +416,11 @@
     m_host.retire(shared_from_this(), m_host.keepsAnswers ? text().size() + m_payload.prompt.size() + m_payload.body.size() : 0);
 }
 
+void request_session::postQuarantined()
+{
+    asio::post(m_thread.context, [self = shared_from_this()] { self->perform(self->m_machine.onQuarantined(systemNow())); });
+}
+
 void request_session::postReclaimNotice(const std::string &endpointId, time_point leaveBy, move_method method)
 {
     asio::post(m_thread.context, [self = shared_from_this(), endpointId, leaveBy, method] {
--- a/src/shell/request_session.h
+++ b/src/shell/request_session.h
@@ -55,6 +55,7 @@
 
     // ---- Any thread
     void postSlotAnswer(const slot_answer &answer);
+    void postQuarantined(); // a part of the prompt has been quarantined
     void postReclaimNotice(const std::string &endpointId, time_point leaveBy, move_method method);
     [[nodiscard]] std::uint64_t currentEndpointKey() const { return m_currentEndpointKey; }
     [[nodiscard]] std::uint32_t recomputeTokens() const; // estimated tokens that another endpoint would have to process again: the prompt and the answer so far
@@ -85,6 +86,8 @@
     void onSlotAnswer(const slot_answer &answer);
     void recordSending(const std::shared_ptr<open_attempt> &open, std::uint32_t number);
     void reportFirstToken(const open_attempt &open, std::uint32_t number);
+    void reportPrompt(const endpoint &target, bool answered);
+    void reportShortAnswer(const endpoint &target);
     [[nodiscard]] attempt_outcome outcomeOf(const endpoint &target, attempt_result result, duration firstToken) const;
     // Describes an attempt that ended without a complete answer: how far it got, and the error.
     struct attempt_fault
--- a/src/shell/request_session_attempts.cpp
+++ b/src/shell/request_session_attempts.cpp
@@ -173,6 +173,7 @@
                 co_return false;
             }
             m_openAttempts.erase(number);
+            reportShortAnswer(*open->target);
             perform(m_machine.onEnd(number, facts().id, m_machine.delivered(), systemNow()));
             co_return true;
         }
@@ -246,6 +247,11 @@
         }
         m_newestPieceAt = now;
         m_tokens.push_back(std::move(event.token));
+        if (m_tokens.size() == answeredAfterPieces && m_status == 200) {
+            if (const auto open = m_openAttempts.find(number); open != m_openAttempts.end()) {
+                reportPrompt(*open->second->target, true);
+            }
+        }
         m_tokenCount = static_cast<std::uint32_t>(m_tokens.size());
         m_host.counts.countToken();
     }
@@ -283,6 +289,7 @@
     m_openAttempts.erase(number);
     recordAnswerHead(open);
     acceptToken(number, {facts().id, number, 0, std::move(body), false});
+    reportShortAnswer(*open->target);
     perform(m_machine.onEnd(number, facts().id, 1, systemNow()));
     co_return std::nullopt;
 }
@@ -293,6 +300,9 @@
         return;
     }
     m_openAttempts.erase(number);
+    if (kind == error_kind::EndpointLost && progress == attempt_progress::MayHaveRun && m_tokens.size() < answeredAfterPieces) {
+        reportPrompt(*open->target, false);
+    }
     recordEvent(log_event::AttemptFailed,
         {{"attempt", number}, {"endpoint", open->target->id}, {"error", responseFor(kind).name}, {"reach", toText(progress)}, {"pieces", m_tokens.size()},
             {"after_ms", inMilliseconds(systemNow() - facts().arrival)}, {"parts", m_tokens.empty() ? partNames(facts().promptParts) : std::string()}});
--- a/tests/unit/deadly_prompts.cpp
+++ b/tests/unit/deadly_prompts.cpp
@@ -106,3 +106,74 @@
         cr_expect_geq(2 * soundAnswered, sound, "%s: %zu of %zu sound prompts answered", path.c_str(), soundAnswered, sound);
     }
 }
+
+namespace {
+
+// Brings the deployment to the quarantine of the deadly part.
+void crashUntilQuarantined(deployment_with_deadly_prompts &all)
+{
+    constexpr std::string_view records = "chicory/quarantine/";
+    const bool recorded = test::eventually([&] {
+        all.askDeadly("/write/");
+        all.askSound("/write/");
+        return all.store.keys(std::string(records)).size() == 1;
+    });
+    cr_assert(recorded, "no quarantine was recorded in the store");
+    cr_assert(all.store.keys(std::string(records)).front() == std::string(records) + std::string(hostedDeadlyPart));
+}
+
+} // namespace
+
+// A refusal of a quarantined prompt is the daemon's own: 503, not run, and without Retry-After, as no later moment is known to be better.
+Test(deadly_prompts, a_quarantined_prompt_is_refused_at_once_and_reaches_no_endpoint, .timeout = 120)
+{
+    deployment_with_deadly_prompts all;
+    crashUntilQuarantined(all);
+    const std::size_t crashes = all.crashes().size();
+    for (int i = 0; i < 10; ++i) {
+        const auto answer = all.ask("POST", "/chat/1", "q" + std::to_string(i), {{"X-Prompt-Prefix", "aa01:200,DEAD1E55:50,cc" + std::to_string(i) + ":10"}});
+        cr_assert_eq(answer.response.status, 503);
+        cr_assert(findHeader(answer.response.headers, "Retry-After").empty());
+        cr_assert(answer.response.body.find("prompt_quarantined") != std::string::npos && answer.response.body.find("\"ran\":\"no\"") != std::string::npos,
+            "got: %s", answer.response.body.c_str());
+    }
+    cr_assert_eq(all.crashes().size(), crashes);
+    const auto ownPart = all.ask("POST", "/chat/1", "own", {{"X-Prompt-Prefix", "aa01:200,dead1e55:50"}});
+    cr_assert_neq(ownPart.response.status, 503, "the last part belongs to the request alone and is never quarantined");
+}
+
+// All daemons restarted at once have no memory of their own.
+Test(deadly_prompts, a_quarantine_outlives_a_restart_of_all_daemons, .timeout = 120)
+{
+    deployment_with_deadly_prompts all;
+    crashUntilQuarantined(all);
+    all.routers.clear();
+    const std::size_t crashes = all.crashes().size();
+    all.start("entry-1");
+    all.start("entry-2");
+    for (int i = 0; i < 10; ++i) {
+        cr_assert(!all.askDeadly("/chat/"));
+        cr_assert(all.askSound("/chat/"));
+    }
+    cr_assert_eq(all.crashes().size(), crashes);
+}
+
+// Records that another writer left there, or that have ended.
+Test(deadly_prompts, an_unreadable_or_ended_record_quarantines_nothing, .timeout = 60)
+{
+    small_deployment all;
+    const auto millis = std::chrono::floor<std::chrono::milliseconds>(systemNow().time_since_epoch()).count();
+    all.store.put("chicory/quarantine/aa01", "{\"until\":" + std::to_string(millis - 1000) + "}");
+    all.store.put("chicory/quarantine/aa02", "not JSON");
+    all.store.put("chicory/quarantine/aa03", "{\"until\":\"soon\"}");
+    all.store.put("chicory/quarantine/no part", "{\"until\":" + std::to_string(millis + 60'000) + "}");
+    all.store.put("chicory/quarantine/aa04", "{\"until\":" + std::to_string(millis + 60'000) + "}");
+    all.start();
+    const auto asked = [&](const std::string &part) {
+        return all.ask("POST", "/chat/1", "r" + part, {{"X-Prompt-Prefix", part + ":20,cc:10"}}).response.status;
+    };
+    cr_assert_eq(asked("aa04"), 503);
+    for (const std::string part : {"aa01", "aa02", "aa03"}) {
+        cr_assert_eq(asked(part), 200, "%s", part.c_str());
+    }
+}
