A stream that ends with its connection before its first event is broken off

An endpoint that crashes as it begins to write can leave a head without length or chunks and a closed connection. That was passed on as a complete, empty answer, and counted as an answer to a prompt that may have crashed the endpoint.

--- a/src/shell/http.h
+++ b/src/shell/http.h
@@ -147,6 +147,7 @@
 
     int status = 0;
     http_headers headers;
+    bool endsWithConnection = false; // the body has neither a length nor chunks
 
     virtual boost::asio::awaitable<std::size_t> readSome(char *buffer, std::size_t size) = 0; // bytes read, 0 at the end of the body; throws http_failure
     virtual void setDeadline(time_point deadline) = 0;                                        // replaces the deadline for the rest of the response
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -179,6 +179,7 @@
         }
         status = static_cast<int>(m_parser->get().result_int());
         headers = copyHeaders(m_parser->get());
+        endsWithConnection = m_parser->need_eof();
     }
 
     asio::awaitable<std::size_t> readSome(char *buffer, std::size_t size) override
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -346,7 +346,7 @@
 // At the end of an answer: longer ones were reported at their piece number answeredAfterPieces.
 void request_session::reportShortAnswer(const endpoint &target)
 {
-    if (m_status == 200 && m_tokens.size() < answeredAfterPieces) {
+    if (m_status == 200 && !m_tokens.empty() && m_tokens.size() < answeredAfterPieces) {
         reportPrompt(target, true);
     }
 }
--- a/src/shell/request_session_attempts.cpp
+++ b/src/shell/request_session_attempts.cpp
@@ -166,10 +166,12 @@
     const std::shared_ptr<http_stream> stream = open->stream;
     const std::unique_ptr<stream_event_reader> reader = m_host.dialect->newReader(call);
     std::array<char, 16384> buffer{};
+    bool hasEvents = false;
     while (true) {
         const std::size_t byteCount = co_await stream->readSome(buffer.data(), buffer.size());
         if (byteCount == 0) {
-            if (!reader->isCompleteAtEnd() || open->cancelled) {
+            const bool nothingWritten = stream->endsWithConnection && !hasEvents; // the endpoint closed it before it began to write, as in a crash
+            if (nothingWritten || !reader->isCompleteAtEnd() || open->cancelled) {
                 co_return false;
             }
             m_openAttempts.erase(number);
@@ -179,6 +181,7 @@
         }
         reader->feed({buffer.data(), byteCount});
         while (std::optional<engine_event> event = reader->next()) {
+            hasEvents = true;
             if (open->cancelled) {
                 co_return true;
             }
