--- a/include/chicoryrouter/prompt_quarantine.h
+++ b/include/chicoryrouter/prompt_quarantine.h
@@ -83,7 +83,7 @@
     std::size_t crashes = 3;            // no answer to the part is known, and two daemons or more saw the crashes
     std::size_t crashesAtOneDaemon = 5; // the same, but only one saw them: its links may be at fault
     std::size_t crashesOnceSound = 6;   // prompts with the part were answered before the crashes
-    duration minSpan = std::chrono::seconds(1);
+    duration minSpan = std::chrono::milliseconds(500);
     duration minSpanOnceSound = std::chrono::seconds(2);
 };
 
--- a/src/core/prompt_quarantine.cpp
+++ b/src/core/prompt_quarantine.cpp
@@ -14,7 +14,7 @@
 using nlohmann::json;
 
 constexpr duration sameCrash = 1s;             // daemons notice one crash at different moments; an endpoint needs longer than this to come back
-constexpr duration otherAnswersAfter = 500ms;  // after the first crash: answers that had begun before it show nothing
+constexpr duration otherAnswersAfter = 300ms;  // after the first crash: answers that had begun before it show nothing
 constexpr duration clearedMemory = 30s;        // a suspect without a crash since its newest answer is forgotten sooner than others
 constexpr std::size_t maxCrashesPerReport = 8; // the newest ones
 constexpr std::size_t maxSuspects = 512;
