--- a/tests/support/hosted_platform.cpp
+++ b/tests/support/hosted_platform.cpp
@@ -410,10 +410,19 @@
     }
     const std::string_view target = exchange.request.header("X-Target-Instance");
     http_headers headers = {{"X-Request-Id", request}};
+    if (faults.saysLeaving) {
+        headers.push_back({"Server-Leaving", "1"});
+    }
     if (faults.otherInstance || (!target.empty() && target != m_id)) {
         co_await exchange.respondWithHeaders(421, std::move(headers), "another endpoint");
         co_return;
     }
+    if (const int rest = faults.restSeconds; rest > 0) {
+        headers.push_back({"X-Not-Executed", "1"});
+        headers.push_back({"Retry-After", std::to_string(rest)});
+        co_await exchange.respondWithHeaders(503, std::move(headers), "resting");
+        co_return;
+    }
     if (takeOne(faults.refuseNext)) {
         headers.push_back({"X-Not-Executed", "1"});
         co_await exchange.respondWithHeaders(503, std::move(headers), "full");
--- a/tests/support/hosted_platform.h
+++ b/tests/support/hosted_platform.h
@@ -112,6 +112,8 @@
     std::atomic<int> silentNext{0};          // run and never answered
     std::atomic<bool> otherInstance{false};  // its address has another endpoint now
     std::atomic<std::int64_t> workMillis{0}; // before the answer, and between two events
+    std::atomic<bool> saysLeaving{false};    // all answers say that the endpoint leaves; the store is not told
+    std::atomic<int> restSeconds{0};         // every request is refused, and the answer asks for so long a rest; 0: none
     std::atomic<bool> crashesOnPart{false};  // as it begins to answer a prompt with hostedDeadlyPart it loses all its connections and is gone for a while
 };
 
--- /dev/null
+++ b/tests/unit/endpoint_answers.cpp
@@ -0,0 +1,67 @@
+// What endpoints ask for in their answers: no new requests because they leave, or a rest.
+#include "support/small_deployment.h"
+
+#include "shell/clock.h"
+
+#include <criterion/criterion.h>
+
+#include <thread>
+
+using namespace chicoryrouter;
+using namespace std::chrono_literals;
+
+using test::eventually;
+using test::small_deployment;
+
+namespace {
+
+// Asks until the endpoint has got a request.
+void askUntilReached(small_deployment &all, hosted_endpoint &endpoint)
+{
+    int number = 0;
+    const bool reached = eventually([&] {
+        all.ask("POST", "/chat/1", "first" + std::to_string(++number));
+        return !endpoint.seen().empty();
+    });
+    cr_assert(reached, "no request reached the endpoint");
+}
+
+// Requests that reach the endpoint while callers ask for `span`.
+std::size_t arrivalsWithin(small_deployment &all, hosted_endpoint &endpoint, duration span)
+{
+    const std::size_t before = endpoint.seen().size();
+    const time_point until = systemNow() + span;
+    for (int number = 0; systemNow() < until; ++number) {
+        all.ask("POST", "/chat/1", "later" + std::to_string(number));
+        std::this_thread::sleep_for(20ms);
+    }
+    return endpoint.seen().size() - before;
+}
+
+} // namespace
+
+// The answer is the first to tell, where the store is late or silent.
+Test(endpoint_answers, an_endpoint_that_says_that_it_leaves_gets_no_new_request, .timeout = 60)
+{
+    constexpr duration leavingWithin = 2s;
+    small_deployment all;
+    all.start();
+    all.writer1.faults.saysLeaving = true;
+    askUntilReached(all, all.writer1);
+    std::this_thread::sleep_for(leavingWithin);
+    const std::size_t arrivals = arrivalsWithin(all, all.writer1, 2s);
+    cr_expect_eq(arrivals, 0, "%zu requests", arrivals);
+}
+
+Test(endpoint_answers, an_endpoint_that_asks_for_rest_gets_it, .timeout = 60)
+{
+    constexpr int rest = 4; // s
+    constexpr std::size_t allowed = 2;
+    small_deployment all;
+    all.start();
+    all.writer1.faults.restSeconds = rest;
+    askUntilReached(all, all.writer1);
+    std::this_thread::sleep_for(500ms);
+    const std::size_t arrivals = arrivalsWithin(all, all.writer1, std::chrono::seconds(rest) - 1s);
+    cr_expect_leq(arrivals, allowed, "%zu requests within the rest", arrivals);
+}
