Show that a replica that says it leaves gets orders until it ends

Cause: nothing reads the header Server-Leaving; while a machine is cut off from the store nothing else tells it.

--- a/review/stage/stage.cpp
+++ b/review/stage/stage.cpp
@@ -593,6 +593,86 @@
     return to.send(answerText(status, {{"Content-Type", "application/json"}}, answer.dump()));
 }
 
+// ---- The way to the store --------------------------------------------------------------------------------------------------------------
+
+store_link::store_link(const std::string &ip, int storePort, const std::string &storeIp)
+    : m_ip(ip)
+    , m_storeIp(storeIp)
+    , m_storePort(storePort)
+    , m_listener(listenOn(ip, 0))
+    , m_port(portOf(m_listener))
+    , m_accepting([this] { accept(); })
+{
+}
+
+store_link::~store_link()
+{
+    m_closing = true;
+    ::shutdown(m_listener, SHUT_RDWR);
+    m_accepting.join();
+    ::close(m_listener);
+    for (const auto &ends : m_open) {
+        ::shutdown((*ends)[0], SHUT_RDWR);
+        ::shutdown((*ends)[1], SHUT_RDWR);
+    }
+    for (std::thread &item : m_threads) {
+        item.join();
+    }
+    for (const auto &ends : m_open) {
+        ::close((*ends)[0]);
+        ::close((*ends)[1]);
+    }
+}
+
+void store_link::accept()
+{
+    while (!m_closing) {
+        const int near = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC);
+        if (near < 0) {
+            continue;
+        }
+        const int far = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in place{};
+        place.sin_family = AF_INET;
+        place.sin_port = htons(static_cast<std::uint16_t>(m_storePort));
+        inet_pton(AF_INET, m_storeIp.c_str(), &place.sin_addr);
+        ::connect(far, reinterpret_cast<sockaddr *>(&place), sizeof(place));
+        const int on = 1;
+        setsockopt(near, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        setsockopt(far, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        const auto ends = std::make_shared<std::array<int, 2>>(std::array<int, 2>{near, far});
+        const std::lock_guard guard(m_lock);
+        m_open.push_back(ends);
+        m_threads.emplace_back([this, ends] { pass(ends, 0); });
+        m_threads.emplace_back([this, ends] { pass(ends, 1); });
+    }
+}
+
+void store_link::pass(const std::shared_ptr<std::array<int, 2>> &ends, int from)
+{
+    const int source = (*ends)[static_cast<std::size_t>(from)];
+    const int sink = (*ends)[static_cast<std::size_t>(1 - from)];
+    char piece[16384];
+    ssize_t got = 0;
+    while ((got = recv(source, piece, sizeof(piece), 0)) > 0) {
+        while (cut && !m_closing) {
+            std::this_thread::sleep_for(5ms);
+        }
+        ssize_t sent = 0;
+        while (sent < got) {
+            const ssize_t now = ::send(sink, piece + sent, static_cast<std::size_t>(got - sent), MSG_NOSIGNAL);
+            if (now <= 0) {
+                break;
+            }
+            sent += now;
+        }
+    }
+    while (cut && !m_closing) {
+        std::this_thread::sleep_for(5ms);
+    }
+    ::shutdown(sink, SHUT_WR);
+}
+
 // ---- Daemons ---------------------------------------------------------------------------------------------------------------------------
 
 namespace {
@@ -662,7 +742,8 @@
 
 } // namespace
 
-machine::machine(std::string name, std::string zone, std::string ip, const platform &store, std::string folder, record &log)
+machine::machine(
+    std::string name, std::string zone, std::string ip, const std::string &storeAddress, const std::string &cloudAddress, std::string folder, record &log)
     : m_name(std::move(name))
     , m_ip(std::move(ip))
     , m_settings(folder + "/" + m_name + ".conf")
@@ -674,7 +755,7 @@
     const std::map<std::string, std::string> values
         = {{"Node", m_name}, {"Zone", zone}, {"Region", "bretagne"}, {"Ip", m_ip}, {"Listen.Front", m_ip + ":" + std::to_string(m_front)},
             {"Listen.Readiness", m_ip + ":" + std::to_string(m_readiness)}, {"InternalPorts.0", std::to_string(freePort(m_ip))},
-            {"Platform.Address", store.address()}, {"Cloud.Address", store.address()}, {"Bounds.LeaseMs", "3000"}, {"Bounds.ConfigApplyMs", "2000"},
+            {"Platform.Address", storeAddress}, {"Cloud.Address", cloudAddress}, {"Bounds.LeaseMs", "3000"}, {"Bounds.ConfigApplyMs", "2000"},
             {"Bounds.DrainMs", "2000"}, {"Bounds.WindowS", "5"}, {"Bounds.QuotaWindowS", "8"}, {"Bounds.BudgetSlack", "58"}, {"Bounds.GraceS", "8"}};
     std::ofstream(m_settings) << fillTemplate(contentOf("deploy/settings.yaml.template"), values);
 }
@@ -840,13 +921,15 @@
     for (std::size_t i = 0; i < machineCount; ++i) {
         const std::string zone = zones[i % std::size(zones)];
         const std::string name = "edge-" + zone + "-" + std::to_string(i / std::size(zones) + 1);
-        machines.push_back(std::make_unique<machine>(name, zone, ipOf(static_cast<int>(i) + 10), *store, folder, log));
+        storeLinks.push_back(std::make_unique<store_link>(ipOf(2), store->port(), ipOf(1)));
+        machines.push_back(std::make_unique<machine>(name, zone, ipOf(static_cast<int>(i) + 10), storeLinks.back()->address(), store->address(), folder, log));
     }
 }
 
 deployment::~deployment()
 {
     machines.clear();
+    storeLinks.clear();
     store.reset();
     std::error_code ignored;
     if (std::getenv("KEEP_FOLDER") == nullptr) {
--- a/review/stage/stage.h
+++ b/review/stage/stage.h
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -128,6 +129,7 @@
 public:
     platform(const std::string &ip, record &log);
     [[nodiscard]] std::string address() const { return m_server.address(); }
+    [[nodiscard]] int port() const { return m_server.port(); }
     std::uint64_t put(const std::string &key, const std::string &value);
     void remove(const std::string &key);
     [[nodiscard]] std::optional<std::string> value(const std::string &key);
@@ -169,13 +171,39 @@
 std::string decodeBase64(const std::string &text);
 std::string encodeBase64(const std::string &bytes);
 
+// A machine's way to the store. While it is cut, nothing passes in either direction, and nothing is reset.
+class store_link
+{
+public:
+    store_link(const std::string &ip, int storePort, const std::string &storeIp);
+    ~store_link();
+    [[nodiscard]] std::string address() const { return m_ip + ":" + std::to_string(m_port); }
+    std::atomic<bool> cut{false};
+
+private:
+    void accept();
+    void pass(const std::shared_ptr<std::array<int, 2>> &ends, int from);
+
+    std::string m_ip;
+    std::string m_storeIp;
+    int m_storePort;
+    int m_listener;
+    int m_port;
+    std::atomic<bool> m_closing{false};
+    std::mutex m_lock;
+    std::vector<std::shared_ptr<std::array<int, 2>>> m_open;
+    std::list<std::thread> m_threads;
+    std::thread m_accepting;
+};
+
 // ---- Daemons ---------------------------------------------------------------------------------------------------------------------------
 
 // One machine with the project's daemon, started by the command of deploy/system.toml with the settings of its template.
 class machine
 {
 public:
-    machine(std::string name, std::string zone, std::string ip, const platform &store, std::string folder, record &log);
+    machine(
+        std::string name, std::string zone, std::string ip, const std::string &storeAddress, const std::string &cloudAddress, std::string folder, record &log);
     ~machine();
 
     void start();
@@ -233,6 +261,7 @@
     std::string base; // first three numbers of this run's loopback addresses
     std::string folder;
     std::unique_ptr<platform> store;
+    std::vector<std::unique_ptr<store_link>> storeLinks; // by machine
     std::vector<std::unique_ptr<machine>> machines;
 
 private:
