--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -1,9 +1,11 @@
-// Orders at a plain service with two replicas. Each second both are full for a moment and refuse, as replicas do. In windows of 5 s one of
-// them also sends an extra copy of some of its answers, late: where the next answer on the connection is expected.
+// Orders at a plain service with two replicas, of which one leaves as planned after half of the time. Each second they are full for a moment
+// and refuse, as replicas do; in the second half a place becomes free as soon as an order has been refused. In windows of 5 s the replica that
+// stays also sends an extra copy of some of its answers, late: where the next answer on the connection is expected.
 #include "../stage/stage.h"
 
 #include <algorithm>
 #include <iostream>
+#include <set>
 
 using namespace stage;
 using namespace std::chrono_literals;
@@ -11,6 +13,7 @@
 namespace {
 
 constexpr int playS = 40;
+constexpr int leavesAtS = 21;   // one of the replicas
 constexpr int firstWindowS = 5; // a window of copies begins here, and every windowEachS seconds
 constexpr int windowEachS = 10;
 constexpr int windowS = 5;             // length of a window
@@ -47,6 +50,7 @@
         const int since = second - firstWindowS;
         return since >= 0 && since % windowEachS < windowS ? since / windowEachS : -1;
     }
+    [[nodiscard]] bool secondHalf() const { return now() >= std::chrono::seconds(leavesAtS); }
     [[nodiscard]] bool full() const { return now() % 1000ms < fullFor; }
 };
 
@@ -66,6 +70,12 @@
     }
 
     void beat() { m_all.store->put("servers/" + m_id, entry(plainService, m_server.address(), m_zone, 6, ++m_sequence)); }
+    void leave()
+    {
+        m_all.store->put("servers/" + m_id, entry(plainService, m_server.address(), m_zone, 6, ++m_sequence, "draining"));
+        m_all.log.line(m_id + ": has reported draining, and the store has acknowledged it");
+    }
+
     [[nodiscard]] int copiesSent() const { return m_copiesSent; }
 
 private:
@@ -82,7 +92,7 @@
             to.send(copy);
         }
         const bool order = request.method() == "POST";
-        if (m_time.full()) {
+        if (m_time.full() && !(order && m_time.secondHalf() && isRepeated(id))) {
             const std::string refusal = answerText(503, {{"X-Request-Id", id}, {"X-Not-Executed", "1"}}, "full");
             if (order) {
                 m_all.log.line(m_id + ": refuses " + id + ", 503 X-Not-Executed");
@@ -119,6 +129,13 @@
         }
     }
 
+    // Whether the order has been refused here before.
+    bool isRepeated(const std::string &id)
+    {
+        const std::lock_guard guard(m_lock);
+        return !m_refused.insert(id).second;
+    }
+
     std::string takeCopy(const connection &to)
     {
         const std::lock_guard guard(m_lock);
@@ -137,7 +154,8 @@
     std::string m_id;
     const char *m_zone;
     bool m_copies;
-    int m_sequence = 0;
+    std::atomic<int> m_sequence{0};
+    std::set<std::string> m_refused; // in the second half
     std::mutex m_lock;
     std::map<const connection *, std::string> m_pending; // copies to send before the next answer on their connections
     int m_window = -1;
@@ -196,7 +214,9 @@
         while (going) {
             std::this_thread::sleep_for(1200ms);
             first.beat();
-            second.beat();
+            if (!time.secondHalf()) {
+                second.beat();
+            }
         }
     });
     std::atomic<int> looks{0};
@@ -220,6 +240,9 @@
     std::vector<std::thread> orders;
     for (int second_ = 1; second_ < playS; ++second_) {
         std::this_thread::sleep_until(time.start + std::chrono::seconds(second_) + orderAt);
+        if (second_ == leavesAtS) {
+            second.leave();
+        }
         orders.emplace_back([&, second_] { order(all, *all.machines[static_cast<std::size_t>(second_) % 2], done, lock); });
     }
     for (std::thread &item : orders) {
