A failure that answers a stream's resumption does not end it as a success

Callers saw: a stream that broke off within its second event ended as complete after one; one that broke off before its first event was 200 under the first endpoint's seal with the body of the second one's 500.

Cause: any answer but 200 was delivered as a whole answer, as piece 0 with an end after one piece. With one piece delivered before, piece 0 was a duplicate and the end agreed; with none, the head of the broken attempt was kept for the other's body. Ruled out: that the failure is read as events (only a 200 is), and that the gateway mixes heads (it reads them with the first piece).

Change: behind delivered pieces only a 200 continues the stream, anything else is a failed attempt. Without pieces the newest attempt's head counts.

--- a/src/shell/request_session.h
+++ b/src/shell/request_session.h
@@ -35,7 +35,7 @@
     [[nodiscard]] error_kind failure() const { return m_failure; }
     [[nodiscard]] int status() const { return m_status; } // HTTP status of the answer; 200 until an endpoint has answered
     [[nodiscard]] const std::string &contentType() const { return m_contentType; }
-    [[nodiscard]] const http_headers &answerHeaders() const { return m_answerHeaders; } // of the first endpoint that answered; only if relayed
+    [[nodiscard]] const http_headers &answerHeaders() const { return m_answerHeaders; } // of the endpoint that sent the first piece; only if relayed
     [[nodiscard]] bool answeredByEndpoint() const { return m_headRecorded; }            // status() and the headers were received from an endpoint
     [[nodiscard]] std::string text(std::uint32_t maxTokens = UINT32_MAX) const;         // the answer's first `maxTokens` tokens, by default all of them
     [[nodiscard]] bool replayed() const { return m_replayed; } // the answer is a stored one, from an earlier call with the same idempotency key
@@ -147,8 +147,8 @@
     error_kind m_failure = error_kind::Internal;
     int m_status = 200;
     std::string m_contentType = "application/json";
-    http_headers m_answerHeaders;         // relayed answers: the first endpoint's headers; pieces from later endpoints follow under the same headers
-    bool m_headRecorded = false;          // m_status and the headers were received from an endpoint
+    http_headers m_answerHeaders;         // relayed answers: of the endpoint that sent the first piece; later endpoints' pieces follow under the same headers
+    bool m_headRecorded = false;          // m_status and the headers were received from an endpoint; fixed once m_tokens is not empty
     std::uint32_t m_firstPieceNumber = 0; // index that the first endpoint gave the stream's first piece
     bool m_firstPieceKnown = false;
     std::optional<std::uint32_t> m_endpointOpenRequests; // open requests that the endpoint reported in the newest answer head
--- a/src/shell/request_session_attempts.cpp
+++ b/src/shell/request_session_attempts.cpp
@@ -122,8 +122,8 @@
 void request_session::recordAnswerHead(const std::shared_ptr<open_attempt> &open)
 {
     const http_stream &answer = *open->stream;
-    if (m_headRecorded) {
-        return; // a resumed answer continues under its first endpoint's head
+    if (m_headRecorded && !m_tokens.empty()) {
+        return; // a resumed answer continues under its first endpoint's head; without pieces the caller has seen none of that answer
     }
     m_headRecorded = true;
     m_status = answer.status;
@@ -145,12 +145,13 @@
         co_return fault;
     }
     const bool isStream = open->stream->status == 200;
-    if (!isStream && m_host.dialect->relaysAnswers) {
-        fault = co_await readWholeAnswer(open, number);
-        co_return fault;
+    const bool resumesAnswer = !m_tokens.empty(); // any other answer is none to the caller's request: it is not passed on behind these pieces
+    if (!isStream && (resumesAnswer || !m_host.dialect->relaysAnswers)) {
+        co_return attempt_fault{attempt_progress::MayHaveRun, error_kind::EndpointFailed};
     }
     if (!isStream) {
-        co_return attempt_fault{attempt_progress::MayHaveRun, error_kind::EndpointFailed};
+        fault = co_await readWholeAnswer(open, number);
+        co_return fault;
     }
     recordAnswerHead(open);
     const bool ended = co_await readEvents(open, number, call);
--- a/tests/support/hosted_platform.cpp
+++ b/tests/support/hosted_platform.cpp
@@ -428,9 +428,10 @@
         co_await exchange.respondWithHeaders(503, std::move(headers), "full");
         co_return;
     }
+    bool repeated = false;
     {
         const std::lock_guard guard(m_lock);
-        ++m_runs[request];
+        repeated = ++m_runs[request] > 1;
     }
     if (takeOne(faults.silentNext)) {
         co_await pause(exchange, 30s);
@@ -445,8 +446,9 @@
     headers[0].value = foreign ? "somebody-else" : request;
     headers.push_back({"X-Response-Seal", "seal-" + m_id});
     headers.push_back({"X-Server-Load", "1,0,4"});
-    if (takeOne(faults.failNext)) {
-        co_await exchange.respondWithHeaders(500, std::move(headers), "failed");
+    const int repeatStatus = repeated ? faults.repeatStatus.load() : 0;
+    if (repeatStatus != 0 || takeOne(faults.failNext)) {
+        co_await exchange.respondWithHeaders(repeatStatus != 0 ? repeatStatus : 500, std::move(headers), "failed");
         co_return;
     }
     const bool cut = takeOne(faults.cutNext);
@@ -471,9 +473,13 @@
 {
     const std::string_view last = exchange.request.header("Last-Event-Id");
     const std::uint32_t from = last.empty() ? 1 : static_cast<std::uint32_t>(std::stoul(std::string(last))) + 1;
+    if (cut && faults.cutAtEvent == 0) {
+        exchange.abandon();
+        co_return;
+    }
     for (std::uint32_t number = from; number <= hostedEvents; ++number) {
         const std::string event = hostedEvent(number);
-        const bool stops = cut && number == hostedEvents / 2;
+        const bool stops = cut && number == faults.cutAtEvent;
         const std::string_view bytes = stops ? std::string_view(event).substr(0, event.size() / 2) : std::string_view(event);
         const bool open = co_await exchange.writeChunk(bytes);
         if (!open || stops) {
--- a/tests/support/hosted_platform.h
+++ b/tests/support/hosted_platform.h
@@ -107,7 +107,9 @@
 {
     std::atomic<int> refuseNext{0};          // so many requests are refused with the proof that they did not run
     std::atomic<int> failNext{0};            // answered 500 after running
-    std::atomic<int> cutNext{0};             // cut after half of the answer
+    std::atomic<int> cutNext{0};             // cut inside a stream's event `cutAtEvent`, plain answers before they begin
+    std::atomic<std::uint32_t> cutAtEvent{3}; // 0: after the answer's head
+    std::atomic<int> repeatStatus{0};        // a request that has run here before is answered with this status and the text "failed"; 0: as any other
     std::atomic<int> foreignNext{0};         // answered under another request's id
     std::atomic<int> silentNext{0};          // run and never answered
     std::atomic<bool> otherInstance{false};  // its address has another endpoint now
