Bytes without end where a chunk's size is due do not fill the memory

Callers saw: daemons ended for memory with all their open requests, when an endpoint sent letters without a line break where a chunk's size was due.

Cause: the client's buffer for what the parser has not taken had no maximum; the line with a chunk's size, its extension and the trailer are taken only when whole, so no limit on heads, bodies or events sees them. Ruled out: the event reader (bounded, tested) and the kernel's buffers.

Change: the buffer holds 64 KiB; what does not fit fails the call. Bytes that are no HTTP count as the endpoint's fault in a body as in a head; they were taken for a lost connection, which also accused the request's prompt.

--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -30,6 +30,7 @@
 constexpr unsigned tcpUserTimeoutMilliseconds = 3000;                 // sent data unacknowledged for this long: the connection is dead
 constexpr duration connectTimeout = std::chrono::milliseconds(700);   // a lost SYN is retransmitted only after one second
 constexpr std::size_t maxSkippedBytes = 1024 * 1024;                  // longest response to another request that is discarded; a longer one fails the call
+constexpr std::size_t maxUnparsedBytes = 64 * 1024; // of a response's head, the line with a chunk's size, or its trailer; a longer one fails the call
 constexpr duration idleConnectionLifetime = std::chrono::seconds(20); // shorter than the servers' idle timeout, so that the client closes first
 
 struct idle_connection
@@ -155,6 +156,14 @@
     return headers;
 }
 
+// Bytes that are no HTTP are the endpoint's fault; any other error means that the connection is gone.
+error_kind kindOfReadError(const beast::error_code &code)
+{
+    const bool fromParser = code.category() == http::make_error_code(http::error::bad_value).category();
+    const bool malformed = fromParser && code != http::error::end_of_stream && code != http::error::partial_message;
+    return malformed ? error_kind::EndpointGarbage : error_kind::EndpointLost;
+}
+
 class response_stream : public http_stream
 {
 public:
@@ -172,10 +181,8 @@
         beast::error_code code;
         co_await http::async_read_header(*m_connection, m_buffer, *m_parser, storeErrorIn(code));
         if (code) {
-            const bool malformed = code.category() == http::make_error_code(http::error::bad_value).category() && code != http::error::end_of_stream
-                && code != http::error::partial_message;
             m_failed = true;
-            throw http_failure(true, malformed ? error_kind::EndpointGarbage : error_kind::EndpointLost, "answer headers: " + code.message());
+            throw http_failure(true, kindOfReadError(code), "answer headers: " + code.message());
         }
         status = static_cast<int>(m_parser->get().result_int());
         headers = copyHeaders(m_parser->get());
@@ -191,7 +198,7 @@
             co_await http::async_read_some(*m_connection, m_buffer, *m_parser, storeErrorIn(code));
             const std::size_t got = size - m_parser->get().body().size;
             if (code && code != http::error::need_buffer) {
-                throw http_failure(true, error_kind::EndpointLost, "answer: " + code.message());
+                throw http_failure(true, kindOfReadError(code), "answer: " + code.message());
             }
             if (got > 0) {
                 co_return got;
@@ -241,7 +248,7 @@
 private:
     std::unique_ptr<beast::tcp_stream> m_connection; // null once it is back in the pool
     return_function m_returnToPool;
-    beast::flat_buffer m_buffer;
+    beast::flat_buffer m_buffer{maxUnparsedBytes};   // received and not yet parsed; bodies are read past it
     std::optional<http::response_parser<http::buffer_body>> m_parser; // never empty
     bool m_failed = false;
 
