A caller's chunk size without an end is not kept either

Change: it is bounded by the limits on head and body together.

Evidence: http_server/a_chunks_size_without_an_end_is_refused_and_not_kept took 64 MiB on each of three connections before (where the test stops), and passes.

--- a/src/shell/http_connection.h
+++ b/src/shell/http_connection.h
@@ -189,6 +189,7 @@
         m_busy = busy;
     }
 
+    [[nodiscard]] std::size_t maxUnreadBytes() const { return m_limits.maxHeaderBytes + m_limits.maxBodyBytes; } // received and not yet parsed
     [[nodiscard]] bool canKeepAlive() const { return m_keepAlive && !m_connections->closing && !m_connections->closeAfterResponses; }
 
     // Sends a complete response.
@@ -241,6 +242,7 @@
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
         parser.body_limit(m_limits.maxBodyBytes);
+        m_buffer.max_size(std::max(maxUnreadBytes(), m_buffer.size()) + readAheadBytes); // also bounds what the parser can't take yet, such as the line with a chunk's size
         beast::error_code code;
         if (!first && m_buffer.size() == 0) {
             m_stream.expires_after(m_limits.idleTimeout);
@@ -355,7 +357,7 @@
         }
         beast::error_code fault;
         m_stream.socket().non_blocking(true, fault);
-        while (!fault && m_buffer.size() < m_limits.maxHeaderBytes + m_limits.maxBodyBytes) {
+        while (!fault && m_buffer.size() < maxUnreadBytes()) {
             const std::size_t got = m_stream.socket().read_some(m_buffer.prepare(readAheadBytes), fault);
             m_buffer.commit(got);
         }
--- a/tests/unit/http_server.cpp
+++ b/tests/unit/http_server.cpp
@@ -264,3 +264,25 @@
     }
     work.get();
 }
+
+// A line with a chunk's size that has no end is kept until it is whole: the limits on heads and bodies don't see it.
+Test(http_server, a_chunks_size_without_an_end_is_refused_and_not_kept)
+{
+    constexpr std::size_t farTooMuch = 64 * 1024 * 1024;
+    http_server_limits limits;
+    limits.maxBodyBytes = 64 * 1024;
+    small_server all(limits);
+    for (const std::string begin : {"", "b;more=", "0\r\nX-More: "}) {
+        raw_caller caller(all.server);
+        caller.send("POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + begin);
+        const std::string much(256 * 1024, 'x');
+        boost::system::error_code code;
+        std::size_t sent = 0;
+        while (!code && sent < farTooMuch) {
+            sent += asio::write(caller.socket, asio::buffer(much), code);
+        }
+        cr_expect_lt(sent, farTooMuch / 2, "%zu bytes taken after '%s'", sent, begin.c_str());
+    }
+    cr_expect(all.requests.seen().empty());
+    cr_expect(talk(all, "GET /next HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").rfind("HTTP/1.1 200", 0) == 0);
+}
