A late copy of a refusal is not taken for the answer to the next attempt

Callers saw: orders that ran twice, and orders answered 503, "not run", that had run.

Cause: after a refusal its connection is kept, and the repeat may take it when no other endpoint has a place free. An extra copy of the refusal that comes late is told from the answer by its request id alone, and all attempts of a request bear the same. Ruled out: that the endpoint runs what it refused (each run follows the refusal), and that the daemon repeats what it knows may have run.

Change: the request_machine says of each attempt whether the request was sent to that address before; such an attempt opens a connection, on which no earlier answer was given. Repeats elsewhere still reuse connections.

Evidence: late_copies/*, a refused order and a failed lookup, failed before and pass.

--- a/include/chicoryrouter/request_machine.h
+++ b/include/chicoryrouter/request_machine.h
@@ -116,6 +116,9 @@
     endpoint_ptr target;
     std::uint32_t resumeFrom = 0; // number of tokens that the caller already has
     bool withTransferredKv = false;
+    // Use a connection that has not carried this request: the endpoint may have answered an earlier attempt on one and send that answer once
+    // more, late. All attempts bear the request's id, so on such a connection the copy can't be told from the answer to this attempt.
+    bool onNewConnection = false;
 };
 struct cancel_attempt // no result to report
 {
@@ -219,6 +222,7 @@
     [[nodiscard]] const attempt *findAttempt(std::uint32_t number) const;
     [[nodiscard]] bool mayRepeat() const;
     [[nodiscard]] bool attemptsLeft() const;
+    [[nodiscard]] bool wasSentTo(const address &destination) const;
     [[nodiscard]] time_point hedgeAt() const;
     [[nodiscard]] duration silenceTimeout() const;
     [[nodiscard]] duration overdueTimeout() const;
@@ -227,6 +231,7 @@
     request_facts m_facts;
     retry_budget &m_budget;
     std::vector<attempt> m_attempts; // open attempts; at most two: the primary one, and a hedge or the one that a stream moves to
+    std::vector<address> m_sentTo;   // address of each attempt sent, in order
     route_query m_query;
     slot_purpose m_pendingPurpose = slot_purpose::None;  // purpose of the one acquire_slot that may be pending; None if none is
     endpoint_ptr m_heldSlot;                             // endpoint of a granted slot that is not yet used; null if there is none
--- a/src/core/request_machine.cpp
+++ b/src/core/request_machine.cpp
@@ -192,10 +192,17 @@
         m_recomputed += m_delivered;
     }
     m_attempts.push_back({m_sends, target, now, now + silenceTimeout(), now + overdueTimeout(), duration{}, false, false});
-    append(actions, send_attempt{m_sends, target, m_delivered, withKv});
+    append(actions, send_attempt{m_sends, target, m_delivered, withKv, wasSentTo(target->listenAddress)});
+    m_sentTo.push_back(target->listenAddress);
     return actions;
 }
 
+// Compares addresses and not ids: connections are kept by address, whichever endpoint has it now.
+bool request_machine::wasSentTo(const address &destination) const
+{
+    return std::find(m_sentTo.begin(), m_sentTo.end(), destination) != m_sentTo.end();
+}
+
 void request_machine::onSent(std::uint32_t number, time_point)
 {
     if (attempt *openAttempt = findAttempt(number)) {
--- a/src/shell/request_session_attempts.cpp
+++ b/src/shell/request_session_attempts.cpp
@@ -139,7 +139,7 @@
     const std::string resumeText = m_host.dialect->relaysAnswers ? std::string() : text(action.resumeFrom);
     engine_call call = callFor(action);
     call.resumeText = resumeText;
-    co_await openStream(open, number, m_host.dialect->modelCall(m_payload, call, *open->target), false);
+    co_await openStream(open, number, m_host.dialect->modelCall(m_payload, call, *open->target), action.onNewConnection);
     std::optional<attempt_fault> fault = co_await readHead(open);
     if (fault) {
         co_return fault;
@@ -267,7 +267,7 @@
     const std::uint32_t number = action.attempt;
     // A request that must not be repeated gets a new connection: if a reused one closes without an answer, the request may have been lost
     // or may have run, and nothing tells which. Relaying dialects still reuse connections, because theirs were used a moment ago.
-    const bool newConnection = !facts().route.repeatable && !m_host.dialect->relaysAnswers;
+    const bool newConnection = action.onNewConnection || (!facts().route.repeatable && !m_host.dialect->relaysAnswers);
     co_await openStream(open, number, m_host.dialect->plainCall(m_payload, callFor(action), *open->target), newConnection);
     std::optional<attempt_fault> fault = co_await readHead(open);
     if (!fault) {
