An endpoint that says in its answers that it leaves gets no new request

Callers saw: a daemon cut off from the store sent orders to an endpoint that said `Server-Leaving` in each answer until it ended, and the last ones were lost.

Cause: nothing read the header; a daemon learned of a leaving endpoint from the store alone.

From the first such answer on no request thread grants the endpoint a slot, and the control strand takes it out of the table. The mark holds for the endpoint's incarnation: a list never clears it, nor does an entry that lapses and returns; a restart ends it.

--- a/include/chicoryrouter/endpoint.h
+++ b/include/chicoryrouter/endpoint.h
@@ -43,9 +43,9 @@
     std::atomic<bool> paced{false};           // the endpoint is cold: each new request needs one of `paceTokens`
     std::atomic<std::uint32_t> paceTokens{0}; // requests this daemon may start now while the endpoint is cold; refilled by the control strand
 
-    std::atomic<bool> leaving{false}; // the endpoint will stop: requests that hold a slot but were not sent yet go to another endpoint
+    std::atomic<bool> leaving{false}; // the endpoint will stop: requests that hold a slot but were not sent yet go to another endpoint. Never reset
 
-    bool tryAcquire(); // acquires one slot; false if none is free, or if the endpoint is cold and no pace token is left
+    bool tryAcquire(); // acquires one slot; false if none is free, if the endpoint leaves, or if it is cold and no pace token is left
     void release();    // returns one slot; asserts that one was acquired
 };
 
--- a/include/chicoryrouter/fleet.h
+++ b/include/chicoryrouter/fleet.h
@@ -77,6 +77,9 @@
     [[nodiscard]] bool hasShares(const std::vector<version_share> &shares) const { return shares == m_shares; }
     std::vector<reclaim_notice> onInstanceList(const std::vector<instance_record> &list, time_point now); // returns the newly known reclaims
     std::vector<reclaim_notice> onNotice(const std::string &endpointId, time_point leaveBy); // empty if already known, or if the endpoint is unknown
+    // The endpoint itself says, in an answer, that it leaves. Holds for its incarnation, whatever the instance list says afterwards, also if
+    // the entry lapses and returns. False if that was already known, or if the endpoint is gone.
+    bool onLeavingAnswer(const endpoint &target);
     bool onLoadReport(const load_report &report, time_point now);                            // false: not newer than the last report, or unknown endpoint
     void onOutcome(const attempt_outcome &outcome, time_point now);
     [[nodiscard]] bool isCold(const std::string &endpointId, time_point now) const; // as reported by the endpoint itself (instance_record::coldUntil)
@@ -94,7 +97,8 @@
     {
         endpoint info;      // `use` is updated by buildTable(), the rest by the instance list
         bool listed = true; // in the latest instance list
-        bool leaving = false;
+        bool leaving = false;          // never reset for an incarnation
+        bool saidThatItLeaves = false; // in an answer
         load_report report;
         time_point reportedAt{};           // when the load was last reported, by `report` or in an answer
         std::uint64_t completedAtCold = 0; // value of load_report::completed when it was last found cold
@@ -113,7 +117,17 @@
         time_point tokenExpiresAt{};        // when the last pace token expires; only if paceTokensExpire()
     };
 
+    // An endpoint that said that it leaves, after its entry is gone.
+    struct departed_endpoint
+    {
+        std::uint64_t incarnation = 0;
+        time_point forgetAt{};
+    };
+
     void updateUse(known_endpoint &item) const;
+    void markLeaving(known_endpoint &item);
+    [[nodiscard]] bool hasDeparted(const known_endpoint &item) const;
+    void forgetUnlisted(time_point now);
     void applyRecord(known_endpoint &item, const instance_record &record);
     void updateSlots(const known_endpoint &item) const;
     [[nodiscard]] std::size_t daemonCount() const { return std::max<std::size_t>(m_members.size(), 1); } // daemons that share the limits
@@ -138,6 +152,7 @@
     std::vector<std::uint64_t> m_members;
     std::vector<version_share> m_shares;
     std::map<std::string, known_endpoint> m_endpoints;               // by id
+    std::map<std::string, departed_endpoint> m_departed;             // by id; not in m_endpoints
     std::set<std::pair<std::string, std::string>> m_blockedVersions; // service and version; rolled back by a version move
     std::map<std::string, duration> m_usualFirstTokens;              // service -> moving average of the time to the first token
     std::vector<endpoint_ptr> m_tableEndpoints;
--- a/src/core/endpoint.cpp
+++ b/src/core/endpoint.cpp
@@ -9,6 +9,9 @@
 
 bool endpoint_load::tryAcquire()
 {
+    if (leaving.load(std::memory_order_relaxed)) {
+        return false;
+    }
     if (!paced.load(std::memory_order_relaxed)) {
         return tryIncrement(inFlight, slots);
     }
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -26,6 +26,9 @@
 constexpr duration maxReconnectDelay = 8s;
 constexpr duration sameRegionDelay = 1ms; // assumed one-way network delay to another failure domain
 constexpr duration otherRegionDelay = 30ms;
+// An entry may lapse and return while its endpoint lives. A leaving endpoint ends long before this; one whose restart can't be told from a
+// return, because its incarnation is unknown, is used again after it.
+constexpr duration departedMemory = 5min;
 constexpr double reportedHalfLifeSeconds = 2.0; // of a report's weight in the average of reported loads
 constexpr std::int64_t averageDivisor = 8;      // a sample has a weight of 1/8 in a moving average
 
@@ -78,19 +81,59 @@
             notices.push_back({record.id, record.leaveBy});
         }
         // An older list may arrive after a reclaim notice, so a list never clears `leaving`.
-        item.leaving = item.leaving || record.leaving;
-        item.info.load->leaving = item.leaving;
+        if (record.leaving) {
+            markLeaving(item);
+        }
     }
-    for (auto item = m_endpoints.begin(); item != m_endpoints.end();) {
-        item->second.listed = listed.count(item->first) != 0;
-        const bool removable = !item->second.listed && item->second.info.load->inFlight.load() == 0;
-        item = removable ? m_endpoints.erase(item) : std::next(item);
+    for (auto &[id, item] : m_endpoints) {
+        item.listed = listed.count(id) != 0;
     }
+    forgetUnlisted(now);
     refillPaceTokens(now); // a cold endpoint that is new must be paced before a table with it is published
     m_dirty = true;
     return notices;
 }
 
+// Removes the endpoints that are not listed and have no open requests.
+void fleet::forgetUnlisted(time_point now)
+{
+    std::erase_if(m_departed, [now](const auto &entry) { return now >= entry.second.forgetAt; });
+    for (auto item = m_endpoints.begin(); item != m_endpoints.end();) {
+        const known_endpoint &known = item->second;
+        const bool removable = !known.listed && known.info.load->inFlight.load() == 0;
+        if (removable && known.saidThatItLeaves) {
+            m_departed[item->first] = {known.incarnation, now + departedMemory};
+        }
+        item = removable ? m_endpoints.erase(item) : std::next(item);
+    }
+}
+
+void fleet::markLeaving(known_endpoint &item)
+{
+    item.leaving = true;
+    item.info.load->leaving = true;
+}
+
+// Whether the entry of an endpoint that had said that it leaves has come back.
+bool fleet::hasDeparted(const known_endpoint &item) const
+{
+    const auto found = m_departed.find(item.info.id);
+    return found != m_departed.end() && found->second.incarnation == item.incarnation;
+}
+
+bool fleet::onLeavingAnswer(const endpoint &target)
+{
+    const auto found = m_endpoints.find(target.id);
+    const bool sameIncarnation = found != m_endpoints.end() && found->second.info.load == target.load;
+    if (!sameIncarnation || found->second.saidThatItLeaves) {
+        return false;
+    }
+    found->second.saidThatItLeaves = true;
+    m_dirty = true;
+    markLeaving(found->second);
+    return true;
+}
+
 // A restarted endpoint with a known id has lost its open requests and all state, so everything learned about it is reset.
 void fleet::applyRecord(known_endpoint &item, const instance_record &record)
 {
@@ -101,6 +144,10 @@
         item.info = std::move(info);
     }
     item.incarnation = record.incarnation;
+    if (hasDeparted(item)) {
+        item.saidThatItLeaves = true;
+        markLeaving(item);
+    }
     item.info.service = record.service;
     item.info.version = record.version;
     item.info.failureDomain = record.failureDomain;
@@ -117,8 +164,7 @@
     if (found == m_endpoints.end() || found->second.leaving) {
         return {};
     }
-    found->second.leaving = true;
-    found->second.info.load->leaving = true;
+    markLeaving(found->second);
     m_dirty = true;
     return {{endpointId, leaveBy}};
 }
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -309,13 +309,25 @@
     }
     for (const reclaim_notice &notice : notices) {
         const duration remaining = notice.leaveBy == noDeadline ? duration{} : notice.leaveBy - systemNow();
-        logEvent(log_event::EndpointNotice, {{"endpoint", notice.endpointId}, {"leaves_in_ms", inMilliseconds(remaining)}});
+        logEvent(log_event::EndpointNotice, {{"endpoint", notice.endpointId}, {"leaves_in_ms", inMilliseconds(remaining)}, {"source", "list"}});
         if (notice.leaveBy != noDeadline) {
             m_host.moveStreams(notice); // without a deadline the endpoint finishes its open requests
         }
     }
 }
 
+void control::onLeavingAnswer(endpoint_ptr target)
+{
+    asio::post(m_context, [this, endpoint = std::move(target)] {
+        if (!m_fleet.onLeavingAnswer(*endpoint)) {
+            return;
+        }
+        m_host.counts.countLeavingAnswer();
+        logEvent(log_event::EndpointNotice, {{"endpoint", endpoint->id}, {"leaves_in_ms", 0}, {"source", "answer"}});
+        publish();
+    });
+}
+
 asio::awaitable<void> control::pollLoad()
 {
     while (true) {
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -60,6 +60,7 @@
 
     void onOutcome(const attempt_outcome &outcome); // any thread
     void onPromptOutcome(prompt_outcome outcome);   // any thread
+    void onLeavingAnswer(endpoint_ptr target);      // any thread: the endpoint said in an answer that it leaves
     [[nodiscard]] std::string statusJson();         // any thread but the control strand; blocks until the strand has answered
     [[nodiscard]] boost::asio::io_context &context() { return m_context; }
     [[nodiscard]] std::shared_ptr<const revisioned_document> currentDocument() const { return m_gateway.config.share()->document; } // any thread
--- a/src/shell/metrics.h
+++ b/src/shell/metrics.h
@@ -36,6 +36,7 @@
     void countToken() { m_tokens.fetch_add(1, std::memory_order_relaxed); }
     void countRecomputedTokens(std::uint64_t tokens) { m_recomputedTokens.fetch_add(tokens, std::memory_order_relaxed); }
     void countMovedStream() { m_movedStreams.fetch_add(1, std::memory_order_relaxed); }
+    void countLeavingAnswer() { m_leavingAnswers.fetch_add(1, std::memory_order_relaxed); } // once for each endpoint that says that it leaves
 
     // ---- Metrics with labels; any thread, under a short lock
     void countOutcome(std::string_view route, std::string_view outcome); // a request ended: "answered" or the name of its error
@@ -56,6 +57,7 @@
     std::atomic<std::uint64_t> m_tokens{0};
     std::atomic<std::uint64_t> m_recomputedTokens{0};
     std::atomic<std::uint64_t> m_movedStreams{0};
+    std::atomic<std::uint64_t> m_leavingAnswers{0};
     std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(error_kind::Count)> m_failures{};
     std::unique_ptr<labelled> m_labelled;
 };
--- a/src/shell/request_host.h
+++ b/src/shell/request_host.h
@@ -79,6 +79,7 @@
     const dialect_table *dialect = &dialectTable<engine_dialect>(); // set before the first request
     bool keepsAnswers = true;                                       // false: a request is forgotten when it ends, because no caller can ask for it again
     std::function<void(const std::string &account)> onFirstToken;   // called when an endpoint begins to answer a request; may stay empty
+    std::function<void(const endpoint_ptr &)> onLeavingAnswer;      // an endpoint said for the first time that it leaves; may stay empty
     std::function<void(prompt_outcome)> onPromptOutcome;            // called for prompts with known parts; may stay empty
     rcu_cell<prompt_parts> quarantinedParts;                        // in ascending order; requests with one of them are not sent to any endpoint
     std::atomic<time_point> endpointsKnownAt{time_point{}};         // bootTimeNow() as of the newest endpoint list, so suspension counts; the epoch: none yet
--- a/src/shell/request_session_attempts.cpp
+++ b/src/shell/request_session_attempts.cpp
@@ -86,6 +86,9 @@
         answer = m_host.dialect->readAnswer(open->stream->status, open->stream->headers, facts().id);
     }
     m_endpointOpenRequests = answer.openRequests;
+    if (answer.saysLeaving) {
+        reportLeaving(open->target);
+    }
     if (answer.belongsToOtherRequest) {
         co_return attempt_fault{attempt_progress::MayHaveRun, error_kind::EndpointGarbage};
     }
@@ -101,6 +104,15 @@
     co_return std::nullopt;
 }
 
+// From here on no request thread chooses the endpoint; the control strand then takes it out of the routing table.
+void request_session::reportLeaving(const endpoint_ptr &target)
+{
+    const bool known = target->load->leaving.exchange(true);
+    if (!known && m_host.onLeavingAnswer) {
+        m_host.onLeavingAnswer(target);
+    }
+}
+
 // Reads an unusable answer to its end, so that its connection can be reused. A failure here does not change the attempt's outcome.
 asio::awaitable<void> request_session::skipBody(std::shared_ptr<open_attempt> open)
 {
--- a/tests/unit/limits.cpp
+++ b/tests/unit/limits.cpp
@@ -247,6 +247,76 @@
     cr_assert_eq(all.onNotice("e0", someday + 10s).size(), 0, "a second notice is no news");
 }
 
+namespace {
+
+// Two endpoints of which "e0" has said in an answer that it leaves; both of incarnation 1.
+struct fleet_with_leaver
+{
+    fleet_with_leaver()
+    {
+        list(2, 1);
+        all.buildTable();
+        for (const endpoint_ptr &item : all.endpoints()) {
+            leaver = item->id == "e0" ? item : leaver;
+        }
+        cr_assert(all.onLeavingAnswer(*leaver));
+    }
+
+    // The first endpoint is listed with this incarnation if there are two, and without it if there is one.
+    void list(std::size_t count, std::uint64_t incarnation)
+    {
+        std::vector<instance_record> records;
+        for (std::size_t i = 2 - count; i < 2; ++i) {
+            instance_record record{"e" + std::to_string(i), "fd-1", instance_class::Reclaimable, "writer", "v1", {"10.0.0.1", 1}};
+            record.incarnation = i == 0 ? incarnation : 1;
+            records.push_back(record);
+        }
+        all.onInstanceList(records, someday);
+    }
+
+    fleet all = fleetOf(0);
+    endpoint_ptr leaver;
+};
+
+} // namespace
+
+Test(limits, what_an_endpoint_says_of_its_leaving_outlasts_what_the_list_says)
+{
+    fleet_with_leaver one;
+    cr_expect_eq(usable(one.all), 1);
+    cr_expect(!one.all.onLeavingAnswer(*one.leaver), "a second answer is no news");
+    one.list(2, 1);
+    cr_expect_eq(usable(one.all), 1, "the list says that it is ready");
+    one.list(1, 1);
+    one.list(2, 1);
+    cr_expect_eq(usable(one.all), 1, "its entry lapsed and returned");
+}
+
+Test(limits, an_endpoint_that_left_and_was_started_again_is_used)
+{
+    fleet_with_leaver restartedAtOnce;
+    restartedAtOnce.list(2, 2);
+    cr_expect_eq(usable(restartedAtOnce.all), 2);
+    cr_expect(!restartedAtOnce.all.onLeavingAnswer(*restartedAtOnce.leaver), "a late answer of the former incarnation");
+    cr_expect_eq(usable(restartedAtOnce.all), 2);
+    fleet_with_leaver restartedLater;
+    restartedLater.list(1, 1);
+    restartedLater.list(2, 2);
+    cr_expect_eq(usable(restartedLater.all), 2);
+}
+
+// Request threads see the mark before the table that leaves the endpoint out is published.
+Test(limits, a_leaving_endpoint_grants_no_slot)
+{
+    fleet all = fleetOf(1);
+    all.buildTable();
+    endpoint_load &load = *all.endpoints().front()->load;
+    cr_assert(load.tryAcquire());
+    load.leaving = true;
+    cr_expect(!load.tryAcquire());
+    load.release();
+}
+
 Test(limits, an_account_limit_is_divided_by_demand_and_sums_up)
 {
     cr_assert(divideByDemand(10, {0, 0}) == (std::vector<std::uint32_t>{5, 5}));
