A connection whose answer names no request is not kept

The test's next order took the copy of a refusal for its own, and ran twice.

Change: such a connection is not used again after its answer. Evidence: late_copies/a_copy_that_names_no_request... failed before and passes.

--- a/src/shell/http.h
+++ b/src/shell/http.h
@@ -152,6 +152,7 @@
     virtual boost::asio::awaitable<std::size_t> readSome(char *buffer, std::size_t size) = 0; // bytes read, 0 at the end of the body; throws http_failure
     virtual void setDeadline(time_point deadline) = 0;                                        // replaces the deadline for the rest of the response
     virtual void cancel() = 0;                                                                // closes the connection; a pending readSome() throws
+    virtual void closeAfterResponse() = 0;                                                    // the connection is not used for another call
     virtual boost::asio::awaitable<void> skipResponse() = 0; // discards a response to an earlier request, reads the next headers
 };
 
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -238,6 +238,8 @@
         }
     }
 
+    void closeAfterResponse() override { m_returnToPool = nullptr; }
+
     void cancel() override
     {
         if (m_connection != nullptr) {
--- a/src/shell/request_session_attempts.cpp
+++ b/src/shell/request_session_attempts.cpp
@@ -86,6 +86,9 @@
         answer = m_host.dialect->readAnswer(open->stream->status, open->stream->headers, facts().id);
     }
     m_endpointOpenRequests = answer.openRequests;
+    if (!answer.namesRequest) {
+        open->stream->closeAfterResponse();
+    }
     if (answer.saysLeaving) {
         reportLeaving(open->target);
     }
