Daemons tell each other of endpoints that say that they leave

Change: a datagram with id, incarnation and age, ten times; the mark holds as if the answer had come here, also for an endpoint that is listed later.

--- a/include/chicoryrouter/fleet.h
+++ b/include/chicoryrouter/fleet.h
@@ -5,6 +5,7 @@
 // Not thread-safe: used on the control strand only, the thread that does the daemon's work outside of requests.
 #pragma once
 
+#include "chicoryrouter/departures.h"
 #include "chicoryrouter/endpoint_limit.h"
 #include "chicoryrouter/request_machine.h"
 #include "chicoryrouter/routing_table.h"
@@ -12,6 +13,7 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -78,8 +80,9 @@
     std::vector<reclaim_notice> onInstanceList(const std::vector<instance_record> &list, time_point now); // returns the newly known reclaims
     std::vector<reclaim_notice> onNotice(const std::string &endpointId, time_point leaveBy); // empty if already known, or if the endpoint is unknown
     // The endpoint itself says, in an answer, that it leaves. Holds for its incarnation, whatever the instance list says afterwards, also if
-    // the entry lapses and returns. False if that was already known, or if the endpoint is gone.
-    bool onLeavingAnswer(const endpoint &target);
+    // the entry lapses and returns. Returns what to tell the other daemons; nullopt if it was already known, or if the endpoint is gone.
+    std::optional<departure> onLeavingAnswer(const endpoint &target, time_point now);
+    bool onDeparture(const departure &item, time_point now); // the endpoint said so to another daemon; false: known already, too old, or not listed yet
     bool onLoadReport(const load_report &report, time_point now);                            // false: not newer than the last report, or unknown endpoint
     void onOutcome(const attempt_outcome &outcome, time_point now);
     [[nodiscard]] bool isCold(const std::string &endpointId, time_point now) const; // as reported by the endpoint itself (instance_record::coldUntil)
@@ -117,7 +120,7 @@
         time_point tokenExpiresAt{};        // when the last pace token expires; only if paceTokensExpire()
     };
 
-    // An endpoint that said that it leaves, after its entry is gone.
+    // An endpoint that said that it leaves and is not listed, either no longer or not yet.
     struct departed_endpoint
     {
         std::uint64_t incarnation = 0;
@@ -126,6 +129,7 @@
 
     void updateUse(known_endpoint &item) const;
     void markLeaving(known_endpoint &item);
+    bool markDeparted(known_endpoint &item);
     [[nodiscard]] bool hasDeparted(const known_endpoint &item) const;
     void forgetUnlisted(time_point now);
     void applyRecord(known_endpoint &item, const instance_record &record);
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -26,9 +26,7 @@
 constexpr duration maxReconnectDelay = 8s;
 constexpr duration sameRegionDelay = 1ms; // assumed one-way network delay to another failure domain
 constexpr duration otherRegionDelay = 30ms;
-// An entry may lapse and return while its endpoint lives. A leaving endpoint ends long before this; one whose restart can't be told from a
-// return, because its incarnation is unknown, is used again after it.
-constexpr duration departedMemory = 5min;
+constexpr std::size_t maxDeparted = 1024; // endpoints that are remembered without being listed
 constexpr double reportedHalfLifeSeconds = 2.0; // of a report's weight in the average of reported loads
 constexpr std::int64_t averageDivisor = 8;      // a sample has a weight of 1/8 in a moving average
 
@@ -101,8 +99,8 @@
     for (auto item = m_endpoints.begin(); item != m_endpoints.end();) {
         const known_endpoint &known = item->second;
         const bool removable = !known.listed && known.info.load->inFlight.load() == 0;
-        if (removable && known.saidThatItLeaves) {
-            m_departed[item->first] = {known.incarnation, now + departedMemory};
+        if (removable && known.saidThatItLeaves && m_departed.size() < maxDeparted) {
+            m_departed[item->first] = {known.incarnation, now + departureMemory};
         }
         item = removable ? m_endpoints.erase(item) : std::next(item);
     }
@@ -121,17 +119,39 @@
     return found != m_departed.end() && found->second.incarnation == item.incarnation;
 }
 
-bool fleet::onLeavingAnswer(const endpoint &target)
+bool fleet::markDeparted(known_endpoint &item)
+{
+    const bool isNew = !item.saidThatItLeaves;
+    item.saidThatItLeaves = true;
+    markLeaving(item);
+    m_dirty = m_dirty || isNew;
+    return isNew;
+}
+
+std::optional<departure> fleet::onLeavingAnswer(const endpoint &target, time_point now)
 {
     const auto found = m_endpoints.find(target.id);
     const bool sameIncarnation = found != m_endpoints.end() && found->second.info.load == target.load;
-    if (!sameIncarnation || found->second.saidThatItLeaves) {
+    if (!sameIncarnation || !markDeparted(found->second)) {
+        return std::nullopt;
+    }
+    return departure{target.id, found->second.incarnation, now};
+}
+
+bool fleet::onDeparture(const departure &item, time_point now)
+{
+    const time_point forgetAt = item.saidAt + departureMemory;
+    if (now >= forgetAt) {
         return false;
     }
-    found->second.saidThatItLeaves = true;
-    m_dirty = true;
-    markLeaving(found->second);
-    return true;
+    const auto found = m_endpoints.find(item.endpointId);
+    if (found != m_endpoints.end()) {
+        return found->second.incarnation == item.incarnation && markDeparted(found->second);
+    }
+    if (m_departed.size() < maxDeparted) {
+        m_departed[item.endpointId] = {item.incarnation, forgetAt};
+    }
+    return false;
 }
 
 // A restarted endpoint with a known id has lost its open requests and all state, so everything learned about it is reset.
@@ -145,8 +165,7 @@
     }
     item.incarnation = record.incarnation;
     if (hasDeparted(item)) {
-        item.saidThatItLeaves = true;
-        markLeaving(item);
+        markDeparted(item);
     }
     item.info.service = record.service;
     item.info.version = record.version;
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -319,15 +319,30 @@
 void control::onLeavingAnswer(endpoint_ptr target)
 {
     asio::post(m_context, [this, endpoint = std::move(target)] {
-        if (!m_fleet.onLeavingAnswer(*endpoint)) {
-            return;
+        if (const std::optional<departure> told = m_fleet.onLeavingAnswer(*endpoint, systemNow())) {
+            m_departures.add({told->endpointId, told->incarnation, bootTimeNow()}, bootTimeNow());
+            m_host.counts.countLeavingAnswer();
+            onDeparted(endpoint->id, "answer");
         }
-        m_host.counts.countLeavingAnswer();
-        logEvent(log_event::EndpointNotice, {{"endpoint", endpoint->id}, {"leaves_in_ms", 0}, {"source", "answer"}});
-        publish();
     });
 }
 
+void control::receiveDepartures(std::string_view bytes)
+{
+    for (const departure &item : decodeDepartures(bytes, systemNow()).value_or(std::vector<departure>{})) {
+        if (m_fleet.onDeparture(item, systemNow())) {
+            onDeparted(item.endpointId, "peer");
+        }
+    }
+}
+
+// At once, as the requests that wait must not get the endpoint.
+void control::onDeparted(const std::string &endpointId, std::string_view source)
+{
+    logEvent(log_event::EndpointNotice, {{"endpoint", endpointId}, {"leaves_in_ms", 0}, {"source", source}});
+    publish();
+}
+
 asio::awaitable<void> control::pollLoad()
 {
     while (true) {
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -116,6 +116,8 @@
     void refillAccounts();
     void sendDatagrams();
     void receiveDatagram(datagram_kind kind, std::string_view bytes);
+    void receiveDepartures(std::string_view bytes);
+    void onDeparted(const std::string &endpointId, std::string_view source);
     void sendSpendingReport(const std::vector<address> &peers, time_point now);
     void refreshMembers();
     void refreshAccounts();
@@ -146,6 +148,7 @@
     std::map<std::string, std::shared_ptr<account_load>> m_accounts; // by account name; kept across document changes so that counts stay correct
     std::map<std::string, std::uint64_t> m_previousDemand;           // by account: total demand at the last measurement
     prompt_quarantine m_quarantine;                                  // of prompt parts that crash endpoints
+    departure_reports m_departures;                                  // endpoints that said to this daemon that they leave
     spending_tracker m_spending;                                     // of accounts with a token rate limit
     std::unique_ptr<datagram_link> m_datagramLink;                   // UDP; null when `hosted` is off in the settings: no reports are sent or received
     std::uint64_t m_datagramSequence = 0;
--- a/src/shell/control_reports.cpp
+++ b/src/shell/control_reports.cpp
@@ -1,5 +1,5 @@
 // The control strand's exchange of UDP datagrams with other daemons: spending reports (tokens spent by account, started requests by window, load
-// by service), evidence about versions under trial, and reports on prompts that crash endpoints.
+// by service), evidence about versions under trial, and reports on prompts that crash endpoints and on endpoints that leave.
 #include "chicoryrouter/hash.h"
 #include "shell/clock.h"
 #include "shell/control.h"
@@ -132,7 +132,7 @@
     return sum;
 }
 
-// Sends the spending report, the evidence and the reports on prompts to all live members when they are due. The interval grows with the number of members, so
+// Sends the spending report, the evidence and the reports on prompts and leaving endpoints to all live members when they are due. The interval grows with the number of members, so
 // that the number of datagrams that a daemon receives per second stays bounded.
 void control::sendDatagrams()
 {
@@ -158,6 +158,9 @@
     for (const std::string &bytes : m_quarantine.datagrams(maxSpendingBytes, bootTimeNow())) {
         m_datagramLink->send(peers, datagram_kind::Quarantine, bytes);
     }
+    for (const std::string &bytes : m_departures.datagrams(maxSpendingBytes, bootTimeNow())) {
+        m_datagramLink->send(peers, datagram_kind::Departures, bytes);
+    }
 }
 
 void control::receiveDatagram(datagram_kind kind, std::string_view bytes)
@@ -174,6 +177,9 @@
     case datagram_kind::Quarantine:
         m_quarantine.receive(bytes, bootTimeNow());
         break;
+    case datagram_kind::Departures:
+        receiveDepartures(bytes);
+        break;
     }
 }
 
--- a/src/shell/datagram_link.h
+++ b/src/shell/datagram_link.h
@@ -20,6 +20,7 @@
     Spending = 's',
     Evidence = 'e',
     Quarantine = 'q',
+    Departures = 'd',
 };
 
 // Sends and receives datagrams on one UDP socket. A datagram is the deployment's prefix, a datagram_kind and the payload.
--- a/tests/unit/endpoint_answers.cpp
+++ b/tests/unit/endpoint_answers.cpp
@@ -53,6 +53,19 @@
     cr_expect_eq(arrivals, 0, "%zu requests", arrivals);
 }
 
+// Two daemons: one passes on the answer, and the other hears of it, while the store says nothing.
+Test(endpoint_answers, other_daemons_hear_that_an_endpoint_leaves, .timeout = 60)
+{
+    small_deployment all;
+    all.start("entry-1");
+    all.start("entry-2");
+    all.writer1.faults.saysLeaving = true;
+    askUntilReached(all, all.writer1);
+    cr_assert(eventually([&] { return all.routers[0]->isLeaving("writer-1"); }));
+    cr_expect(eventually([&] { return all.routers[1]->isLeaving("writer-1"); }), "the other daemon goes on using it");
+    cr_expect(!all.routers[1]->isLeaving("writer-2"));
+}
+
 Test(endpoint_answers, an_endpoint_that_asks_for_rest_gets_it, .timeout = 60)
 {
     constexpr int rest = 4; // s
--- a/tests/unit/limits.cpp
+++ b/tests/unit/limits.cpp
@@ -259,7 +259,7 @@
         for (const endpoint_ptr &item : all.endpoints()) {
             leaver = item->id == "e0" ? item : leaver;
         }
-        cr_assert(all.onLeavingAnswer(*leaver));
+        cr_assert(all.onLeavingAnswer(*leaver, someday));
     }
 
     // The first endpoint is listed with this incarnation if there are two, and without it if there is one.
@@ -284,7 +284,7 @@
 {
     fleet_with_leaver one;
     cr_expect_eq(usable(one.all), 1);
-    cr_expect(!one.all.onLeavingAnswer(*one.leaver), "a second answer is no news");
+    cr_expect(!one.all.onLeavingAnswer(*one.leaver, someday), "a second answer is no news");
     one.list(2, 1);
     cr_expect_eq(usable(one.all), 1, "the list says that it is ready");
     one.list(1, 1);
@@ -297,7 +297,7 @@
     fleet_with_leaver restartedAtOnce;
     restartedAtOnce.list(2, 2);
     cr_expect_eq(usable(restartedAtOnce.all), 2);
-    cr_expect(!restartedAtOnce.all.onLeavingAnswer(*restartedAtOnce.leaver), "a late answer of the former incarnation");
+    cr_expect(!restartedAtOnce.all.onLeavingAnswer(*restartedAtOnce.leaver, someday), "a late answer of the former incarnation");
     cr_expect_eq(usable(restartedAtOnce.all), 2);
     fleet_with_leaver restartedLater;
     restartedLater.list(1, 1);
@@ -305,6 +305,56 @@
     cr_expect_eq(usable(restartedLater.all), 2);
 }
 
+// The endpoint is new to this daemon, or its entry has lapsed here.
+Test(limits, a_departure_told_by_another_daemon_holds_for_its_incarnation)
+{
+    const departure told{"e0", 1, someday - 1s};
+    fleet_with_leaver one;
+    one.list(1, 1);
+    one.list(2, 2);
+    cr_expect_eq(usable(one.all), 2);
+    cr_expect(!one.all.onDeparture(told, someday), "of a former incarnation");
+    cr_expect_eq(usable(one.all), 2);
+    cr_expect(one.all.onDeparture({"e0", 2, someday}, someday));
+    cr_expect_eq(usable(one.all), 1);
+    fleet unlisted = fleetOf(0);
+    cr_expect(!unlisted.onDeparture(told, someday));
+    std::vector<instance_record> records = {{"e0", "fd-1", instance_class::Reclaimable, "writer", "v1", {"10.0.0.1", 1}}};
+    records[0].incarnation = 1;
+    unlisted.onInstanceList(records, someday);
+    cr_expect_eq(usable(unlisted), 0);
+    fleet late = fleetOf(0);
+    cr_expect(!late.onDeparture({"e0", 1, someday - departureMemory}, someday), "too old");
+    late.onInstanceList(records, someday);
+    cr_expect_eq(usable(late), 1);
+}
+
+Test(limits, departures_are_told_some_times_and_read_as_they_were_told)
+{
+    departure_reports reports;
+    cr_expect(reports.datagrams(1400, someday).empty());
+    for (int i = 0; i < 100; ++i) {
+        reports.add({"endpoint-with-a-long-name-" + std::to_string(i), static_cast<std::uint64_t>(i), someday}, someday);
+    }
+    std::map<std::string, int> told;
+    for (int round = 0; round < 200; ++round) {
+        for (const std::string &bytes : reports.datagrams(300, someday + 2s)) {
+            cr_assert_leq(bytes.size(), 300);
+            const auto items = decodeDepartures(bytes, someday + 2s);
+            cr_assert(items);
+            for (const departure &item : *items) {
+                cr_expect(item.saidAt == someday);
+                ++told[item.endpointId];
+            }
+        }
+    }
+    cr_expect_eq(told.size(), 100);
+    cr_expect(std::all_of(told.begin(), told.end(), [](const auto &item) { return item.second == 10; }));
+    for (const std::string garbage : {"", "x", "\x91\x01", "\x91\x93\xa1" "a\x01\xff"}) {
+        cr_expect(!decodeDepartures(garbage, someday));
+    }
+}
+
 // Request threads see the mark before the table that leaves the endpoint out is published.
 Test(limits, a_leaving_endpoint_grants_no_slot)
 {
