A whole prompt that crashes endpoints is quarantined like a part

Change: the whole prompt is the narrowest of its parts, by a hash over all of them. Suspects that were in one crash alone are forgotten first, as each crash adds one for each open prompt.

--- a/include/chicoryrouter/prompt_quarantine.h
+++ b/include/chicoryrouter/prompt_quarantine.h
@@ -1,4 +1,5 @@
 // Finds the parts of prompts that crash endpoints ("queries of death"), so that requests with such a part are kept away from all endpoints.
+// A whole prompt counts as the narrowest of its parts, as its callers may send it again.
 //
 // A crash takes every request that is open at the endpoint, so a single one accuses innocent prompts too. Each daemon notes of its own
 // requests which parts a prompt had whose endpoint was lost before it answered, and which parts were answered. The daemons send each other
@@ -130,6 +131,7 @@
     struct suspect
     {
         std::map<std::uint64_t, origin_report> byOrigin;
+        time_point firstCrash{}; // of those heard of
         time_point newestCrash{};
     };
 
--- a/src/core/prompt_parts.cpp
+++ b/src/core/prompt_parts.cpp
@@ -1,11 +1,27 @@
-// Names of prompt parts.
+// Numbers and names of prompt parts.
 #include "chicoryrouter/prompt_parts.h"
 
+#include "chicoryrouter/hash.h"
+
 #include <array>
 #include <charconv>
 
 namespace chicoryrouter {
 
+prompt_parts promptPartsOf(const std::vector<std::uint64_t> &allParts)
+{
+    if (allParts.empty()) {
+        return {};
+    }
+    std::string whole;
+    for (const std::uint64_t part : allParts) {
+        whole += partName(part) + ",";
+    }
+    prompt_parts parts(allParts.begin(), allParts.end() - 1);
+    parts.push_back(hashBytes(whole));
+    return parts;
+}
+
 std::string partName(std::uint64_t part)
 {
     constexpr int hexadecimal = 16;
--- a/src/core/prompt_quarantine.cpp
+++ b/src/core/prompt_quarantine.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace chicoryrouter {
@@ -19,7 +20,7 @@
 constexpr std::size_t maxCrashesPerReport = 8; // the newest ones
 constexpr std::size_t maxSuspects = 512;
 constexpr std::size_t maxHeld = 64;
-constexpr std::size_t maxAnsweredParts = 2048; // of each generation
+constexpr std::size_t maxAnsweredParts = 8192; // of each generation; each answer adds its whole prompt
 constexpr std::size_t maxReportsPerRound = 24;
 constexpr std::uint32_t reportSends = 6; // of each new state, as datagrams may be lost
 constexpr std::uint32_t heldSends = 10;
@@ -180,6 +181,7 @@
         report.content.crashes.erase(report.content.crashes.begin());
     }
     report.transmission.sendCount = 0;
+    item.firstCrash = item.firstCrash == time_point{} ? crash.at : std::min(item.firstCrash, crash.at);
     item.newestCrash = std::max(item.newestCrash, crash.at);
     const time_point answeredAt = answeredBefore(part);
     if (answeredAt != time_point{}) {
@@ -197,14 +199,15 @@
     report.transmission.sendCount = clears ? 0 : report.transmission.sendCount;
 }
 
-// Drops the suspects whose crashes are oldest. Quarantined ones stay, as they account for crashes.
+// Drops the suspects whose crashes are oldest, first those that were in a single one: each crash accuses as many whole prompts as were open.
+// Quarantined ones stay, as they account for crashes.
 void prompt_quarantine::limitSuspects()
 {
-    const auto isOlder = [this](const auto &a, const auto &b) {
-        return std::pair(m_held.count(a.first), a.second.newestCrash) < std::pair(m_held.count(b.first), b.second.newestCrash);
+    const auto rank = [this](const auto &item) {
+        return std::tuple(m_held.count(item.first), item.second.firstCrash + sameCrash < item.second.newestCrash, item.second.newestCrash);
     };
     while (m_suspects.size() > maxSuspects) {
-        m_suspects.erase(std::min_element(m_suspects.begin(), m_suspects.end(), isOlder));
+        m_suspects.erase(std::min_element(m_suspects.begin(), m_suspects.end(), [&](const auto &a, const auto &b) { return rank(a) < rank(b); }));
     }
 }
 
--- a/tests/support/hosted_platform.cpp
+++ b/tests/support/hosted_platform.cpp
@@ -392,9 +392,8 @@
 
 bool hosted_endpoint::isDown()
 {
-    constexpr duration downTime = 300ms; // after a crash
     const std::lock_guard guard(m_lock);
-    return !m_crashes.empty() && systemNow() < m_crashes.back() + downTime;
+    return !m_crashes.empty() && systemNow() < m_crashes.back() + std::chrono::milliseconds(faults.downMillis);
 }
 
 asio::awaitable<void> hosted_endpoint::handle(http_exchange &exchange)
--- a/tests/support/hosted_platform.h
+++ b/tests/support/hosted_platform.h
@@ -105,18 +105,19 @@
 
 struct hosted_endpoint_faults
 {
-    std::atomic<int> refuseNext{0};          // so many requests are refused with the proof that they did not run
-    std::atomic<int> failNext{0};            // answered 500 after running
-    std::atomic<int> cutNext{0};             // cut inside a stream's event `cutAtEvent`, plain answers before they begin
+    std::atomic<int> refuseNext{0};           // so many requests are refused with the proof that they did not run
+    std::atomic<int> failNext{0};             // answered 500 after running
+    std::atomic<int> cutNext{0};              // cut inside a stream's event `cutAtEvent`, plain answers before they begin
     std::atomic<std::uint32_t> cutAtEvent{3}; // 0: after the answer's head
-    std::atomic<int> repeatStatus{0};        // a request that has run here before is answered with this status and the text "failed"; 0: as any other
-    std::atomic<int> foreignNext{0};         // answered under another request's id
-    std::atomic<int> silentNext{0};          // run and never answered
-    std::atomic<bool> otherInstance{false};  // its address has another endpoint now
-    std::atomic<std::int64_t> workMillis{0}; // before the answer, and between two events
-    std::atomic<bool> saysLeaving{false};    // all answers say that the endpoint leaves; the store is not told
-    std::atomic<int> restSeconds{0};         // every request is refused, and the answer asks for so long a rest; 0: none
-    std::atomic<bool> crashesOnPart{false};  // as it begins to answer a prompt with hostedDeadlyPart it loses all its connections and is gone for a while
+    std::atomic<int> repeatStatus{0};         // a request that has run here before is answered with this status and the text "failed"; 0: as any other
+    std::atomic<int> foreignNext{0};          // answered under another request's id
+    std::atomic<int> silentNext{0};           // run and never answered
+    std::atomic<bool> otherInstance{false};   // its address has another endpoint now
+    std::atomic<std::int64_t> workMillis{0};  // before the answer, and between two events
+    std::atomic<bool> saysLeaving{false};     // all answers say that the endpoint leaves; the store is not told
+    std::atomic<int> restSeconds{0};          // every request is refused, and the answer asks for so long a rest; 0: none
+    std::atomic<int> downMillis{300};         // after a crash
+    std::atomic<bool> crashesOnPart{false};   // as it begins to answer a prompt with hostedDeadlyPart it loses all its connections and is gone for a while
 };
 
 class hosted_endpoint : hosted_stand_in
@@ -131,13 +132,13 @@
     [[nodiscard]] std::map<std::string, int> runs(); // by request id
     [[nodiscard]] std::vector<http_request> seen();  // requests as they arrived, refused ones too
     [[nodiscard]] std::vector<time_point> crashes(); // on hostedDeadlyPart
+    [[nodiscard]] bool isDown();                     // after a crash
     [[nodiscard]] std::string entry(const std::string &service, const std::string &domain, const std::string &state = "ready") const;
 
 private:
     boost::asio::awaitable<void> handle(http_exchange &exchange);
     boost::asio::awaitable<void> stream(http_exchange &exchange, bool cut);
     void crash();
-    [[nodiscard]] bool isDown();
 
     std::string m_id;
     std::mutex m_lock;
--- a/tests/unit/deadly_prompts.cpp
+++ b/tests/unit/deadly_prompts.cpp
@@ -56,12 +56,24 @@
         return askAt(requests % 2, path + own, "aa01:200," + std::string(hostedDeadlyPart) + ":50,bb" + own + ":30,cc" + own + ":10");
     }
 
+    // The same prompt each time, which is deadly as a whole: sound prompts of the same session share all its parts but the last.
+    bool askDeadlyWhole(const std::string &path) { return askAt(requests % 2, path + "w", "aa01:200,bb02:30," + std::string(hostedDeadlyPart) + ":10"); }
+
+    bool askSoundOfTheSession(const std::string &path) { return askAt(requests % 2, path + "s", "aa01:200,bb02:30,cc" + std::to_string(requests) + ":10"); }
+
     bool askSound(const std::string &path)
     {
         const std::string own = std::to_string(requests + 1000);
         return askAt(requests % 2, path + own, "aa01:200,bb" + own + ":30,cc" + own + ":10");
     }
 
+    void waitForEndpoints()
+    {
+        const bool back
+            = test::eventually([this] { return std::none_of(writers.begin(), writers.end(), [](hosted_endpoint *item) { return item->isDown(); }); });
+        cr_assert(back, "an endpoint stays down");
+    }
+
     std::vector<time_point> crashes()
     {
         std::vector<time_point> all;
@@ -79,19 +91,25 @@
 
 } // namespace
 
-// Each request was a new one at another endpoint, nothing connected the crashes, and a route that may resume carried each to a second endpoint.
-Test(deadly_prompts, a_prompt_part_that_crashes_endpoints_reaches_few_of_them, .timeout = 120)
+namespace {
+
+using ask_function = bool (deployment_with_deadly_prompts::*)(const std::string &path);
+
+void checkThatFewEndpointsCrash(ask_function askDeadly, ask_function askSound, std::chrono::milliseconds downTime)
 {
     for (const std::string path : {"/write/", "/chat/"}) {
         deployment_with_deadly_prompts all;
+        for (hosted_endpoint *item : all.writers) {
+            item->faults.downMillis = static_cast<int>(downTime.count());
+        }
         const time_point begun = systemNow();
         time_point decisive = begun; // the fifth crash, or the last one if there are fewer
         std::size_t sound = 0;
         std::size_t soundAnswered = 0;
         while (systemNow() < decisive + 3 * inTouch && systemNow() < begun + 6 * inTouch) {
-            all.askDeadly(path);
+            (all.*askDeadly)(path);
             const bool neighboursBound = systemNow() > decisive + 2 * inTouch;
-            const bool answered = all.askSound(path);
+            const bool answered = (all.*askSound)(path);
             sound += neighboursBound ? 1 : 0;
             soundAnswered += neighboursBound && answered ? 1 : 0;
             const std::vector<time_point> crashes = all.crashes();
@@ -107,6 +125,21 @@
     }
 }
 
+} // namespace
+
+// Each request was a new one at another endpoint, nothing connected the crashes, and a route that may resume carried each to a second endpoint.
+Test(deadly_prompts, a_prompt_part_that_crashes_endpoints_reaches_few_of_them, .timeout = 120)
+{
+    checkThatFewEndpointsCrash(&deployment_with_deadly_prompts::askDeadly, &deployment_with_deadly_prompts::askSound, 300ms);
+}
+
+// Its callers send the same prompt again, and sound prompts of its session clear all the parts that it shares with them. An endpoint is back
+// later here: prompts of one session go to the same endpoint, whose next crash within a second would be taken for the same one.
+Test(deadly_prompts, a_whole_prompt_that_crashes_endpoints_reaches_few_of_them, .timeout = 120)
+{
+    checkThatFewEndpointsCrash(&deployment_with_deadly_prompts::askDeadlyWhole, &deployment_with_deadly_prompts::askSoundOfTheSession, 1500ms);
+}
+
 namespace {
 
 // Brings the deployment to the quarantine of the deadly part.
@@ -151,6 +184,7 @@
     const std::size_t crashes = all.crashes().size();
     all.start("entry-1");
     all.start("entry-2");
+    all.waitForEndpoints(); // the last crash may be younger than a restart takes
     for (int i = 0; i < 10; ++i) {
         cr_assert(!all.askDeadly("/chat/"));
         cr_assert(all.askSound("/chat/"));
