Interim responses of endpoints are skipped

Seen by the review: a 100 was passed on as the answer, and the answer itself was left for the connection's next request. Up to eight in a row are skipped now, more fail the call. Evidence: http_client/interim_responses_are_skipped and ..._without_end_fail_the_call failed before and pass.

--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -31,6 +31,7 @@
 constexpr duration connectTimeout = std::chrono::milliseconds(700);   // a lost SYN is retransmitted only after one second
 constexpr std::size_t maxSkippedBytes = 1024 * 1024;                  // longest response to another request that is discarded; a longer one fails the call
 constexpr std::size_t maxUnparsedBytes = 64 * 1024; // of a response's head, the line with a chunk's size, or its trailer; a longer one fails the call
+constexpr std::uint32_t maxInterimResponses = 8;                      // before one response; more of them fail the call
 constexpr duration idleConnectionLifetime = std::chrono::seconds(20); // shorter than the servers' idle timeout, so that the client closes first
 
 struct idle_connection
@@ -176,13 +177,17 @@
         resetParser();
     }
 
+    // Skips interim responses (100 Continue, 103 Early Hints): the response follows them.
     asio::awaitable<void> readHead()
     {
-        beast::error_code code;
-        co_await http::async_read_header(*m_connection, m_buffer, *m_parser, storeErrorIn(code));
-        if (code) {
-            m_failed = true;
-            throw http_failure(true, kindOfReadError(code), "answer headers: " + code.message());
+        co_await readAnyHead();
+        for (std::uint32_t interim = 0; m_parser->get().result_int() / 100 == 1; ++interim) {
+            if (interim == maxInterimResponses) {
+                m_failed = true;
+                throw http_failure(true, error_kind::EndpointGarbage, "answer headers: too many interim responses");
+            }
+            resetParser();
+            co_await readAnyHead();
         }
         status = static_cast<int>(m_parser->get().result_int());
         headers = copyHeaders(m_parser->get());
@@ -254,6 +259,16 @@
     std::optional<http::response_parser<http::buffer_body>> m_parser; // never empty
     bool m_failed = false;
 
+    asio::awaitable<void> readAnyHead()
+    {
+        beast::error_code code;
+        co_await http::async_read_header(*m_connection, m_buffer, *m_parser, storeErrorIn(code));
+        if (code) {
+            m_failed = true;
+            throw http_failure(true, kindOfReadError(code), "answer headers: " + code.message());
+        }
+    }
+
     void resetParser()
     {
         m_parser.emplace();
--- a/tests/unit/http_client.cpp
+++ b/tests/unit/http_client.cpp
@@ -13,6 +13,7 @@
 #include <criterion/criterion.h>
 
 #include <array>
+#include <filesystem>
 #include <thread>
 
 using namespace chicoryrouter;
@@ -152,3 +153,37 @@
     cr_assert_eq(bodies.size(), 2);
     cr_assert(bodies[0] == "ok" && bodies[1] == "ok");
 }
+
+namespace {
+
+std::vector<std::string> bodiesOf(const std::string &answer)
+{
+    raw_peer peer;
+    std::thread serving([&] { peer.serveOnce(answer); });
+    asio::io_context context;
+    http_client client(context.get_executor());
+    std::vector<std::string> bodies;
+    asio::co_spawn(context, callOnce(client, peer.where(), 2s, bodies, 1), asio::detached);
+    context.run();
+    serving.join();
+    return bodies;
+}
+
+} // namespace
+
+// An interim response used to be passed on as the answer, and the answer was left for the connection's next request.
+Test(http_client, interim_responses_are_skipped)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok";
+    cr_assert(bodiesOf(interim + answer) == std::vector<std::string>{"ok"});
+}
+
+Test(http_client, interim_responses_without_end_fail_the_call)
+{
+    std::string many;
+    for (int i = 0; i < 100; ++i) {
+        many += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    cr_assert(bodiesOf(many + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") == std::vector<std::string>{"failed"});
+}
