An address that is a name is no endpoint to use, and no exception ends an attempt unseen

Seen by the review: each order sent to such an entry ended with 504 at its deadline, though never sent. The parser's exception was lost with the detached coroutine of the attempt.

Evidence: hosted/an_entry_whose_address_is_a_name... and http_client/an_address_that_is_no_ip_address... failed before and pass. The last catch has no test of its own: nothing is known that still reaches it.

--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -110,10 +110,13 @@
                 co_return stream;
             }
         }
+        beast::error_code code;
+        const tcp::endpoint tcpEndpoint(asio::ip::make_address(destination.ip, code), destination.port);
+        if (code) {
+            throw http_failure(false, error_kind::EndpointRefused, "'" + destination.ip + "' is not an IP address");
+        }
         auto stream = std::make_unique<beast::tcp_stream>(executor);
         stream->expires_at(steadyAt(std::min(deadline, systemNow() + connectTimeout)));
-        const tcp::endpoint tcpEndpoint(asio::ip::make_address(destination.ip), destination.port);
-        beast::error_code code;
         co_await stream->async_connect(tcpEndpoint, storeErrorIn(code));
         if (code) {
             throw http_failure(false, error_kind::EndpointRefused, "connect: " + code.message());
--- a/src/shell/request_session_attempts.cpp
+++ b/src/shell/request_session_attempts.cpp
@@ -46,6 +46,9 @@
         fault = attempt_fault{failure.requestMayHaveBeenSent() ? attempt_progress::MayHaveRun : attempt_progress::NotSent, failure.kind()};
     } catch (const error &invalid) {
         fault = attempt_fault{attempt_progress::MayHaveRun, invalid.kind()};
+    } catch (const std::exception &unexpected) { // lost with this coroutine otherwise, and the request would wait for its deadline
+        logEvent(log_event::LoopFault, {{"loop", "attempt"}, {"why", unexpected.what()}});
+        fault = attempt_fault{attempt_progress::NotSent, error_kind::EndpointFailed}; // the request_machine knows whether a byte may have been sent
     }
     if (fault) {
         attemptFailed(open, number, fault->progress, fault->kind);
--- a/tests/unit/hosted.cpp
+++ b/tests/unit/hosted.cpp
@@ -175,6 +175,16 @@
     cr_assert(all.shop1.runs().empty());
 }
 
+// Each order sent there waited for its deadline, though it had never been sent.
+Test(hosted, an_entry_whose_address_is_a_name_is_no_endpoint)
+{
+    small_deployment all;
+    all.store.put("servers/named", R"({"Service":"shop","Address":"localhost:80","Zone":"west-1","Version":"v1","Slots":4,"State":"ready"})");
+    all.start();
+    cr_assert(all.routers.front()->isLeaving("named"));
+    cr_assert(!all.routers.front()->isLeaving("shop-1"));
+}
+
 Test(hosted, the_last_good_state_serves_while_the_store_is_away)
 {
     small_deployment all;
--- a/tests/unit/http_client.cpp
+++ b/tests/unit/http_client.cpp
@@ -187,3 +187,14 @@
     }
     cr_assert(bodiesOf(many + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") == std::vector<std::string>{"failed"});
 }
+
+// The exception of the address parser used to leave the coroutine: the caller waited for its deadline.
+Test(http_client, an_address_that_is_no_ip_address_fails_the_call)
+{
+    asio::io_context context;
+    http_client client(context.get_executor());
+    std::vector<std::string> bodies;
+    asio::co_spawn(context, callOnce(client, {"a-name", 80}, 2s, bodies, 1), asio::detached);
+    context.run();
+    cr_assert(bodies == std::vector<std::string>{"failed"});
+}
