Idle connections to endpoints that are gone are closed

Callers saw: each replaced endpoint left up to 64 descriptors behind, and at 4,100 the daemon accepted nothing, at a full core.

Cause: idle connections were looked at only by a call to the same address; accepting was tried again at once after it had failed.

Change: keeping a connection also looks at the idle ones of one other address, every 50 ms at most; 1,024 in all for a request thread; accepting pauses for 50 ms after a failure. A timer was ruled out: a context that runs until its work is done would wait for it.

--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -24,6 +24,7 @@
 namespace {
 
 constexpr std::size_t maxIdleConnectionsPerAddress = 64;
+constexpr std::size_t maxIdleConnections = 1024; // in all; further ones are closed after their response
 constexpr int keepAliveIdleSeconds = 2; // without traffic before the first probe
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int keepAliveProbeCount = 2;                                // unanswered probes after which the connection is dead
@@ -32,6 +33,7 @@
 constexpr std::size_t maxSkippedBytes = 1024 * 1024;                  // longest response to another request that is discarded; a longer one fails the call
 constexpr std::size_t maxUnparsedBytes = 64 * 1024; // of a response's head, the line with a chunk's size, or its trailer; a longer one fails the call
 constexpr std::uint32_t maxInterimResponses = 8;                      // before one response; more of them fail the call
+constexpr duration idleCheckInterval = std::chrono::milliseconds(50); // between two looks for idle connections that are of no use any more
 constexpr duration idleConnectionLifetime = std::chrono::seconds(20); // shorter than the servers' idle timeout, so that the client closes first
 
 struct idle_connection
@@ -82,11 +84,12 @@
 
     std::unique_ptr<beast::tcp_stream> takeIdle(const address &destination)
     {
-        auto &list = idleConnections[{destination.ip, destination.port}];
-        while (!list.empty()) {
-            idle_connection candidate = std::move(list.back());
-            list.pop_back();
-            if (candidate.expiresAt > systemNow() && stillOpen(*candidate.stream)) {
+        const auto found = idleConnections.find({destination.ip, destination.port});
+        while (found != idleConnections.end() && !found->second.empty()) {
+            idle_connection candidate = std::move(found->second.back());
+            found->second.pop_back();
+            --idleCount;
+            if (isUsable(candidate, systemNow())) {
                 return std::move(candidate.stream);
             }
         }
@@ -95,10 +98,34 @@
 
     void keepIdle(const address &destination, std::unique_ptr<beast::tcp_stream> stream)
     {
+        closeUnusable(systemNow());
         auto &list = idleConnections[{destination.ip, destination.port}];
-        if (list.size() < maxIdleConnectionsPerAddress) {
+        if (list.size() < maxIdleConnectionsPerAddress && idleCount < maxIdleConnections) {
             stream->expires_never();
             list.push_back({std::move(stream), systemNow() + idleConnectionLifetime});
+            ++idleCount;
+        }
+    }
+
+    static bool isUsable(idle_connection &item, time_point now) { return item.expiresAt > now && stillOpen(*item.stream); }
+
+    // Looks at the idle connections to one address after the other: those to a server that is gone are used by no call that would notice. Part of
+    // keeping a connection, so that a client without calls, whose connections don't grow in number, needs no timer.
+    void closeUnusable(time_point now)
+    {
+        if (now < nextIdleCheck) {
+            return;
+        }
+        nextIdleCheck = now + idleCheckInterval;
+        auto next = idleConnections.upper_bound(lastChecked);
+        next = next == idleConnections.end() ? idleConnections.begin() : next;
+        if (next == idleConnections.end()) {
+            return;
+        }
+        lastChecked = next->first;
+        idleCount -= std::erase_if(next->second, [now](idle_connection &item) { return !isUsable(item, now); });
+        if (next->second.empty()) {
+            idleConnections.erase(next);
         }
     }
 
@@ -132,6 +159,9 @@
 
     asio::any_io_executor executor;
     std::map<address_key, std::vector<idle_connection>> idleConnections;
+    std::size_t idleCount = 0;   // over all addresses
+    address_key lastChecked;     // by closeUnusable()
+    time_point nextIdleCheck{};
 };
 
 namespace {
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -23,6 +24,10 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
+namespace {
+constexpr duration acceptRetryDelay = std::chrono::milliseconds(50);
+} // namespace
+
 std::string_view findHeader(const http_headers &headers, std::string_view name)
 {
     const auto found = std::find_if(headers.begin(), headers.end(), [&](const http_header &item) { return beast::iequals(item.name, name); });
@@ -73,11 +78,14 @@
             if (code == asio::error::operation_aborted || !acceptor.is_open()) {
                 co_return;
             }
-            if (!code) {
-                beast::error_code ignored;
-                socket.set_option(tcp::no_delay(true), ignored);
-                asio::post(context, [self, moved = std::move(socket)]() mutable { self->startConnection(std::move(moved)); });
+            if (code) { // out of descriptors, for example, and then the next try would fail at once too
+                asio::steady_timer pause(acceptor.get_executor(), acceptRetryDelay);
+                co_await pause.async_wait(storeErrorIn(code));
+                continue;
             }
+            beast::error_code ignored;
+            socket.set_option(tcp::no_delay(true), ignored);
+            asio::post(context, [self, moved = std::move(socket)]() mutable { self->startConnection(std::move(moved)); });
         }
     }
 
--- a/tests/unit/http_client.cpp
+++ b/tests/unit/http_client.cpp
@@ -198,3 +198,59 @@
     context.run();
     cr_assert(bodies == std::vector<std::string>{"failed"});
 }
+
+namespace {
+
+std::size_t openDescriptors()
+{
+    const std::filesystem::directory_iterator all("/proc/self/fd");
+    return static_cast<std::size_t>(std::distance(begin(all), end(all)));
+}
+
+// Answers one request on each of `connections` connections at the same time, keeps them open for a moment, and ends.
+void serveAndEnd(raw_peer &peer, std::size_t connections)
+{
+    std::vector<tcp::socket> open;
+    std::array<char, 4096> buffer{};
+    for (std::size_t i = 0; i < connections; ++i) {
+        open.push_back(peer.acceptor.accept());
+        open.back().read_some(asio::buffer(buffer));
+    }
+    for (tcp::socket &socket : open) {
+        asio::write(socket, asio::buffer(std::string("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")));
+    }
+    std::this_thread::sleep_for(50ms);
+}
+
+// Runs calls to a server that is then replaced.
+void callAndReplace(asio::io_context &context, http_client &client, std::size_t connections)
+{
+    raw_peer peer;
+    std::thread serving([&] { serveAndEnd(peer, connections); });
+    std::vector<std::string> bodies;
+    for (std::size_t i = 0; i < connections; ++i) {
+        asio::co_spawn(context, callOnce(client, peer.where(), 10s, bodies, 1), asio::detached);
+    }
+    context.restart();
+    context.run();
+    serving.join();
+    cr_assert_eq(bodies.size(), connections);
+}
+
+} // namespace
+
+// Only a request to the same address used to free idle connections; nobody sends one to a server that is gone.
+Test(http_client, idle_connections_to_replaced_servers_are_closed, .timeout = 120)
+{
+    constexpr std::size_t connections = 16;
+    constexpr std::size_t servers = 60;
+    asio::io_context context;
+    http_client client(context.get_executor());
+    callAndReplace(context, client, connections);
+    const std::size_t before = openDescriptors();
+    for (std::size_t i = 0; i < servers; ++i) {
+        callAndReplace(context, client, connections);
+    }
+    const std::size_t after = openDescriptors();
+    cr_assert_leq(after, before + 8 * connections, "%zu descriptors, then %zu", before, after);
+}
--- a/tests/unit/http_server.cpp
+++ b/tests/unit/http_server.cpp
@@ -16,10 +16,13 @@
 
 #include <array>
 #include <atomic>
+#include <ctime>
 #include <future>
 #include <mutex>
 #include <thread>
 
+#include <sys/resource.h>
+
 using namespace chicoryrouter;
 using namespace std::chrono_literals;
 namespace asio = boost::asio;
@@ -286,3 +289,30 @@
     cr_expect(all.requests.seen().empty());
     cr_expect(talk(all, "GET /next HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").rfind("HTTP/1.1 200", 0) == 0);
 }
+
+// Without descriptors accepting fails at once, again and again, until one is free.
+Test(http_server, a_server_without_descriptors_waits_instead_of_spinning)
+{
+    constexpr duration shortage = 500ms;
+    small_server all;
+    for (int i = 0; i < 4; ++i) { // so that both threads have what they need of descriptors
+        talk(all, "GET /before HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    }
+    rlimit limit{};
+    cr_assert_eq(getrlimit(RLIMIT_NOFILE, &limit), 0);
+    asio::io_context context;
+    tcp::socket next(context);
+    next.open(tcp::v4());
+    const rlimit none{3, limit.rlim_max};
+    cr_assert_eq(setrlimit(RLIMIT_NOFILE, &none), 0);
+    next.connect(tcp::endpoint(asio::ip::make_address("127.0.0.1"), all.server.port()));
+    const std::clock_t before = std::clock();
+    std::this_thread::sleep_for(shortage);
+    const double busy = static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
+    cr_assert_eq(setrlimit(RLIMIT_NOFILE, &limit), 0);
+    cr_expect_lt(busy, 0.1, "%.2f s of processor time", busy);
+    asio::write(next, asio::buffer(std::string("GET /after HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")));
+    std::array<char, 64> answer{};
+    cr_expect_gt(next.read_some(asio::buffer(answer)), 0);
+    cr_expect(eventually([&] { return all.requests.seen().size() == 5; }));
+}
