--- a/include/chicoryrouter/fleet.h
+++ b/include/chicoryrouter/fleet.h
@@ -82,8 +82,8 @@
     // The endpoint itself says, in an answer, that it leaves. Holds for its incarnation, whatever the instance list says afterwards, also if
     // the entry lapses and returns. Returns what to tell the other daemons; nullopt if it was already known, or if the endpoint is gone.
     std::optional<departure> onLeavingAnswer(const endpoint &target, time_point now);
-    bool onDeparture(const departure &item, time_point now); // the endpoint said so to another daemon; false: known already, too old, or not listed yet
-    bool onLoadReport(const load_report &report, time_point now);                            // false: not newer than the last report, or unknown endpoint
+    bool onDeparture(const departure &item, time_point now);      // the endpoint said so to another daemon; false: known already, too old, or not listed yet
+    bool onLoadReport(const load_report &report, time_point now); // false: not newer than the last report, or unknown endpoint
     void onOutcome(const attempt_outcome &outcome, time_point now);
     [[nodiscard]] bool isCold(const std::string &endpointId, time_point now) const; // as reported by the endpoint itself (instance_record::coldUntil)
     void startDueProbes(time_point now);   // admits one probe request to each set-aside endpoint whose delay has passed
@@ -98,8 +98,8 @@
 private:
     struct known_endpoint
     {
-        endpoint info;      // `use` is updated by buildTable(), the rest by the instance list
-        bool listed = true; // in the latest instance list
+        endpoint info;                 // `use` is updated by buildTable(), the rest by the instance list
+        bool listed = true;            // in the latest instance list
         bool leaving = false;          // never reset for an incarnation
         bool saidThatItLeaves = false; // in an answer
         load_report report;
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -26,7 +26,7 @@
 constexpr duration maxReconnectDelay = 8s;
 constexpr duration sameRegionDelay = 1ms; // assumed one-way network delay to another failure domain
 constexpr duration otherRegionDelay = 30ms;
-constexpr std::size_t maxDeparted = 1024; // endpoints that are remembered without being listed
+constexpr std::size_t maxDeparted = 1024;       // endpoints that are remembered without being listed
 constexpr double reportedHalfLifeSeconds = 2.0; // of a report's weight in the average of reported loads
 constexpr std::int64_t averageDivisor = 8;      // a sample has a weight of 1/8 in a moving average
 
--- a/src/shell/control_reports.cpp
+++ b/src/shell/control_reports.cpp
@@ -132,8 +132,8 @@
     return sum;
 }
 
-// Sends the spending report, the evidence and the reports on prompts and leaving endpoints to all live members when they are due. The interval grows with the number of members, so
-// that the number of datagrams that a daemon receives per second stays bounded.
+// Sends the spending report, the evidence and the reports on prompts and leaving endpoints to all live members when they are due. The interval grows with the
+// number of members, so that the number of datagrams that a daemon receives per second stays bounded.
 void control::sendDatagrams()
 {
     const time_point now = systemNow();
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -25,14 +25,14 @@
 
 constexpr std::size_t maxIdleConnectionsPerAddress = 64;
 constexpr std::size_t maxIdleConnections = 1024; // in all; further ones are closed after their response
-constexpr int keepAliveIdleSeconds = 2; // without traffic before the first probe
+constexpr int keepAliveIdleSeconds = 2;          // without traffic before the first probe
 constexpr int keepAliveIntervalSeconds = 1;
-constexpr int keepAliveProbeCount = 2;                                // unanswered probes after which the connection is dead
-constexpr unsigned tcpUserTimeoutMilliseconds = 3000;                 // sent data unacknowledged for this long: the connection is dead
-constexpr duration connectTimeout = std::chrono::milliseconds(700);   // a lost SYN is retransmitted only after one second
-constexpr std::size_t maxSkippedBytes = 1024 * 1024;                  // longest response to another request that is discarded; a longer one fails the call
+constexpr int keepAliveProbeCount = 2;                              // unanswered probes after which the connection is dead
+constexpr unsigned tcpUserTimeoutMilliseconds = 3000;               // sent data unacknowledged for this long: the connection is dead
+constexpr duration connectTimeout = std::chrono::milliseconds(700); // a lost SYN is retransmitted only after one second
+constexpr std::size_t maxSkippedBytes = 1024 * 1024;                // longest response to another request that is discarded; a longer one fails the call
 constexpr std::size_t maxUnparsedBytes = 64 * 1024; // of a response's head, the line with a chunk's size, or its trailer; a longer one fails the call
-constexpr std::uint32_t maxInterimResponses = 8;                      // before one response; more of them fail the call
+constexpr std::uint32_t maxInterimResponses = 8;    // before one response; more of them fail the call
 constexpr duration idleCheckInterval = std::chrono::milliseconds(50); // between two looks for idle connections that are of no use any more
 constexpr duration idleConnectionLifetime = std::chrono::seconds(20); // shorter than the servers' idle timeout, so that the client closes first
 
@@ -159,8 +159,8 @@
 
     asio::any_io_executor executor;
     std::map<address_key, std::vector<idle_connection>> idleConnections;
-    std::size_t idleCount = 0;   // over all addresses
-    address_key lastChecked;     // by closeUnusable()
+    std::size_t idleCount = 0; // over all addresses
+    address_key lastChecked;   // by closeUnusable()
     time_point nextIdleCheck{};
 };
 
@@ -288,7 +288,7 @@
 private:
     std::unique_ptr<beast::tcp_stream> m_connection; // null once it is back in the pool
     return_function m_returnToPool;
-    beast::flat_buffer m_buffer{maxUnparsedBytes};   // received and not yet parsed; bodies are read past it
+    beast::flat_buffer m_buffer{maxUnparsedBytes};                    // received and not yet parsed; bodies are read past it
     std::optional<http::response_parser<http::buffer_body>> m_parser; // never empty
     bool m_failed = false;
 
--- a/src/shell/http_connection.h
+++ b/src/shell/http_connection.h
@@ -242,7 +242,8 @@
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
         parser.body_limit(m_limits.maxBodyBytes);
-        m_buffer.max_size(std::max(maxUnreadBytes(), m_buffer.size()) + readAheadBytes); // also bounds what the parser can't take yet, such as the line with a chunk's size
+        m_buffer.max_size(
+            std::max(maxUnreadBytes(), m_buffer.size()) + readAheadBytes); // also bounds what the parser can't take yet, such as the line with a chunk's size
         beast::error_code code;
         if (!first && m_buffer.size() == 0) {
             m_stream.expires_after(m_limits.idleTimeout);
--- a/tests/unit/endless_answers.cpp
+++ b/tests/unit/endless_answers.cpp
@@ -50,7 +50,9 @@
     std::string begin;
     std::string filling;
     std::atomic<std::size_t> mostSent{0}; // on one connection
-    raw_endpoint endpoint{[this](tcp::socket &socket) { talk(socket); }}; // last
+    raw_endpoint endpoint{[this](tcp::socket &socket) {
+        talk(socket);
+    }}; // last
 };
 
 // Only the babbling endpoint serves; every request ends as a failure, and its connections are closed.
--- a/tests/unit/late_copies.cpp
+++ b/tests/unit/late_copies.cpp
@@ -79,7 +79,9 @@
     copying_behaviour m_behaviour;
     std::mutex m_lock;
     std::map<std::string, int> m_tries;
-    raw_endpoint m_endpoint{[this](tcp::socket &socket) { talk(socket); }}; // last
+    raw_endpoint m_endpoint{[this](tcp::socket &socket) {
+        talk(socket);
+    }}; // last
 };
 
 // The endpoint is the only one of its service, so that a repeat goes where the request was before.
--- a/tests/unit/limits.cpp
+++ b/tests/unit/limits.cpp
@@ -350,7 +350,9 @@
     }
     cr_expect_eq(told.size(), 100);
     cr_expect(std::all_of(told.begin(), told.end(), [](const auto &item) { return item.second == 10; }));
-    for (const std::string garbage : {"", "x", "\x91\x01", "\x91\x93\xa1" "a\x01\xff"}) {
+    for (const std::string garbage : {"", "x", "\x91\x01",
+             "\x91\x93\xa1"
+             "a\x01\xff"}) {
         cr_expect(!decodeDepartures(garbage, someday));
     }
 }
