--- a/tests/unit/unframed_answers.cpp
+++ b/tests/unit/unframed_answers.cpp
@@ -1,20 +1,15 @@
 // Answers with neither a length nor chunks, which end with their connection: whole ones are passed on as whole, broken ones never look whole.
+#include "support/raw_endpoint.h"
 #include "support/small_deployment.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
-
 #include <criterion/criterion.h>
 
-#include <array>
-#include <atomic>
 #include <thread>
 
 using namespace chicoryrouter;
 namespace asio = boost::asio;
 using asio::ip::tcp;
-using test::eventually;
+using test::raw_endpoint;
 using test::small_deployment;
 using test::wholeStream;
 
@@ -26,55 +21,16 @@
 };
 
 // Answers every request with the same bytes and ends the connection.
-class unframed_endpoint
+raw_endpoint::conversation answerAndEnd(const std::string &answer, ending end)
 {
-public:
-    unframed_endpoint(std::string answer, ending end)
-        : m_answer(std::move(answer))
-        , m_end(end)
-        , m_acceptor(m_context, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
-        , m_thread([this] { serve(); })
-    {
-    }
-
-    ~unframed_endpoint()
-    {
-        m_stopping = true;
-        tcp::socket wake(m_context);
-        boost::system::error_code ignored;
-        wake.connect(m_acceptor.local_endpoint(), ignored);
-        wake.close(ignored);
-        m_thread.join();
-    }
-
-    [[nodiscard]] std::string entry(const std::string &service) const
-    {
-        return R"({"Service":")" + service + R"(","Address":"127.0.0.1:)" + std::to_string(m_acceptor.local_endpoint().port())
-            + R"(","Zone":"west-1","Version":"v1","Slots":64,"State":"ready","ColdRemainingMs":0,"Sequence":1})";
-    }
-
-private:
-    void serve()
-    {
-        while (!m_stopping) {
-            tcp::socket socket = m_acceptor.accept();
-            std::array<char, 8192> buffer{};
-            boost::system::error_code code;
-            socket.read_some(asio::buffer(buffer), code);
-            asio::write(socket, asio::buffer(m_answer), code);
-            std::this_thread::sleep_for(std::chrono::milliseconds(50)); // a reset would overtake the bytes
-            socket.set_option(asio::socket_base::linger(m_end == ending::Reset, 0), code);
-            socket.close(code);
-        }
-    }
-
-    std::string m_answer;
-    ending m_end;
-    std::atomic<bool> m_stopping{false};
-    asio::io_context m_context;
-    tcp::acceptor m_acceptor;
-    std::thread m_thread; // last: it uses the others
-};
+    return [answer, end](tcp::socket &socket) {
+        boost::system::error_code code;
+        test::readRequestHead(socket);
+        asio::write(socket, asio::buffer(answer), code);
+        std::this_thread::sleep_for(std::chrono::milliseconds(50)); // a reset would overtake the bytes
+        socket.set_option(asio::socket_base::linger(end == ending::Reset, 0), code);
+    };
+}
 
 const std::string head = "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n";
 const std::string streamHead = head + "Content-Type: text/event-stream\r\n\r\n";
@@ -82,14 +38,10 @@
 // The caller's view of a request that only the unframed endpoint can serve.
 sync_client::partial_response answerThrough(const std::string &answer, ending end, const std::string &service, const std::string &path)
 {
-    unframed_endpoint only(answer, end);
+    const raw_endpoint only(answerAndEnd(answer, end));
     small_deployment all;
     all.start();
-    for (const char *other : {"writer-1", "writer-2", "shop-1", "shop-2"}) {
-        all.store.remove(std::string("servers/") + other);
-    }
-    all.store.put("servers/only", only.entry(service));
-    cr_assert(eventually([&] { return all.routers.front()->isLeaving("shop-1") && all.routers.front()->usableEndpointCount() == 1; }));
+    all.serveOnly("only", only.entry(service));
     return all.ask("POST", path, "u1", {{"X-Prompt-Prefix", "aa01:20,bb01:10"}});
 }
 
