Tests can run routers as real processes

The soak's process class moves to tests/support and starts a router as a service manager does: with no signal blocked and SIGPIPE at its default. Before, routers of the soak inherited its ignored SIGPIPE, so a write to a closed pipe could never end one there.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -64,7 +64,7 @@
         }
         for (const auto &item : all.routers) {
             if (!item->runs()) {
-                faults.push_back(item->own().instance + " ended by itself, status " + std::to_string(item->endedWith()));
+                faults.push_back(item->own().instance + " ended by itself, " + test::describeEnd(item->endedWith()));
             }
         }
         std::vector<hosted_endpoint *> endpoints;
--- a/tests/soak/stage.h
+++ b/tests/soak/stage.h
@@ -2,8 +2,8 @@
 // the routers as processes.
 #pragma once
 
-#include "soak/daemon_process.h"
 #include "soak/loopback_proxy.h"
+#include "support/daemon_process.h"
 #include "support/hosted_platform.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -12,6 +12,9 @@
 
 namespace chicoryrouter::soak {
 
+using test::daemon_process;
+using test::freePort;
+
 inline constexpr unsigned soakRetryReserve = 20; // of all routers together
 
 struct proxied_endpoint
--- a/tests/soak/daemon_process.cpp
+++ b/tests/support/daemon_process.cpp
@@ -1,5 +1,5 @@
 // Processes by fork and exec.
-#include "soak/daemon_process.h"
+#include "support/daemon_process.h"
 
 #include "shell/clock.h"
 
@@ -7,6 +7,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -14,7 +15,7 @@
 #include <fstream>
 #include <thread>
 
-namespace chicoryrouter::soak {
+namespace chicoryrouter::test {
 
 using namespace std::chrono_literals;
 
@@ -38,8 +39,22 @@
     out << "peer_key: \"" << own.peerKey << "\"\noperator_token_hash: \"" << std::string(64, '0') << "\"\nthreads: 1\nstop_within: 8s\n";
 }
 
+// Signal mask and ignored signals outlive exec: a process starts as a service manager starts it, not with those of this program.
+void resetSignals()
+{
+    sigset_t none;
+    sigemptyset(&none);
+    sigprocmask(SIG_SETMASK, &none, nullptr);
+    signal(SIGPIPE, SIG_DFL);
+}
+
 } // namespace
 
+std::string describeEnd(int status)
+{
+    return WIFSIGNALED(status) ? "signal " + std::to_string(WTERMSIG(status)) : "exit code " + std::to_string(WEXITSTATUS(status));
+}
+
 std::uint16_t freePort()
 {
     const int handle = socket(AF_INET, SOCK_STREAM, 0);
@@ -58,7 +73,7 @@
     , m_own(std::move(own))
     , m_folder(std::move(folder))
 {
-    writeSettings(m_own, m_folder + "/" + m_own.instance + ".yaml");
+    writeSettings(m_own, settingsFile());
 }
 
 daemon_process::~daemon_process()
@@ -66,15 +81,19 @@
     kill();
 }
 
-void daemon_process::start()
+void daemon_process::start(const process_output &output)
 {
-    const std::string option = "--settings=" + m_folder + "/" + m_own.instance + ".yaml";
+    const std::string option = "--settings=" + settingsFile();
     const std::string log = logFile();
     m_pid = fork();
     if (m_pid == 0) {
+        resetSignals();
+        if (endsWithStarter) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+        }
         const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-        dup2(out, STDOUT_FILENO);
-        dup2(out, STDERR_FILENO);
+        dup2(output.standardOutput >= 0 ? output.standardOutput : out, STDOUT_FILENO);
+        dup2(output.standardError >= 0 ? output.standardError : out, STDERR_FILENO);
         execl(m_program.c_str(), m_program.c_str(), option.c_str(), nullptr);
         _exit(127);
     }
@@ -116,9 +135,23 @@
     send(SIGHUP);
 }
 
-bool daemon_process::stop(duration within)
+void daemon_process::terminate()
 {
     send(SIGTERM);
+}
+
+bool daemon_process::stop(duration within)
+{
+    terminate();
+    if (ends(within)) {
+        return true;
+    }
+    kill();
+    return false;
+}
+
+bool daemon_process::ends(duration within)
+{
     const time_point until = systemNow() + within;
     while (systemNow() < until) {
         if (reap(false)) {
@@ -126,8 +159,7 @@
         }
         std::this_thread::sleep_for(10ms);
     }
-    kill();
-    return false;
+    return reap(false);
 }
 
 bool daemon_process::runs()
@@ -135,4 +167,4 @@
     return !reap(false);
 }
 
-} // namespace chicoryrouter::soak
+} // namespace chicoryrouter::test
--- a/tests/soak/daemon_process.h
+++ b/tests/support/daemon_process.h
@@ -5,26 +5,39 @@
 
 #include <sys/types.h>
 
-#include <mutex>
 #include <string>
 
-namespace chicoryrouter::soak {
+namespace chicoryrouter::test {
+
+// Where a process writes its log.
+struct process_output
+{
+    int standardOutput = -1; // descriptor of the caller, duplicated into the process; -1: the log file
+    int standardError = -1;
+};
 
 class daemon_process
 {
 public:
     daemon_process(std::string program, settings own, std::string folder);
     ~daemon_process(); // kills it if it still runs
+    daemon_process(const daemon_process &) = delete;
+    daemon_process &operator=(const daemon_process &) = delete;
+
+    bool endsWithStarter = false; // it is killed when the thread that started it ends, as a failed test does without any destructor
 
-    void start();
+    void start(const process_output &output = {});
     void kill();                                             // SIGKILL, and waits for its end
     void pause();                                            // SIGSTOP
     void resume();                                           // SIGCONT
     void hangUp();                                           // SIGHUP
+    void terminate();                                        // SIGTERM, without waiting
     bool stop(duration within);                              // SIGTERM, and waits; false: it did not end and was killed
+    bool ends(duration within);                              // waits for its end; false: it still runs
     [[nodiscard]] bool runs();                               // false: it ended by itself, or was ended
     [[nodiscard]] int endedWith() const { return m_status; } // as waitpid() tells it
     [[nodiscard]] const settings &own() const { return m_own; }
+    [[nodiscard]] std::string settingsFile() const { return m_folder + "/" + m_own.instance + ".yaml"; }
     [[nodiscard]] std::string logFile() const { return m_folder + "/" + m_own.instance + ".log"; }
 
 private:
@@ -38,6 +51,7 @@
     int m_status = 0;
 };
 
-std::uint16_t freePort(); // free when asked
+std::string describeEnd(int status); // of endedWith(): "exit code 1" or "signal 13"
+std::uint16_t freePort();            // free when asked
 
-} // namespace chicoryrouter::soak
+} // namespace chicoryrouter::test
--- a/tests/unit/logs.cpp
+++ b/tests/unit/logs.cpp
@@ -3,6 +3,7 @@
 #include "shell/metrics.h"
 #include "shell/request_history.h"
 #include "support/files.h"
+#include "test_paths.h"
 
 #include "chicoryrouter/units.h"
 
--- a/tests/unit/scenarios.cpp
+++ b/tests/unit/scenarios.cpp
@@ -2,6 +2,7 @@
 // CHICORY_GOLDEN=write rewrites the golden files for review (`make golden`).
 #include "support/files.h"
 #include "support/scenario.h"
+#include "test_paths.h"
 
 #include <criterion/criterion.h>
 
