A refusal that asks for a rest is kept to

No code read the header in an endpoint's answer. It is decoded in platform/, bounded to 60 s, and kept beside the endpoint's counters, so that it outlives a new table or document; request threads choose nothing that rests, the last look before a send included, and the control strand ends the rest. leaving and resting are asked in one place now, endpoint_load::acceptsNew(). Anything but a positive number of seconds asks for no rest; an extra copy of another request's refusal neither.

--- a/include/chicoryrouter/endpoint.h
+++ b/include/chicoryrouter/endpoint.h
@@ -30,6 +30,9 @@
     UnknownVersion, // the document does not list its version or its failure domain, or a version move rolled the version back
 };
 
+// The longest rest that an endpoint can ask for at once: a wrong value must not put it out of use for good.
+inline constexpr duration maxEndpointRest = std::chrono::seconds(60);
+
 // Counters of one endpoint, as this daemon sees it. Written by request threads and the control strand, so every field is atomic.
 // Invariant: inFlight <= slots at the moment a slot is acquired. `slots` may drop below `inFlight` later; then no new request starts.
 struct endpoint_load
@@ -43,9 +46,16 @@
     std::atomic<bool> paced{false};           // the endpoint is cold: each new request needs one of `paceTokens`
     std::atomic<std::uint32_t> paceTokens{0}; // requests this daemon may start now while the endpoint is cold; refilled by the control strand
 
-    std::atomic<bool> leaving{false}; // the endpoint will stop: requests that hold a slot but were not sent yet go to another endpoint. Never reset
+    std::atomic<bool> leaving{false}; // the endpoint will stop. Never reset
+
+    std::atomic<time_point> restUntil{}; // the endpoint asked this daemon for no new requests until then; only raised
+    std::atomic<bool> resting{false};    // that time has not come yet, as of the last updateRest()
+
+    [[nodiscard]] bool acceptsNew() const; // false: it leaves or rests, so requests that hold a slot but were not sent yet go elsewhere
+    void rest(time_point until);           // any thread; an earlier time than a known one has no effect
+    void updateRest(time_point now);       // control strand; ends a rest whose time has come
 
-    bool tryAcquire(); // acquires one slot; false if none is free, if the endpoint leaves, or if it is cold and no pace token is left
+    bool tryAcquire(); // acquires one slot; false if none is free, if the endpoint doesn't accept new requests, or if it is cold and no pace token is left
     void release();    // returns one slot; asserts that one was acquired
 };
 
--- a/include/chicoryrouter/fleet.h
+++ b/include/chicoryrouter/fleet.h
@@ -88,6 +88,7 @@
     [[nodiscard]] bool isCold(const std::string &endpointId, time_point now) const; // as reported by the endpoint itself (instance_record::coldUntil)
     void startDueProbes(time_point now);   // admits one probe request to each set-aside endpoint whose delay has passed
     void refillPaceTokens(time_point now); // refills the pace tokens of cold endpoints; call at least ten times a second
+    void endRests(time_point now);         // of endpoints that asked for a rest whose time has come; call at least ten times a second
     void setVersionBlocked(const std::string &service, const std::string &version, bool blocked); // for services with `anyVersion`
 
     std::shared_ptr<const routing_table> buildTable();                                            // also updates every endpoint's slots
--- a/src/core/endpoint.cpp
+++ b/src/core/endpoint.cpp
@@ -7,9 +7,27 @@
 
 namespace chicoryrouter {
 
+bool endpoint_load::acceptsNew() const
+{
+    return !leaving.load(std::memory_order_relaxed) && !resting.load(std::memory_order_relaxed);
+}
+
+void endpoint_load::rest(time_point until)
+{
+    time_point known = restUntil.load(std::memory_order_relaxed);
+    while (known < until && !restUntil.compare_exchange_weak(known, until, std::memory_order_relaxed)) {
+    }
+    resting.store(true, std::memory_order_relaxed);
+}
+
+void endpoint_load::updateRest(time_point now)
+{
+    resting.store(now < restUntil.load(std::memory_order_relaxed), std::memory_order_relaxed);
+}
+
 bool endpoint_load::tryAcquire()
 {
-    if (leaving.load(std::memory_order_relaxed)) {
+    if (!acceptsNew()) {
         return false;
     }
     if (!paced.load(std::memory_order_relaxed)) {
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -478,6 +478,13 @@
     }
 }
 
+void fleet::endRests(time_point now)
+{
+    for (auto &[id, item] : m_endpoints) {
+        item.info.load->updateRest(now);
+    }
+}
+
 void fleet::setVersionBlocked(const std::string &service, const std::string &version, bool blocked)
 {
     const bool changed = blocked ? m_blockedVersions.insert({service, version}).second : m_blockedVersions.erase({service, version}) > 0;
--- a/src/core/request_machine.cpp
+++ b/src/core/request_machine.cpp
@@ -82,7 +82,7 @@
     if (m_over || purpose == slot_purpose::None) {
         return {release_slot{target}};
     }
-    if (target->load->leaving) {
+    if (!target->load->acceptsNew()) {
         return requestOtherSlot(target, purpose);
     }
     m_heldSlot = target;
@@ -97,7 +97,7 @@
     return purpose == slot_purpose::First ? onCopied(now) : sendOnHeldSlot(false, now);
 }
 
-// Called when the endpoint of a granted slot got a reclaim notice before the send: requests a slot at another endpoint.
+// Called when the endpoint of a granted slot stopped accepting new requests before the send: requests a slot at another endpoint.
 request_actions request_machine::requestOtherSlot(const endpoint_ptr &released, slot_purpose purpose)
 {
     request_actions actions{release_slot{released}};
@@ -162,9 +162,8 @@
 {
     const endpoint_ptr target = std::move(m_heldSlot);
     m_heldSlot = nullptr;
-    const bool claimed = m_heldSlotPurpose == slot_purpose::First
-        && m_facts.needsClaim; // once claimed, the request is sent to the chosen endpoint even if that is being reclaimed
-    return target->load->leaving && !claimed ? requestOtherSlot(target, m_heldSlotPurpose) : send(target, withKv, now);
+    const bool claimed = m_heldSlotPurpose == slot_purpose::First && m_facts.needsClaim; // once claimed, it is sent to the chosen endpoint in any case
+    return claimed || target->load->acceptsNew() ? send(target, withKv, now) : requestOtherSlot(target, m_heldSlotPurpose);
 }
 
 request_actions request_machine::send(const endpoint_ptr &target, bool withKv, time_point now)
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -46,8 +46,7 @@
 {
     const endpoint_load &load = *candidate.load;
     const bool outOfTokens = load.paced.load(std::memory_order_relaxed) && load.paceTokens.load(std::memory_order_relaxed) == 0;
-    const bool leaving = load.leaving.load(std::memory_order_relaxed); // known to request threads before the table that leaves it out
-    return openRequests(candidate) < slotCount(candidate) && !outOfTokens && !leaving && !isExcluded(candidate, query);
+    return openRequests(candidate) < slotCount(candidate) && !outOfTokens && load.acceptsNew() && !isExcluded(candidate, query);
 }
 
 std::uint32_t reportedPermille(const endpoint &candidate)
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -399,6 +399,7 @@
         updateQuarantine();
         m_fleet.startDueProbes(systemNow());
         m_fleet.refillPaceTokens(systemNow());
+        m_fleet.endRests(systemNow());
         measureLoad();
         countStartedRequests();
         sendDatagrams();
--- a/src/shell/endpoint_dialect.h
+++ b/src/shell/endpoint_dialect.h
@@ -35,6 +35,7 @@
     bool belongsToOtherRequest = false;        // a late or misdirected answer: its request id is not the one that was sent
     bool namesRequest = true;                  // bears the id that was sent; without it, an extra copy can't be told from the answer to any other request
     bool saysLeaving = false;                  // the endpoint is about to stop and wants no new requests
+    duration asksRest{};                       // the endpoint refused the request and wants no other from this daemon for so long; zero: it doesn't say
     std::optional<std::uint32_t> openRequests; // running and waiting requests at the endpoint; empty if not reported
 };
 
--- a/src/shell/log_events.cpp
+++ b/src/shell/log_events.cpp
@@ -57,6 +57,7 @@
         "endpoint service version failure_domain use before slots open_here first_token_us"},
     {EndpointNotice, "endpoint_notice", log_part::Load, log_level::Info, "an endpoint is about to stop, by its entry or by its own answer",
         "endpoint leaves_in_ms source"},
+    {EndpointRests, "endpoint_rests", log_part::Load, log_level::Info, "an endpoint refused a request and asked this daemon for a rest", "endpoint until"},
     {PromptQuarantine, "prompt_quarantine", log_part::Load, log_level::Warning, "the quarantine of a prompt part that crashes endpoints began or ended",
         "part change crashes remaining_ms"},
     {MembersChanged, "members_changed", log_part::Member, log_level::Info, "the list of member daemons or their states changed", "members"},
--- a/src/shell/log_events.h
+++ b/src/shell/log_events.h
@@ -63,6 +63,7 @@
     EntryUnreadable,
     EndpointUse,
     EndpointNotice,   // will be reclaimed
+    EndpointRests,    // asked for no new requests for a while
     PromptQuarantine, // a prompt part that crashes endpoints
     MembersChanged,
     MoveChanged,     // move of a service to a new version
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -112,6 +112,7 @@
     out << "chicoryrouter_recomputed_tokens_total " << m_recomputedTokens << "\n";
     out << "chicoryrouter_streams_moved_total " << m_movedStreams << "\n";
     out << "chicoryrouter_endpoints_said_leaving_total " << m_leavingAnswers << "\n";
+    out << "chicoryrouter_endpoint_rests_total " << m_rests << "\n";
     for (std::size_t i = 0; i < m_failures.size(); ++i) {
         out << "chicoryrouter_failures_total{kind=\"" << responseFor(static_cast<error_kind>(i)).name << "\"} " << m_failures.at(i) << "\n";
     }
--- a/src/shell/metrics.h
+++ b/src/shell/metrics.h
@@ -36,6 +36,7 @@
     void countToken() { m_tokens.fetch_add(1, std::memory_order_relaxed); }
     void countRecomputedTokens(std::uint64_t tokens) { m_recomputedTokens.fetch_add(tokens, std::memory_order_relaxed); }
     void countMovedStream() { m_movedStreams.fetch_add(1, std::memory_order_relaxed); }
+    void countRest() { m_rests.fetch_add(1, std::memory_order_relaxed); }                   // refusals by which an endpoint asks for a rest
     void countLeavingAnswer() { m_leavingAnswers.fetch_add(1, std::memory_order_relaxed); } // once for each endpoint that says that it leaves
 
     // ---- Metrics with labels; any thread, under a short lock
@@ -58,6 +59,7 @@
     std::atomic<std::uint64_t> m_recomputedTokens{0};
     std::atomic<std::uint64_t> m_movedStreams{0};
     std::atomic<std::uint64_t> m_leavingAnswers{0};
+    std::atomic<std::uint64_t> m_rests{0};
     std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(error_kind::Count)> m_failures{};
     std::unique_ptr<labelled> m_labelled;
 };
--- a/src/shell/request_session.h
+++ b/src/shell/request_session.h
@@ -89,6 +89,7 @@
     void reportPrompt(const endpoint &target, bool answered);
     void reportShortAnswer(const endpoint &target);
     void reportLeaving(const endpoint_ptr &target);
+    void noteRest(const endpoint &target, time_point until);
     [[nodiscard]] attempt_outcome outcomeOf(const endpoint &target, attempt_result result, duration firstToken) const;
     // Describes an attempt that ended without a complete answer: how far it got, and the error.
     struct attempt_fault
--- a/src/shell/request_session_attempts.cpp
+++ b/src/shell/request_session_attempts.cpp
@@ -95,6 +95,9 @@
     if (answer.saysLeaving) {
         reportLeaving(open->target);
     }
+    if (answer.asksRest > duration{}) {
+        noteRest(*open->target, systemNow() + answer.asksRest);
+    }
     if (answer.belongsToOtherRequest) {
         co_return attempt_fault{attempt_progress::MayHaveRun, error_kind::EndpointGarbage};
     }
@@ -119,6 +122,14 @@
     }
 }
 
+// From here on no request thread of this daemon chooses the endpoint until then. Other daemons go by their own answers.
+void request_session::noteRest(const endpoint &target, time_point until)
+{
+    target.load->rest(until);
+    m_host.counts.countRest();
+    logEvent(log_event::EndpointRests, {{"endpoint", target.id}, {"until", formatTimestampMs(until)}});
+}
+
 // Reads an unusable answer to its end, so that its connection can be reused. A failure here does not change the attempt's outcome.
 asio::awaitable<void> request_session::skipBody(std::shared_ptr<open_attempt> open)
 {
--- a/tests/unit/endpoint_answers.cpp
+++ b/tests/unit/endpoint_answers.cpp
@@ -1,10 +1,12 @@
 // What endpoints ask for in their answers: no new requests because they leave, or a rest.
 #include "support/small_deployment.h"
 
+#include "relay_dialect.h"
 #include "shell/clock.h"
 
 #include <criterion/criterion.h>
 
+#include <string>
 #include <thread>
 
 using namespace chicoryrouter;
@@ -78,3 +80,22 @@
     const std::size_t arrivals = arrivalsWithin(all, all.writer1, std::chrono::seconds(rest) - 1s);
     cr_expect_leq(arrivals, allowed, "%zu requests within the rest", arrivals);
 }
+
+// Only a refusal can ask for a rest, in seconds; what says anything else asks for none, and nothing puts an endpoint out for good.
+Test(endpoint_answers, a_rest_that_is_no_number_of_seconds_is_none)
+{
+    const auto restAskedBy = [](int status, const std::string &value, const std::string &id = "r1") {
+        return platform::relay_endpoints::readAnswer(status, {{"X-Request-Id", id}, {"Retry-After", value}}, "r1").asksRest;
+    };
+    cr_expect(restAskedBy(503, "4") == 4s);
+    cr_expect(restAskedBy(503, " 0.25 ") == 250ms);
+    cr_expect(restAskedBy(503, "1e300") == maxEndpointRest);
+    cr_expect(restAskedBy(503, "inf") == maxEndpointRest);
+    for (const char *none : {"", "0", "-3", "nan", "4 s", "soon", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+        cr_expect(restAskedBy(503, none) == duration{}, "%s", none);
+    }
+    for (const int status : {200, 421, 429, 500}) {
+        cr_expect(restAskedBy(status, "4") == duration{}, "status %d", status);
+    }
+    cr_expect(restAskedBy(503, "4", "r2") == duration{}, "the refusal of another request");
+}
--- a/tests/unit/limits.cpp
+++ b/tests/unit/limits.cpp
@@ -369,6 +369,22 @@
     load.release();
 }
 
+// A refusal that asks for a rest holds until its time, whatever shorter one is read later, and no longer.
+Test(limits, a_resting_endpoint_grants_no_slot_until_its_time)
+{
+    const time_point now = time_point{} + 100s;
+    fleet all = fleetOf(1);
+    all.buildTable();
+    endpoint_load &load = *all.endpoints().front()->load;
+    load.rest(now + 4s);
+    load.rest(now + 1s);
+    all.endRests(now + 3999ms);
+    cr_expect(!load.acceptsNew() && !load.tryAcquire());
+    all.endRests(now + 4s);
+    cr_assert(load.tryAcquire());
+    load.release();
+}
+
 Test(limits, an_account_limit_is_divided_by_demand_and_sums_up)
 {
     cr_assert(divideByDemand(10, {0, 0}) == (std::vector<std::uint32_t>{5, 5}));
