Soak: a router's time to start counts from its start, not from the moment planned for it

The disturber plans a start up to 1.5 s after the kill, notes a disturbance that ends 0.5 s after the planned moment, and carries the start out when its loop comes round, up to a second later; the callers' excuse was over before the process served. The same 0.5 s is now noted from the start as it happens; the check itself is as it was.

--- a/tests/soak/disturber.h
+++ b/tests/soak/disturber.h
@@ -43,6 +43,7 @@
 
 private:
     using what = disturbance::what;
+    static constexpr duration startTime = 500ms; // from the start of a process until it serves
 
     void one()
     {
@@ -90,13 +91,20 @@
     void killOne()
     {
         const duration down = someTime(50, 1500);
-        if (const auto which = takeOne(down + 500ms)) {
-            note(what::Daemon, *which, down + 500ms);
+        if (const auto which = takeOne(down + startTime)) {
+            note(what::Daemon, *which, down + startTime);
             m_all.routers[*which]->kill();
-            later(down, [this, which] { m_all.start(*which); });
+            later(down, [this, which] { startAgain(*which); });
         }
     }
 
+    // The start may come later than planned: the time that it takes counts from here.
+    void startAgain(std::size_t which)
+    {
+        note(what::Daemon, which, startTime);
+        m_all.start(which);
+    }
+
     void killAll()
     {
         for (std::size_t i = 0; i < m_all.routers.size(); ++i) {
@@ -104,7 +112,7 @@
                 m_all.busyUntil[i] = systemNow() + 1s;
                 note(what::Daemon, i, 1s);
                 m_all.routers[i]->kill();
-                later(someTime(50, 600), [this, i] { m_all.start(i); });
+                later(someTime(50, 600), [this, i] { startAgain(i); });
             }
         }
     }
