Signals without a use do not end a router

Callers saw: the router ended by itself, and every open request was cut, once whatever read its standard output (a log pipe) had gone, or its log had reached the limit on file sizes.

Cause: SIGPIPE and SIGXFSZ had their default action, which ends the process at the next log line; so had SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF and SIGIO, which anyone may send, and SIGTTOU, which stops a process that writes to its terminal from the background.

The sockets write with MSG_NOSIGNAL already.

Change: ignoreUnusedSignals() at the start of main(). It replaces the default action only, so a handler that a preloaded library or a profiler has installed stays. Real-time signals, SIGQUIT and SIGXCPU are left alone.

Why it works: the write then fails with EPIPE or EFBIG, which costs the line and nothing else.

--- a/src/programs/chicoryrouterd.cpp
+++ b/src/programs/chicoryrouterd.cpp
@@ -35,6 +35,7 @@
 {
     using namespace chicoryrouter;
     const sigset_t signals = blockStopSignals(); // before anything else: an earlier signal would end the process
+    ignoreUnusedSignals();
     startProgram(argc, argv,
         "request router daemon of one entry instance.\n"
         "  chicoryrouterd --settings=FILE [--check-settings]\n"
--- a/src/programs/program.h
+++ b/src/programs/program.h
@@ -34,6 +34,20 @@
     return signals;
 }
 
+// Ignores the signals that a daemon has no use for and whose default action would end or stop the process: a write without a reader or over the
+// file size limit fails by its error code. A handler that someone has installed stays.
+inline void ignoreUnusedSignals()
+{
+    for (const int number : {SIGPIPE, SIGXFSZ, SIGTTOU, SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO}) {
+        struct sigaction current
+        {
+        };
+        if (sigaction(number, nullptr, &current) == 0 && (current.sa_flags & SA_SIGINFO) == 0 && current.sa_handler == SIG_DFL) {
+            std::signal(number, SIG_IGN);
+        }
+    }
+}
+
 // Waits until SIGTERM or SIGINT arrives. Calls `onSettingsChanged` for every SIGHUP in the meantime.
 inline void waitForStop(const sigset_t &signals, const std::function<void()> &onSettingsChanged = {})
 {
--- a/tests/support/daemon_process.cpp
+++ b/tests/support/daemon_process.cpp
@@ -48,6 +48,15 @@
     signal(SIGPIPE, SIG_DFL);
 }
 
+void placeDescriptor(int given, int byDefault, int number)
+{
+    if (given == process_output::closed) {
+        close(number);
+    } else if (given >= 0 || byDefault >= 0) {
+        dup2(given >= 0 ? given : byDefault, number);
+    }
+}
+
 } // namespace
 
 std::string describeEnd(int status)
@@ -92,8 +101,9 @@
             prctl(PR_SET_PDEATHSIG, SIGKILL);
         }
         const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-        dup2(output.standardOutput >= 0 ? output.standardOutput : out, STDOUT_FILENO);
-        dup2(output.standardError >= 0 ? output.standardError : out, STDERR_FILENO);
+        placeDescriptor(output.standardOutput, out, STDOUT_FILENO);
+        placeDescriptor(output.standardError, out, STDERR_FILENO);
+        placeDescriptor(output.standardInput, -1, STDIN_FILENO);
         execl(m_program.c_str(), m_program.c_str(), option.c_str(), nullptr);
         _exit(127);
     }
--- a/tests/support/daemon_process.h
+++ b/tests/support/daemon_process.h
@@ -12,8 +12,11 @@
 // Where a process writes its log.
 struct process_output
 {
+    static constexpr int closed = -2; // the process starts without this descriptor
+
     int standardOutput = -1; // descriptor of the caller, duplicated into the process; -1: the log file
     int standardError = -1;
+    int standardInput = -1; // -1: the caller's own
 };
 
 class daemon_process
@@ -34,6 +37,7 @@
     void terminate();                                        // SIGTERM, without waiting
     bool stop(duration within);                              // SIGTERM, and waits; false: it did not end and was killed
     bool ends(duration within);                              // waits for its end; false: it still runs
+    [[nodiscard]] pid_t id() const { return m_pid; }         // 0: it does not run
     [[nodiscard]] bool runs();                               // false: it ended by itself, or was ended
     [[nodiscard]] int endedWith() const { return m_status; } // as waitpid() tells it
     [[nodiscard]] const settings &own() const { return m_own; }
