Closed standard descriptors are never taken by sockets

What happened: a router that is started with descriptor 0, 1 or 2 closed got these numbers for its own first descriptors, and wrote its log lines into them: here into the event descriptor by which its event loop is woken, elsewhere it could be a connection, whose bytes would be corrupt.

Cause: nothing kept the three numbers occupied.

Evidence, on the code before: process_log/closed_standard_descriptors_are_never_taken_by_sockets: descriptor 1: anon_inode:[eventfd]

Change: each closed one is opened as /dev/null before the other static objects are made, since one of these may itself open a file, take the number, and free it again later.

After: the test passes.

--- a/src/programs/chicoryrouterd.cpp
+++ b/src/programs/chicoryrouterd.cpp
@@ -1,5 +1,6 @@
 // The daemon: reads its settings, serves until SIGTERM or SIGINT, then drains the open requests and exits.
 #include "programs/program.h"
+#include "programs/standard_descriptors.h"
 
 #include "chicoryrouter/daemon.h"
 #include "chicoryrouter/error.h"
@@ -15,6 +16,12 @@
 
 namespace {
 
+// Runs before the other static objects: one of them may open a file, which would take the number of a closed standard descriptor.
+[[gnu::constructor(101)]] void prepareStandardDescriptors()
+{
+    chicoryrouter::openClosedStandardDescriptors();
+}
+
 // Reads the settings file again, but applies only the log level: the other settings define the daemon's identity and addresses, which stay
 // as they were at the start.
 void reloadSettings()
--- a/tests/unit/process_log.cpp
+++ b/tests/unit/process_log.cpp
@@ -87,6 +87,21 @@
     expectPlannedEnd(router);
 }
 
+// Sockets took the numbers of closed standard descriptors, and log lines were written into them.
+Test(process_log, closed_standard_descriptors_are_never_taken_by_sockets)
+{
+    process_deployment all;
+    daemon_process &router = all.addRouter();
+    router.start({process_output::closed, process_output::closed, process_output::closed});
+    expectServes(all, router);
+    for (const int number : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
+        std::error_code missing;
+        const auto target = std::filesystem::read_symlink("/proc/" + std::to_string(router.id()) + "/fd/" + std::to_string(number), missing);
+        cr_assert_str_eq(target.c_str(), "/dev/null", "descriptor %d: %s", number, target.c_str());
+    }
+    expectPlannedEnd(router);
+}
+
 // The kernel ends a process with SIGXFSZ when its log file reaches the limit on file sizes.
 Test(process_log, a_log_at_the_file_size_limit_does_not_end_the_router)
 {
