A log that nobody reads no longer holds up a planned stop

Callers saw: a router whose standard output was a full pipe that nobody reads never ended after SIGTERM (stop_within is 8 s). Whatever manages the process then has to kill it, or waits, and its machine has no router in the meantime.

Cause: stopLog() waited without a bound for the writer thread, which was blocked in its write.

Ruled out: the requests were not held up before, either, since the queue is bounded.

Change: - log_output writes the lines: a batch at a time, and to anything but a regular file in whole lines of up to PIPE_BUF bytes after poll() said that it is writable, so that no flag of a shared descriptor has to change. A line that is begun is completed before another one begins. After an error (no reader, full disk, file size limit) the next line is tried afresh; easylogging++'s stream kept its error. - easylogging++ still dispatches the lines; a callback collects those of a batch for one write. - stopLog() waits for half a second at most, and else leaves the thread behind; main() then ends without destructors, which the thread could still need. That is also right where poll() promised too much because another process filled the pipe. - The queue is bounded by its bytes (8 MiB) in place of 16384 lines, whose memory depended on the texts. - Lines lost by a full queue or an error are counted (log_lines_dropped_total), and the new event lines_dropped tells of them. - A lack of memory in the writer thread costs lines, not the process.

--- a/src/programs/chicoryrouterd.cpp
+++ b/src/programs/chicoryrouterd.cpp
@@ -7,6 +7,7 @@
 #include "hosted_daemon.h"
 #include "shell/log.h"
 
+#include <cstdlib>
 #include <iostream>
 
 DEFINE_string(settings, "", "YAML file with this daemon's settings (examples/daemon.yaml shows every key)");
@@ -36,6 +37,15 @@
     }
 }
 
+// Ends the log, then the program with this exit code.
+int endProgram(int exitCode)
+{
+    if (!chicoryrouter::stopLog()) {
+        std::_Exit(exitCode);
+    }
+    return exitCode;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -76,8 +86,7 @@
         }
     } catch (const std::exception &fault) {
         std::cerr << "cannot serve: " << fault.what() << "\n";
-        return exitFailure;
+        return endProgram(exitFailure);
     }
-    stopLog();
-    return exitSuccess;
+    return endProgram(exitSuccess);
 }
--- a/src/shell/log.cpp
+++ b/src/shell/log.cpp
@@ -1,18 +1,24 @@
-// The log writer: rate limits, queue and writer thread, with easylogging++ as the output.
+// The log writer: rate limits, queue and writer thread. easylogging++ dispatches the lines, log_output writes them.
 #include "shell/log.h"
 
 #include "chicoryrouter/units.h"
 #include "shell/clock.h"
+#include "shell/log_output.h"
 
 #include <easylogging++.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <condition_variable>
 #include <deque>
+#include <iterator>
 #include <mutex>
+#include <new>
+#include <optional>
 #include <thread>
+#include <utility>
 
 INITIALIZE_EASYLOGGINGPP // NOLINT
 
@@ -21,8 +27,10 @@
 
     namespace {
 
-    constexpr std::size_t maxQueuedLines = 16384;
-    constexpr std::size_t maxFieldBytes = 2000; // limit for each text field; longer texts are cut
+    constexpr std::size_t maxQueuedBytes = 8 * 1024 * 1024;
+    constexpr std::size_t maxBatchLines = 128;
+    constexpr std::chrono::milliseconds stopTimeout{500}; // how long an output that takes nothing may delay the end of the process
+    constexpr std::size_t maxFieldBytes = 2000;           // limit for each text field; longer texts are cut
 
     struct log_line
     {
@@ -31,6 +39,17 @@
         std::vector<log_field> fields;
     };
 
+    // Approximate; counts the texts at their own size.
+    std::size_t memoryOf(const log_line &line)
+    {
+        std::size_t bytes = sizeof(log_line) + line.fields.size() * sizeof(log_field);
+        for (const log_field &field : line.fields) {
+            const auto *text = std::get_if<std::string>(&field.value);
+            bytes += text != nullptr ? text->size() : 0;
+        }
+        return bytes;
+    }
+
     // Limits the lines of one event in each second. Any thread, without a lock.
     class line_rate_limit
     {
@@ -77,33 +96,84 @@
         return value.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
     }
 
+    // The lines that easylogging++ dispatches, collected for one write.
+    class line_collector : public el::LogDispatchCallback
+    {
+    public:
+        std::string lines; // each ends in a newline
+
+    protected:
+        // Called from a destructor of easylogging++, where an exception would end the process.
+        void handle(const el::LogDispatchData *data) noexcept override
+        {
+            try {
+                // Either the whole line is added, or nothing.
+                lines.reserve(lines.size() + data->logMessage()->message().size() + 1);
+                lines += data->logMessage()->message();
+                lines += '\n';
+            } catch (const std::bad_alloc &) {
+                return; // the caller sees that no line was added
+            }
+        }
+    };
+
+    // Makes easylogging++ hand its lines to the collector, instead of writing them itself.
+    line_collector &installCollector()
+    {
+        el::Configurations configuration;
+        configuration.setToDefault();
+        configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
+        configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+        el::Loggers::reconfigureAllLoggers(configuration);
+        el::Helpers::uninstallLogDispatchCallback<el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+        el::Helpers::installLogDispatchCallback<line_collector>("line_collector");
+        return *el::Helpers::logDispatchCallback<line_collector>("line_collector");
+    }
+
+    // Lines taken from the queue for one write.
+    struct log_batch
+    {
+        std::vector<log_line> lines;
+        unsigned long lostBefore = 0; // lost lines that this batch reports
+    };
+
     class log_writer
     {
     public:
-        void start(log_level maxLevel, std::uint32_t linesPerSecond)
+        void start(log_level maxLevel, const std::string &file, std::uint32_t linesPerSecond)
         {
             m_maxLevel = maxLevel;
             m_linesPerSecond = linesPerSecond;
+            m_collector = &installCollector();
+            m_output.emplace(file);
+            m_batch.lines.reserve(maxBatchLines);
             m_thread = std::thread([this] { run(); });
+            m_running = true;
         }
 
         void setLevel(log_level maxLevel) { m_maxLevel = maxLevel; }
 
-        void stop()
+        // Returns false when the output did not take the queued lines in time: the thread is left behind, still blocked in its write.
+        bool stop()
         {
-            {
-                const std::lock_guard guard(m_lock);
-                m_stopping = true;
+            if (!m_running.exchange(false)) {
+                return !m_leftBehind;
             }
+            std::unique_lock guard(m_lock);
+            m_stopping = true;
             m_wake.notify_one();
-            if (m_thread.joinable()) {
+            const auto deadline = std::chrono::steady_clock::now() + stopTimeout;
+            m_leftBehind = !m_endedSignal.wait_until(guard, deadline, [this] { return m_ended; });
+            guard.unlock();
+            if (m_leftBehind) {
+                m_thread.detach();
+            } else {
                 m_thread.join();
             }
+            return !m_leftBehind;
         }
 
-        ~log_writer() { stop(); }
-
-        [[nodiscard]] bool isEnabled(log_level level) const { return m_thread.joinable() && level <= m_maxLevel; }
+        [[nodiscard]] bool isEnabled(log_level level) const { return m_running && level <= m_maxLevel; }
 
         void enqueue(log_line line)
         {
@@ -131,51 +201,112 @@
     private:
         void push(log_line line)
         {
+            const std::size_t bytes = memoryOf(line);
             {
                 const std::lock_guard guard(m_lock);
-                if (m_lines.size() >= maxQueuedLines) {
+                if (m_queuedBytes + bytes > maxQueuedBytes) {
                     ++m_dropped;
+                    ++m_untold;
                     return;
                 }
                 m_lines.push_back(std::move(line));
+                m_queuedBytes += bytes;
             }
             m_wake.notify_one();
         }
 
         void run()
         {
-            std::unique_lock guard(m_lock);
-            while (true) {
-                m_wake.wait(guard, [this] { return m_stopping || !m_lines.empty(); });
-                if (m_lines.empty()) {
-                    return;
-                }
-                std::deque<log_line> batch;
-                batch.swap(m_lines);
-                guard.unlock();
-                for (const log_line &line : batch) {
-                    LOG(INFO) << toJson(line);
+            while (takeBatch()) {
+                try {
+                    writeBatch();
+                } catch (const std::bad_alloc &) {
+                    countLost(m_batch.lines.size());
                 }
-                guard.lock();
             }
+            const std::lock_guard guard(m_lock);
+            m_ended = true;
+            m_endedSignal.notify_one();
+        }
+
+        // Waits for lines. Returns false when the log stops and all lines are written. Allocates no memory.
+        bool takeBatch()
+        {
+            m_batch.lines.clear();
+            std::unique_lock guard(m_lock);
+            m_wake.wait(guard, [this] { return m_stopping || !m_lines.empty(); });
+            if (m_lines.empty()) {
+                return false;
+            }
+            while (!m_lines.empty() && m_batch.lines.size() < maxBatchLines) {
+                m_queuedBytes -= memoryOf(m_lines.front());
+                m_batch.lines.push_back(std::move(m_lines.front()));
+                m_lines.pop_front();
+            }
+            m_batch.lostBefore = m_untold;
+            return true;
+        }
+
+        void writeBatch()
+        {
+            m_collector->lines.clear();
+            const bool hasNotice = m_batch.lostBefore > 0 && append({log_event::LinesDropped, systemNow(), {log_field("lines", m_batch.lostBefore)}});
+            unsigned long lost = 0;
+            for (const log_line &line : m_batch.lines) {
+                lost += append(line) ? 0 : 1;
+            }
+            lost += m_output->write(m_collector->lines);
+            const bool noticeLost = hasNotice && lost > m_batch.lines.size(); // it is the first line: lost only when all are
+            countLost(noticeLost ? lost - 1 : lost);
+            if (hasNotice && !noticeLost) {
+                const std::lock_guard guard(m_lock);
+                m_untold -= m_batch.lostBefore;
+            }
+        }
+
+        // Returns false when memory is short.
+        bool append(const log_line &line)
+        {
+            const std::size_t sizeBefore = m_collector->lines.size();
+            const std::string text = toJson(line); // not inside the statement below, which would dispatch an empty line after an exception
+            LOG(INFO) << text;
+            return m_collector->lines.size() > sizeBefore;
+        }
+
+        void countLost(unsigned long lines)
+        {
+            const std::lock_guard guard(m_lock);
+            m_dropped += lines;
+            m_untold += lines;
         }
 
         std::atomic<log_level> m_maxLevel{log_level::Info};
         std::atomic<std::uint32_t> m_linesPerSecond{0};
         std::array<line_rate_limit, static_cast<std::size_t>(log_event::Count)> m_rateLimits;
         std::atomic<unsigned long> m_suppressed{0};
+        std::atomic<bool> m_running{false};
+        bool m_leftBehind = false; // of the thread that stops the log
         std::thread m_thread;
-        std::mutex m_lock;
+        line_collector *m_collector = nullptr; // writer thread
+        std::optional<log_output> m_output;    // writer thread
+        log_batch m_batch;                     // writer thread
+
+        std::mutex m_lock; // guards the members below
         std::condition_variable m_wake;
-        std::deque<log_line> m_lines; // at most maxQueuedLines
+        std::condition_variable m_endedSignal;
+        std::deque<log_line> m_lines;
+        std::size_t m_queuedBytes = 0; // of m_lines, at most maxQueuedBytes
         unsigned long m_dropped = 0;
+        unsigned long m_untold = 0; // of m_dropped, those that no line of the log has reported yet
         bool m_stopping = false;
+        bool m_ended = false;
     };
 
+    // Never destroyed: a thread that was left behind still uses it while the process ends.
     log_writer &writer()
     {
-        static log_writer instance;
-        return instance;
+        static auto *const instance = new log_writer;
+        return *instance;
     }
 
     log_line truncateFields(log_line line)
@@ -202,16 +333,7 @@
 
     void startLog(std::string_view level, const std::string &file, unsigned linesPerSecond)
     {
-        el::Configurations configuration;
-        configuration.setToDefault();
-        configuration.setGlobally(el::ConfigurationType::Format, "%msg");
-        configuration.setGlobally(el::ConfigurationType::ToStandardOutput, file.empty() ? "true" : "false");
-        configuration.setGlobally(el::ConfigurationType::ToFile, file.empty() ? "false" : "true");
-        if (!file.empty()) {
-            configuration.setGlobally(el::ConfigurationType::Filename, file);
-        }
-        el::Loggers::reconfigureAllLoggers(configuration);
-        writer().start(parseLevel(level), linesPerSecond);
+        writer().start(parseLevel(level), file, linesPerSecond);
     }
 
     void setLogLevel(std::string_view level)
@@ -219,9 +341,9 @@
         writer().setLevel(parseLevel(level));
     }
 
-    void stopLog()
+    bool stopLog()
     {
-        writer().stop();
+        return writer().stop();
     }
 
     bool isLogged(log_event event)
--- a/src/shell/log.h
+++ b/src/shell/log.h
@@ -2,7 +2,7 @@
 //
 // A bounded queue passes the lines to one writer thread, which also formats the JSON, so a slow disk or terminal never delays a request.
 // Each event has a limit of lines per second; lines over the limit are suppressed, counted, and reported by the event lines_left_out.
-// When the queue is full, lines are dropped and counted.
+// When the queue is full, or the output refuses lines, they are dropped, counted, and reported by the event lines_dropped.
 #pragma once
 
 #include "shell/log_events.h"
@@ -56,14 +56,17 @@
 
 using log_fields = std::initializer_list<log_field>;
 
-void startLog(std::string_view level, const std::string &file, unsigned linesPerSecond = 500); // once per process; an empty file means standard output
-void setLogLevel(std::string_view level); // error, warning, info or debug, anything else means info; any thread
-void stopLog();                           // writes the queued lines and ends the writer thread; call before the process exits
-bool isLogged(log_event event);           // whether the log runs and the current level includes this event
+// Once per process. An empty file name means standard output. The process ignores SIGPIPE and SIGXFSZ.
+void startLog(std::string_view level, const std::string &file, unsigned linesPerSecond = 500);
+// Call before the process exits. Writes the queued lines and ends the writer thread, within a second. Returns false when the output did not take the
+// lines: the thread still runs, so the process must end without running destructors (std::_Exit).
+bool stopLog();
+void setLogLevel(std::string_view level);                                             // error, warning, info or debug, anything else means info; any thread
+bool isLogged(log_event event);                                                       // whether the log runs and the current level includes this event
 void logRequestEvent(log_event event, const std::string &request, log_fields fields); // like logEvent(), with "request" as the first field; any thread
 void logEvent(log_event event, log_fields fields);                                    // any thread
 std::string logText(log_event event, log_fields fields);                              // text and fields as one line for people to read
-unsigned long droppedLogLines();                                                      // lines lost because the queue was full
+unsigned long droppedLogLines();                                                      // lines lost because the queue was full or the output refused them
 unsigned long suppressedLogLines();                                                   // lines over the rate limit of their event
 std::string logEventsDocument();                                                      // the content of docs/LOGS.md
 
--- a/src/shell/log_events.cpp
+++ b/src/shell/log_events.cpp
@@ -95,6 +95,7 @@
     {SettingsRead, "settings_read", log_part::Daemon, log_level::Info, "the daemon read its settings file again", "changed why"},
     {LoopFault, "loop_fault", log_part::Daemon, log_level::Error, "a background loop ended with an exception and will be restarted", "loop why"},
     {LinesLeftOut, "lines_left_out", log_part::Daemon, log_level::Warning, "log lines of one event were suppressed by its rate limit", "kind lines"},
+    {LinesDropped, "lines_dropped", log_part::Daemon, log_level::Warning, "log lines were lost: the queue was full, or the output refused them", "lines"},
 }};
 
 constexpr bool inOrder()
--- a/src/shell/log_events.h
+++ b/src/shell/log_events.h
@@ -91,6 +91,7 @@
     SettingsRead,
     LoopFault,
     LinesLeftOut, // suppressed by the rate limit
+    LinesDropped, // not written
     Count
 };
 
--- a/tests/unit/process_log.cpp
+++ b/tests/unit/process_log.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 #include <fcntl.h>
+#include <limits.h>
 #include <signal.h>
 #include <sys/resource.h>
 #include <unistd.h>
@@ -45,6 +46,16 @@
     void closeReader() { closeOnce(reader); }
     void closeWriter() { closeOnce(writer); }
 
+    void fill() const
+    {
+        const std::string zeros(PIPE_BUF, '0');
+        const int flags = fcntl(writer, F_GETFL);
+        fcntl(writer, F_SETFL, flags | O_NONBLOCK);
+        while (write(writer, zeros.data(), zeros.size()) > 0) {
+        }
+        fcntl(writer, F_SETFL, flags);
+    }
+
     int reader = -1;
     int writer = -1;
 
@@ -87,6 +98,18 @@
     expectPlannedEnd(router);
 }
 
+// A router never ended after SIGTERM while nobody read the full pipe of its log.
+Test(process_log, a_full_log_that_nobody_reads_delays_neither_requests_nor_the_stop)
+{
+    process_deployment all;
+    daemon_process &router = all.addRouter();
+    pipe_ends log;
+    log.fill();
+    router.start({log.writer, log.writer});
+    expectServes(all, router);
+    expectPlannedEnd(router);
+}
+
 // Sockets took the numbers of closed standard descriptors, and log lines were written into them.
 Test(process_log, closed_standard_descriptors_are_never_taken_by_sockets)
 {
