A failed start ends although nobody reads standard error

What happened: a router that could not start (settings missing, a port taken) and whose standard error was a full pipe hung in the write of its message, in place of ending with its exit code, so that nothing started it again. Standard output and error are often one pipe.

Cause: a plain write to std::cerr.

Evidence, on the code before: process_log/a_full_log_that_nobody_reads_does_not_hold_up_a_failed_start: it hangs (5 s)

Change: writeToStandardError() waits half a second at most for the descriptor, and writes no more than a pipe takes at once. Not covered: messages of gflags about a wrong command line, and of the other programs, which people start by hand.

After: the test passes (0.5 s).

--- a/src/programs/chicoryrouterd.cpp
+++ b/src/programs/chicoryrouterd.cpp
@@ -67,7 +67,7 @@
     try {
         daemonSettings = readSettingsFile(FLAGS_settings);
     } catch (const error &fault) {
-        std::cerr << fault.detail() << "\n";
+        writeToStandardError(fault.detail() + "\n");
         return exitUsage;
     }
     if (FLAGS_check || FLAGS_check_settings) {
@@ -85,7 +85,7 @@
             router.stop();
         }
     } catch (const std::exception &fault) {
-        std::cerr << "cannot serve: " << fault.what() << "\n";
+        writeToStandardError(std::string("cannot serve: ") + fault.what() + "\n");
         return endProgram(exitFailure);
     }
     return endProgram(exitSuccess);
--- a/src/programs/standard_descriptors.h
+++ b/src/programs/standard_descriptors.h
@@ -1,10 +1,14 @@
-// Standard input, output and error of a daemon: always open.
+// Standard input, output and error of a daemon: always open, and never a reason to hang.
 #pragma once
 
 #include <fcntl.h>
+#include <limits.h>
+#include <poll.h>
 #include <unistd.h>
 
 #include <cerrno>
+#include <chrono>
+#include <string_view>
 
 namespace chicoryrouter {
 
@@ -19,4 +23,15 @@
     }
 }
 
+// Writes a message, cut to what a pipe takes at once. Gives up when nobody reads a full pipe.
+inline void writeToStandardError(std::string_view text)
+{
+    constexpr std::chrono::milliseconds timeout{500};
+    pollfd item{STDERR_FILENO, POLLOUT, 0};
+    if (poll(&item, 1, static_cast<int>(timeout.count())) == 0) {
+        return;
+    }
+    [[maybe_unused]] const ssize_t ignored = write(STDERR_FILENO, text.data(), text.substr(0, PIPE_BUF).size());
+}
+
 } // namespace chicoryrouter
--- a/tests/unit/process_log.cpp
+++ b/tests/unit/process_log.cpp
@@ -110,6 +110,19 @@
     expectPlannedEnd(router);
 }
 
+// A router that can't start must say so by its exit code even when nobody reads its log.
+Test(process_log, a_full_log_that_nobody_reads_does_not_hold_up_a_failed_start)
+{
+    process_deployment all;
+    daemon_process &router = all.addRouter();
+    pipe_ends log;
+    log.fill();
+    std::filesystem::remove(router.settingsFile());
+    router.start({log.writer, log.writer});
+    cr_assert(router.ends(5s), "it hangs");
+    cr_assert_eq(router.endedWith(), 2 << 8, "%s", describeEnd(router.endedWith()).c_str());
+}
+
 // Sockets took the numbers of closed standard descriptors, and log lines were written into them.
 Test(process_log, closed_standard_descriptors_are_never_taken_by_sockets)
 {
