--- a/src/programs/chicoryrouterd.cpp
+++ b/src/programs/chicoryrouterd.cpp
@@ -1,11 +1,13 @@
 // The daemon: reads its settings, serves until SIGTERM or SIGINT, then drains the open requests and exits.
 #include "programs/program.h"
+#include "programs/standard_descriptors.h"
 
 #include "chicoryrouter/daemon.h"
 #include "chicoryrouter/error.h"
 #include "hosted_daemon.h"
 #include "shell/log.h"
 
+#include <cstdlib>
 #include <iostream>
 
 DEFINE_string(settings, "", "YAML file with this daemon's settings (examples/daemon.yaml shows every key)");
@@ -15,6 +17,12 @@
 
 namespace {
 
+// Runs before the other static objects: one of them may open a file, which would take the number of a closed standard descriptor.
+[[gnu::constructor(101)]] void prepareStandardDescriptors()
+{
+    chicoryrouter::openClosedStandardDescriptors();
+}
+
 // Reads the settings file again, but applies only the log level: the other settings define the daemon's identity and addresses, which stay
 // as they were at the start.
 void reloadSettings()
@@ -29,12 +37,22 @@
     }
 }
 
+// Ends the log, then the program with this exit code.
+int endProgram(int exitCode)
+{
+    if (!chicoryrouter::stopLog()) {
+        std::_Exit(exitCode);
+    }
+    return exitCode;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     using namespace chicoryrouter;
     const sigset_t signals = blockStopSignals(); // before anything else: an earlier signal would end the process
+    ignoreUnusedSignals();
     startProgram(argc, argv,
         "request router daemon of one entry instance.\n"
         "  chicoryrouterd --settings=FILE [--check-settings]\n"
@@ -49,7 +67,7 @@
     try {
         daemonSettings = readSettingsFile(FLAGS_settings);
     } catch (const error &fault) {
-        std::cerr << fault.detail() << "\n";
+        writeToStandardError(fault.detail() + "\n");
         return exitUsage;
     }
     if (FLAGS_check || FLAGS_check_settings) {
@@ -67,9 +85,8 @@
             router.stop();
         }
     } catch (const std::exception &fault) {
-        std::cerr << "cannot serve: " << fault.what() << "\n";
-        return exitFailure;
+        writeToStandardError(std::string("cannot serve: ") + fault.what() + "\n");
+        return endProgram(exitFailure);
     }
-    stopLog();
-    return exitSuccess;
+    return endProgram(exitSuccess);
 }
