A router in its first milliseconds takes a signal instead of ending by it

What callers saw: a router that got SIGHUP (or SIGTERM) shortly after its start was gone, with wait status 1 and no line in its log, and the requests that its peers expected it to take failed.

Cause: the stop signals were blocked in the first line of main(). Until then SIGHUP has its default action. Most of that time is the dynamic linker's, which loaded twelve libraries and resolved 5612 symbols; then come the constructors of all libraries.

Change: an entry in .preinit_array blocks the signals before every constructor.

Why it works: a blocked signal stays pending until waitForStop() takes it. What remains is the time between exec and the linker's end, where no unprivileged program can decide: a signal then still ends it.

--- a/src/programs/chicoryrouterd.cpp
+++ b/src/programs/chicoryrouterd.cpp
@@ -29,12 +29,21 @@
     }
 }
 
+// Runs before the constructors of this program and its libraries: from here on a signal waits for waitForStop() and doesn't end the process.
+// Before this, in exec and in the dynamic linker, no program can change what a signal does.
+void blockEarly(int /*argc*/, char ** /*argv*/, char ** /*environment*/)
+{
+    chicoryrouter::blockStopSignals();
+}
+
+__attribute__((section(".preinit_array"), used)) void (*const firstStep)(int, char **, char **) = blockEarly;
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     using namespace chicoryrouter;
-    const sigset_t signals = blockStopSignals(); // before anything else: an earlier signal would end the process
+    const sigset_t signals = blockStopSignals(); // again, as a library's constructor may have changed the mask since blockEarly()
     startProgram(argc, argv,
         "request router daemon of one entry instance.\n"
         "  chicoryrouterd --settings=FILE [--check-settings]\n"
--- /dev/null
+++ b/tests/unit/process_signals.cpp
@@ -0,0 +1,109 @@
+// Routers as real processes: signals in their first moments, in a series, and beside each other.
+#include "support/process_deployment.h"
+
+#include <criterion/criterion.h>
+
+#include <array>
+#include <fcntl.h>
+#include <fstream>
+#include <iterator>
+#include <sstream>
+#include <unistd.h>
+
+using namespace chicoryrouter;
+using namespace std::chrono_literals;
+
+using test::daemon_process;
+using test::describeEnd;
+using test::process_deployment;
+
+namespace {
+
+std::string contentOf(const std::string &path)
+{
+    std::ifstream file(path);
+    return {std::istreambuf_iterator<char>(file), {}};
+}
+
+bool logsEventually(const daemon_process &router, const std::string &text)
+{
+    return test::eventually([&] { return contentOf(router.logFile()).find(text) != std::string::npos; });
+}
+
+// Starts the router and returns when the dynamic linker reports that it calls the first constructor. Everything before belongs to the kernel
+// and the linker, where no program can answer for a signal; from there on it must.
+void startUntilFirstConstructor(daemon_process &router)
+{
+    std::array<int, 2> report{};
+    cr_assert_eq(pipe2(report.data(), O_CLOEXEC), 0);
+    setenv("LD_DEBUG", "files", 1);
+    test::process_output output;
+    output.standardError = report[1];
+    router.start(output);
+    unsetenv("LD_DEBUG");
+    close(report[1]);
+    std::string text;
+    std::array<char, 512> piece{};
+    while (text.find("calling init:") == std::string::npos) {
+        const ssize_t count = read(report[0], piece.data(), piece.size());
+        cr_assert_gt(count, 0, "the dynamic linker reports no constructor");
+        text.append(piece.data(), static_cast<std::size_t>(count));
+    }
+    // The read end stays open until the test ends, as the program also writes to it.
+}
+
+} // namespace
+
+// Guards against the end of a router by SIGHUP after its own code has started and before main() has.
+Test(process_signals, a_hangup_before_main_is_a_reload_and_not_the_end)
+{
+    process_deployment all;
+    for (int round = 0; round < 20; ++round) {
+        daemon_process &router = all.addRouter("entry-" + std::to_string(round));
+        startUntilFirstConstructor(router);
+        router.hangUp();
+        cr_assert(logsEventually(router, "settings_read"), "round %d: no reload; %s", round, router.runs() ? "runs" : describeEnd(router.endedWith()).c_str());
+        router.kill();
+    }
+}
+
+// Guards against a SIGTERM in the start that ends the router by its default action, or that is lost.
+Test(process_signals, a_stop_request_before_main_is_a_clean_end)
+{
+    process_deployment all;
+    daemon_process &router = all.addRouter();
+    startUntilFirstConstructor(router);
+    router.terminate();
+    cr_assert(router.ends(12s), "the stop request was lost");
+    cr_assert_eq(router.endedWith(), 0, "%s", describeEnd(router.endedWith()).c_str());
+}
+
+// Guards against a long start in the dynamic linker, where any signal ends the process: it has no library to load but the C library.
+Test(process_signals, the_program_loads_no_library_but_the_c_library)
+{
+#ifndef __SANITIZE_ADDRESS__
+    setenv("LD_TRACE_LOADED_OBJECTS", "1", 1); // the dynamic linker lists what it would load, and ends
+    std::array<int, 2> list{};
+    cr_assert_eq(pipe2(list.data(), O_CLOEXEC), 0);
+    process_deployment all;
+    daemon_process &router = all.addRouter();
+    test::process_output output;
+    output.standardOutput = list[1];
+    router.start(output);
+    close(list[1]);
+    std::string text;
+    std::array<char, 512> piece{};
+    for (ssize_t count = 1; count > 0; text.append(piece.data(), static_cast<std::size_t>(std::max<ssize_t>(count, 0)))) {
+        count = read(list[0], piece.data(), piece.size());
+    }
+    close(list[0]);
+    std::istringstream lines(text);
+    int count = 0;
+    for (std::string line; std::getline(lines, line); ++count) {
+        const bool isOfSystem = line.find("linux-vdso") != std::string::npos || line.find("libc.so") != std::string::npos
+            || line.find("libm.so") != std::string::npos || line.find("ld-linux") != std::string::npos;
+        cr_expect(isOfSystem, "%s", line.c_str());
+    }
+    cr_expect_gt(count, 0, "nothing is listed");
+#endif
+}
