--- a/src/shell/http.h
+++ b/src/shell/http.h
@@ -87,7 +87,7 @@
     void setLimits(const http_server_limits &limits); // any thread; applies to requests received from now on
     void closeAfterResponses();                       // any thread; from now on every response closes its connection
     void close();                                     // stops accepting; requests in progress finish, every connection closes after its next response
-    void closeIdle();                                 // any thread; closes the connections that have no request in progress
+    void closeIdle();                                 // any thread; closes the connections on which no request is arriving or in progress
     [[nodiscard]] std::size_t connections() const;    // open connections
     [[nodiscard]] std::size_t busy() const;           // connections with a request in progress or a response still being sent
     void abortConnections();                          // any thread; closes every connection immediately, but goes on listening
--- a/src/shell/http_connection.h
+++ b/src/shell/http_connection.h
@@ -78,13 +78,13 @@
             if (result == read_result::Closed) {
                 break;
             }
-            if (result == read_result::Answered) {
+            if (result == read_result::Answered || m_broken) { // no response could be sent if the connection was closed meanwhile
                 break;
             }
             setBusy(true);
             co_await handle(handler);
             stopWatching();
-            keepOpen = m_keepAlive && !m_broken && !m_connections->closing;
+            keepOpen = m_keepAlive && !m_broken; // as the response's headers said
             setBusy(!keepOpen);
         }
         if (!m_broken) {
@@ -162,14 +162,16 @@
     [[nodiscard]] asio::any_io_executor executor() const override { return const_cast<http_connection *>(this)->m_stream.get_executor(); }
 
     // Any thread. Closes the connection on its own thread, and moves the reference there so that it is also released there. With `unlessBusy`,
-    // a connection with a request in progress stays open; a request not yet read does not count.
+    // a request that has begun to arrive is still read and answered, and the connection closes after its response.
     static void postClose(std::shared_ptr<http_connection> connection, bool unlessBusy)
     {
         const asio::any_io_executor owner = connection->m_stream.get_executor();
         asio::post(owner, [self = std::move(connection), unlessBusy] {
-            if (!unlessBusy || !self->m_busy) {
+            if (!unlessBusy) {
                 self->m_broken = true;
                 self->m_stream.close();
+            } else if (!self->m_busy) {
+                self->interruptReceive();
             }
         });
     }
@@ -190,7 +192,29 @@
     }
 
     [[nodiscard]] std::size_t maxUnreadBytes() const { return m_limits.maxHeaderBytes + m_limits.maxBodyBytes; } // received and not yet parsed
-    [[nodiscard]] bool canKeepAlive() const { return m_keepAlive && !m_connections->closing && !m_connections->closeAfterResponses; }
+    [[nodiscard]] bool canKeepAlive() const { return m_keepAlive && !m_closeIfIdle && !m_connections->closing && !m_connections->closeAfterResponses; }
+
+    // Only receive() knows whether the connection is idle: the bytes of a request may have been read without their handler having run yet.
+    void interruptReceive()
+    {
+        m_closeIfIdle = true;
+        beast::error_code ignored;
+        m_stream.socket().cancel(ignored);
+    }
+
+    // Closes without drain(), so that a request that crosses the close stays unread and its caller may send it again.
+    read_result closeUnread()
+    {
+        m_broken = true;
+        m_stream.close();
+        return read_result::Closed;
+    }
+
+    [[nodiscard]] bool hasUnreadInput()
+    {
+        beast::error_code code;
+        return m_buffer.size() > 0 || (m_stream.socket().available(code) > 0 && !code);
+    }
 
     // Sends a complete response.
     asio::awaitable<void> write(http::response<http::string_body> &response)
@@ -248,9 +272,19 @@
         if (!first && m_buffer.size() == 0) {
             m_stream.expires_after(m_limits.idleTimeout);
             co_await m_stream.socket().async_wait(tcp::socket::wait_read, storeErrorIn(code));
+            if (m_closeIfIdle && !hasUnreadInput()) {
+                co_return closeUnread();
+            }
         }
         m_stream.expires_after(m_limits.receiveTimeout);
         co_await http::async_read(m_stream, m_buffer, parser, storeErrorIn(code));
+        while (code == asio::error::operation_aborted && m_closeIfIdle && !m_broken) { // see interruptReceive()
+            if (!parser.got_some() && !hasUnreadInput()) {
+                co_return closeUnread();
+            }
+            setBusy(true);
+            co_await http::async_read(m_stream, m_buffer, parser, storeErrorIn(code));
+        }
         m_started = false;
         if (!code && !hasKnownBodyEnd(parser.get())) {
             code = http::error::bad_transfer_encoding;
@@ -390,7 +424,8 @@
     bool m_keepAlive = true;
     bool m_started = false;
     bool m_broken = false;
-    bool m_busy = false; // whether this connection is counted in the shared `busy`
+    bool m_busy = false;        // whether this connection is counted in the shared `busy`
+    bool m_closeIfIdle = false; // closes once no request is arriving or in progress; never reset
 };
 
 // Shared pointers to all open connections. Release them without holding the lock, because the connection's destructor locks it.
