--- a/tests/support/hosted_platform.h
+++ b/tests/support/hosted_platform.h
@@ -135,6 +135,7 @@
     [[nodiscard]] bool isDown();                              // after a crash
     [[nodiscard]] std::size_t open() const { return m_open; } // requests that it works on, also such whose caller has gone
     [[nodiscard]] std::string entry(const std::string &service, const std::string &domain, const std::string &state = "ready") const;
+    void startAgain(); // under its id, as another incarnation; what it has seen and run stays known to tests
 
 private:
     boost::asio::awaitable<void> handle(http_exchange &exchange);
@@ -142,6 +143,7 @@
     void crash();
 
     std::string m_id;
+    std::atomic<std::int64_t> m_born; // Unix milliseconds of its start; another one for each incarnation
     std::mutex m_lock;
     std::map<std::string, int> m_runs;
     std::vector<http_request> m_seen;
