Tests choose the routers' ports outside the system's range for outgoing connections

freePort() asked the system for a port, which takes one of its range for outgoing connections. Between that and the router's start, or while a router was down, an outgoing connection of another router, caller or stand-in could get the same port; the start then ended with "cannot serve: bind: Address already in use".

Ports are now drawn below /proc/sys/net/ipv4/ip_local_port_range, free for TCP and UDP when asked, never twice in a process.

--- a/tests/support/daemon_process.cpp
+++ b/tests/support/daemon_process.cpp
@@ -13,6 +13,9 @@
 #include <unistd.h>
 
 #include <fstream>
+#include <mutex>
+#include <random>
+#include <set>
 #include <thread>
 
 namespace chicoryrouter::test {
@@ -21,6 +24,10 @@
 
 namespace {
 
+constexpr int lowestTestPort = 10000;           // below it are the usual ports of services
+constexpr int leastTestPorts = 1000;            // enough that tests that run at the same time seldom choose the same
+constexpr int defaultFirstOutgoingPort = 32768; // Linux
+
 std::string text(const address &where)
 {
     return where.ip + ":" + std::to_string(where.port);
@@ -48,6 +55,26 @@
     signal(SIGPIPE, SIG_DFL);
 }
 
+// The system gives the ports from this one on to outgoing connections, which would hold a port that a router listens on after its restart.
+int firstOutgoingPort()
+{
+    int first = 0;
+    std::ifstream("/proc/sys/net/ipv4/ip_local_port_range") >> first;
+    return first > lowestTestPort + leastTestPorts ? first : defaultFirstOutgoingPort;
+}
+
+bool isFree(int type, std::uint16_t port)
+{
+    const int handle = socket(AF_INET, type, 0);
+    sockaddr_in place{};
+    place.sin_family = AF_INET;
+    place.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    place.sin_port = htons(port);
+    const bool bound = bind(handle, reinterpret_cast<sockaddr *>(&place), sizeof(place)) == 0;
+    close(handle);
+    return bound;
+}
+
 } // namespace
 
 std::string describeEnd(int status)
@@ -57,15 +84,17 @@
 
 std::uint16_t freePort()
 {
-    const int handle = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in place{};
-    place.sin_family = AF_INET;
-    place.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(place);
-    bind(handle, reinterpret_cast<sockaddr *>(&place), size);
-    getsockname(handle, reinterpret_cast<sockaddr *>(&place), &size);
-    close(handle);
-    return ntohs(place.sin_port);
+    static std::mutex lock;
+    static std::set<std::uint16_t> given;
+    static std::mt19937 random(std::random_device{}());
+    const std::lock_guard guard(lock);
+    std::uniform_int_distribution<int> ports(lowestTestPort, firstOutgoingPort() - 1);
+    while (true) {
+        const auto port = static_cast<std::uint16_t>(ports(random));
+        if (isFree(SOCK_STREAM, port) && isFree(SOCK_DGRAM, port) && given.insert(port).second) {
+            return port;
+        }
+    }
 }
 
 daemon_process::daemon_process(std::string program, settings own, std::string folder)
--- a/tests/support/daemon_process.h
+++ b/tests/support/daemon_process.h
@@ -52,6 +52,6 @@
 };
 
 std::string describeEnd(int status); // of endedWith(): "exit code 1" or "signal 13"
-std::uint16_t freePort();            // free when asked
+std::uint16_t freePort();            // free when asked for TCP and UDP, never given to outgoing connections, never the same twice in a process
 
 } // namespace chicoryrouter::test
