An exception that nothing catches ends no thread, no loop and no process

An exception that leaves a handler on a request thread or the control strand ends the process by std::terminate, with a line on standard error only. One that leaves a coroutine started as detached is dropped without a line: gossip, the tick, the watches and a caller's connection would end silently, and the daemon would go on half dead.

Evidence: the new tests, with run() bare and the datagram's exception passed on as before: a_request_thread_goes_on_after_an_exception: CRASH, "terminate called after throwing an instance of 'std::runtime_error'" datagrams_are_received_after_one_that_throws: (heard.size()) == (2) is false the_end_of_a_task_by_an_exception_is_counted needs the new counter and cannot be built before.

Change: runContext() runs a context again after an exception; logged_end stands where asio::detached stood; every loop of the control strand is started by runWithRestart(), which waits 250 ms instead of 2 s; a request handler's unexpected exception gets a line, and one of another type than std::exception is answered too; a datagram whose handling throws does not end the receiving. New event thread_fault, bounded as every event by the log's limit of lines per second; new metric chicoryrouter_caught_faults_total.

Why it works: run() may be called again after an exception, and the handlers that are queued stay queued; each exception costs its handler.

Left open: an accept loop that ends by an exception (no memory for a connection) is now logged, but not started again.

After: the three tests pass.

--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -5,10 +5,10 @@
 #include "chicoryrouter/hash.h"
 #include "chicoryrouter/units.h"
 #include "shell/clock.h"
+#include "shell/context_runner.h"
 #include "shell/log.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -27,6 +27,7 @@
 constexpr duration watchTimeout = 10s;     // length of one long-poll watch request
 constexpr duration roleCheckInterval = 1s; // how often a daemon checks whether it is selected to watch
 constexpr duration callTimeout = 2s;
+constexpr duration restartDelay = 250ms; // of a loop that ended by an exception
 constexpr duration instanceListGracePeriod = 5s;
 constexpr std::size_t watchersPerDomain = 2; // daemons that watch the configuration, and that poll the instance list
 
@@ -86,20 +87,20 @@
 
 void control::start()
 {
-    asio::co_spawn(m_context, gossip(), asio::detached);
-    asio::co_spawn(m_context, tick(), asio::detached);
+    runWithRestart("gossip", [this] { return gossip(); });
+    runWithRestart("tick", [this] { return tick(); });
     if (m_hooks.startLoops) {
         m_hooks.startLoops(*this);
     } else {
-        asio::co_spawn(m_context, watchConfiguration(), asio::detached);
-        asio::co_spawn(m_context, pollInstances(), asio::detached);
-        asio::co_spawn(m_context, pollLoad(), asio::detached);
-        asio::co_spawn(m_context, runOutcomeLoop(), asio::detached);
+        runWithRestart("watch of the configuration", [this] { return watchConfiguration(); });
+        runWithRestart("instance list", [this] { return pollInstances(); });
+        runWithRestart("load reports", [this] { return pollLoad(); });
+        runWithRestart("outcomes", [this] { return runOutcomeLoop(); });
     }
     if (m_settings.cloud.port != 0 && !m_hooks.startLoops) {
-        asio::co_spawn(m_context, m_placement.run(m_clusterState, m_fleet, m_host), asio::detached);
+        runWithRestart("placement", [this] { return m_placement.run(m_clusterState, m_fleet, m_host); });
     }
-    m_thread = std::thread([this] { m_context.run(); });
+    m_thread = std::thread([this] { runContext(m_context, "control"); });
 }
 
 void control::stop()
@@ -127,15 +128,8 @@
         if (fault == nullptr) {
             return; // the loop ended normally
         }
-        std::string message = "unknown exception";
-        try {
-            std::rethrow_exception(fault);
-        } catch (const std::exception &known) {
-            message = known.what();
-        } catch (...) {
-        }
-        logEvent(log_event::LoopFault, {{"loop", name}, {"why", message}});
-        const auto timer = std::make_shared<asio::steady_timer>(m_context, callTimeout);
+        logEvent(log_event::LoopFault, {{"loop", name}, {"why", reasonOf(fault)}});
+        const auto timer = std::make_shared<asio::steady_timer>(m_context, restartDelay);
         timer->async_wait([this, name, loop, timer](const boost::system::error_code &code) {
             if (!code) {
                 runWithRestart(name, loop);
@@ -348,7 +342,7 @@
     while (true) {
         for (const endpoint_status &status : m_fleet.status()) {
             if (m_clusterState.pollsEndpoint(status.info->key, status.info->failureDomain)) {
-                asio::co_spawn(m_context, fetchLoad(status.info), asio::detached);
+                asio::co_spawn(m_context, fetchLoad(status.info), logged_end("load report"));
             }
         }
         co_await pause(m_settings.pollInterval);
--- a/src/shell/control_gossip.cpp
+++ b/src/shell/control_gossip.cpp
@@ -2,10 +2,10 @@
 #include "chicoryrouter/compression.h"
 #include "chicoryrouter/hash.h"
 #include "shell/clock.h"
+#include "shell/context_runner.h"
 #include "shell/control.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace chicoryrouter {
@@ -36,7 +36,7 @@
     while (true) {
         co_await pause(m_settings.gossipInterval);
         for (probe &gossipProbe : m_clusterState.onTick(systemNow())) {
-            asio::co_spawn(m_context, runProbe(std::move(gossipProbe)), asio::detached);
+            asio::co_spawn(m_context, runProbe(std::move(gossipProbe)), logged_end("gossip probe"));
         }
     }
 }
@@ -79,7 +79,7 @@
     applyLoadReports(result.loads);
     const bool hasDocument = m_clusterState.documents().current()->revision != 0;
     if (result.hasNewerDocument && m_pull.onNewerAdvertised(hasDocument, systemNow())) {
-        asio::co_spawn(m_context, pullDocument(result.from), asio::detached);
+        asio::co_spawn(m_context, pullDocument(result.from), logged_end("pull of a document"));
     }
     return result;
 }
--- a/src/shell/copy_manager.cpp
+++ b/src/shell/copy_manager.cpp
@@ -3,10 +3,10 @@
 
 #include "chicoryrouter/hash.h"
 #include "shell/clock.h"
+#include "shell/context_runner.h"
 #include "shell/worker_pool.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -209,7 +209,7 @@
             const time_point deadline = systemNow() + copyTimeout;
             co_await gateway::currentThread().peers.call(holder.peer, "/drop", requestId, deadline);
         },
-        asio::detached);
+        logged_end("drop of a copy"));
 }
 
 // ---- Copies of other daemons' requests, held here --------------------------------------------------------------------------------------
--- a/src/shell/datagram_link.cpp
+++ b/src/shell/datagram_link.cpp
@@ -2,6 +2,7 @@
 #include "shell/datagram_link.h"
 
 #include "chicoryrouter/hash.h"
+#include "shell/context_runner.h"
 
 #include <boost/asio/buffer.hpp>
 
@@ -29,6 +30,16 @@
     }
 }
 
+// An exception must not end the receiving.
+void datagram_link::deliver(std::string_view kindAndPayload)
+{
+    try {
+        m_onDatagram(static_cast<datagram_kind>(kindAndPayload.front()), kindAndPayload.substr(1));
+    } catch (...) {
+        logged_end("datagram")(std::current_exception());
+    }
+}
+
 void datagram_link::receive()
 {
     m_socket.async_receive_from(asio::buffer(m_buffer), m_sender, [this](const boost::system::error_code &code, std::size_t size) {
@@ -37,7 +48,7 @@
         }
         const std::string_view bytes(m_buffer.data(), code ? 0 : size);
         if (bytes.size() > m_prefix.size() && bytes.substr(0, m_prefix.size()) == m_prefix) {
-            m_onDatagram(static_cast<datagram_kind>(bytes[m_prefix.size()]), bytes.substr(m_prefix.size() + 1));
+            deliver(bytes.substr(m_prefix.size()));
         }
         receive();
     });
--- a/src/shell/datagram_link.h
+++ b/src/shell/datagram_link.h
@@ -40,6 +40,7 @@
 
 private:
     void receive();
+    void deliver(std::string_view kindAndPayload);
 
     boost::asio::ip::udp::socket m_socket;
     boost::asio::ip::udp::endpoint m_sender;
--- a/src/shell/http_connection.h
+++ b/src/shell/http_connection.h
@@ -3,6 +3,7 @@
 
 #include "shell/asio_error.h"
 #include "shell/clock.h"
+#include "shell/context_runner.h"
 #include "shell/http.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -334,8 +335,9 @@
         } catch (const error &fault) {
             kind = fault.kind();
             detail = fault.detail();
-        } catch (const std::exception &fault) {
-            detail = fault.what();
+        } catch (...) {
+            logged_end("request handler")(std::current_exception());
+            detail = reasonOf(std::current_exception());
         }
         if (m_started) {
             abandon();
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -1,12 +1,12 @@
 // HTTP server: accepts connections and assigns each to a worker thread.
 #include "shell/asio_error.h"
 #include "shell/clock.h"
+#include "shell/context_runner.h"
 #include "shell/http.h"
 #include "shell/http_connection.h"
 #include "shell/worker_pool.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -94,7 +94,8 @@
         const auto executor = socket.get_executor();
         const auto connection = std::make_shared<http_connection>(std::move(socket), connections, connections->currentLimits());
         asio::co_spawn(
-            executor, [self = shared_from_this(), connection]() -> asio::awaitable<void> { co_await connection->serve(self->handler); }, asio::detached);
+            executor, [self = shared_from_this(), connection]() -> asio::awaitable<void> { co_await connection->serve(self->handler); },
+            logged_end("connection"));
     }
 
     worker_pool &workers;
@@ -109,7 +110,7 @@
 {
     m_state->listen(listenAddress);
     asio::co_spawn(
-        m_state->acceptor.get_executor(), [self = m_state]() -> asio::awaitable<void> { co_await self->acceptLoop(); }, asio::detached);
+        m_state->acceptor.get_executor(), [self = m_state]() -> asio::awaitable<void> { co_await self->acceptLoop(); }, logged_end("accepting of connections"));
 }
 
 http_server::~http_server()
--- a/src/shell/log_events.cpp
+++ b/src/shell/log_events.cpp
@@ -94,6 +94,7 @@
     {DaemonStopped, "daemon_stopped", log_part::Daemon, log_level::Info, "stops", "instance callers"},
     {SettingsRead, "settings_read", log_part::Daemon, log_level::Info, "the daemon read its settings file again", "changed why"},
     {LoopFault, "loop_fault", log_part::Daemon, log_level::Error, "a background loop ended with an exception and will be restarted", "loop why"},
+    {ThreadFault, "thread_fault", log_part::Daemon, log_level::Error, "an exception left a handler or ended a task; the daemon goes on", "thread why"},
     {LinesLeftOut, "lines_left_out", log_part::Daemon, log_level::Warning, "log lines of one event were suppressed by its rate limit", "kind lines"},
 }};
 
--- a/src/shell/log_events.h
+++ b/src/shell/log_events.h
@@ -90,6 +90,7 @@
     DaemonStopped,
     SettingsRead,
     LoopFault,
+    ThreadFault,  // an exception that nothing else caught
     LinesLeftOut, // suppressed by the rate limit
     Count
 };
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -1,6 +1,8 @@
 // Metrics, implemented with Boost.Histogram and Boost.Accumulators.
 #include "shell/metrics.h"
 
+#include "shell/context_runner.h"
+
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
@@ -112,6 +114,7 @@
     out << "chicoryrouter_recomputed_tokens_total " << m_recomputedTokens << "\n";
     out << "chicoryrouter_streams_moved_total " << m_movedStreams << "\n";
     out << "chicoryrouter_endpoints_said_leaving_total " << m_leavingAnswers << "\n";
+    out << "chicoryrouter_caught_faults_total " << caughtFaults() << "\n";
     for (std::size_t i = 0; i < m_failures.size(); ++i) {
         out << "chicoryrouter_failures_total{kind=\"" << responseFor(static_cast<error_kind>(i)).name << "\"} " << m_failures.at(i) << "\n";
     }
--- a/src/shell/peer_connection.h
+++ b/src/shell/peer_connection.h
@@ -4,10 +4,10 @@
 
 #include "shell/asio_error.h"
 #include "shell/clock.h"
+#include "shell/context_runner.h"
 #include "shell/peer_link.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -88,7 +88,7 @@
     void start()
     {
         asio::co_spawn(
-            m_socket.get_executor(), [self = shared_from_this()]() -> asio::awaitable<void> { co_await self->readLoop(); }, asio::detached);
+            m_socket.get_executor(), [self = shared_from_this()]() -> asio::awaitable<void> { co_await self->readLoop(); }, logged_end("peer connection"));
         flush();
     }
 
@@ -278,7 +278,7 @@
         if (!m_writing && m_open) {
             m_writing = true;
             asio::co_spawn(
-                m_socket.get_executor(), [self = shared_from_this()]() -> asio::awaitable<void> { co_await self->writeLoop(); }, asio::detached);
+                m_socket.get_executor(), [self = shared_from_this()]() -> asio::awaitable<void> { co_await self->writeLoop(); }, logged_end("peer connection"));
         }
     }
 
--- a/src/shell/peer_link.cpp
+++ b/src/shell/peer_link.cpp
@@ -3,11 +3,11 @@
 
 #include "shell/asio_error.h"
 #include "shell/clock.h"
+#include "shell/context_runner.h"
 #include "shell/peer_connection.h"
 #include "shell/worker_pool.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -109,7 +109,7 @@
             if (const auto connection = weak.lock()) {
                 asio::co_spawn(
                     connection->executor(), [self, connection, id, stream]() -> asio::awaitable<void> { co_await self->handleCall(connection, id, stream); },
-                    asio::detached);
+                    logged_end("call of a peer"));
             }
         };
         {
@@ -164,7 +164,7 @@
     m_state->acceptor.listen();
     m_state->port = m_state->acceptor.local_endpoint().port();
     asio::co_spawn(
-        m_state->acceptor.get_executor(), [self = m_state]() -> asio::awaitable<void> { co_await self->acceptLoop(); }, asio::detached);
+        m_state->acceptor.get_executor(), [self = m_state]() -> asio::awaitable<void> { co_await self->acceptLoop(); }, logged_end("accepting of peers"));
 }
 
 peer_server::~peer_server()
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -4,9 +4,9 @@
 #include "chicoryrouter/units.h"
 #include "shell/asio_error.h"
 #include "shell/clock.h"
+#include "shell/context_runner.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -209,7 +209,7 @@
 
 void request_session::perform(const copy_to_peer &)
 {
-    asio::co_spawn(m_thread.context, copyLoop(true), asio::detached);
+    asio::co_spawn(m_thread.context, copyLoop(true), logged_end("copy of a request"));
 }
 
 asio::awaitable<void> request_session::copyLoop(bool first)
@@ -259,7 +259,7 @@
 
 void request_session::perform(const transfer_kv &action)
 {
-    asio::co_spawn(m_thread.context, runTransfer(action), asio::detached);
+    asio::co_spawn(m_thread.context, runTransfer(action), logged_end("transfer of a stream"));
 }
 
 asio::awaitable<void> request_session::runTransfer(transfer_kv action)
@@ -294,7 +294,7 @@
             {{"attempt", action.attempt}, {"endpoint", action.target->id}, {"from", action.resumeFrom},
                 {"deadline_left_ms", inMilliseconds(facts().deadline - systemNow())}});
     }
-    asio::co_spawn(m_thread.context, runAttempt(open, action), asio::detached);
+    asio::co_spawn(m_thread.context, runAttempt(open, action), logged_end("attempt"));
 }
 
 void request_session::perform(const cancel_attempt &action)
@@ -404,7 +404,7 @@
         m_ticket = 0;
     }
     if (m_claimWon) {
-        asio::co_spawn(m_thread.context, settleClaim(), asio::detached);
+        asio::co_spawn(m_thread.context, settleClaim(), logged_end("settling of a claim"));
     }
     if (m_showOnlyCopied && !m_handedOver && m_host.copier != nullptr) {
         m_copiedTokens = static_cast<std::uint32_t>(m_tokens.size()); // the answer is complete, so the copy is no longer needed and all tokens may be read
--- a/src/shell/request_session_attempts.cpp
+++ b/src/shell/request_session_attempts.cpp
@@ -1,10 +1,10 @@
 // request_session: attempts, from the first byte sent to an endpoint to the end of its answer.
 #include "chicoryrouter/units.h"
 #include "shell/clock.h"
+#include "shell/context_runner.h"
 #include "shell/request_session.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <array>
@@ -223,7 +223,7 @@
         }
         notifyReaders();
         if (m_showOnlyCopied && !m_copying && !m_handedOver && m_tokens.size() > m_copiedTokens) {
-            asio::co_spawn(m_thread.context, copyLoop(false), asio::detached);
+            asio::co_spawn(m_thread.context, copyLoop(false), logged_end("copy of a request"));
         }
         co_await waitForReaders();
     }
--- a/src/shell/request_session_claims.cpp
+++ b/src/shell/request_session_claims.cpp
@@ -1,10 +1,10 @@
 // request_session: idempotency claims. A claim is created in the key-value service before the first byte is sent, and settled after the
 // request has ended.
 #include "shell/clock.h"
+#include "shell/context_runner.h"
 #include "shell/request_session.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace chicoryrouter {
@@ -22,7 +22,7 @@
 
 void request_session::perform(const make_claim &)
 {
-    asio::co_spawn(m_thread.context, runClaim(), asio::detached);
+    asio::co_spawn(m_thread.context, runClaim(), logged_end("claim"));
 }
 
 asio::awaitable<void> request_session::runClaim()
--- a/src/shell/worker_pool.cpp
+++ b/src/shell/worker_pool.cpp
@@ -1,6 +1,8 @@
 // Threads, each with its own I/O context.
 #include "shell/worker_pool.h"
 
+#include "shell/context_runner.h"
+
 namespace chicoryrouter {
 
 worker_pool::worker_pool(unsigned threads)
@@ -8,7 +10,7 @@
     for (unsigned i = 0; i < threads; ++i) {
         m_workers.push_back(std::make_unique<worker>());
         worker &added = *m_workers.back();
-        added.thread = std::thread([&added] { added.context.run(); });
+        added.thread = std::thread([&added] { runContext(added.context, "request"); });
     }
 }
 
