An unusable settings file neither ends nor blocks a router at a reload

What callers saw: after SIGHUP with a settings file that is a pipe, the router waits in open() for ever and follows no SIGTERM; with a short file whose YAML aliases multiply, it takes all memory and ends by std::bad_alloc.

Cause: the file was read and converted without a bound, in the thread that waits for the stop signals; reloadSettings() caught only chicoryrouter::error, so another exception ended the process with code 1.

Change: settings are a regular file of at most 1 MiB; the conversion of YAML makes no more nodes than the text has bytes (at least 10000); any exception leaves the old settings and one line; a stop request that is there goes before a reload.

Why it works: the work of a reload is bounded by the size of the file, whatever it holds.

--- a/src/core/settings.cpp
+++ b/src/core/settings.cpp
@@ -8,6 +8,7 @@
 #include <arpa/inet.h>
 
 #include <array>
+#include <filesystem>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -16,6 +17,8 @@
 
 namespace {
 
+constexpr std::uintmax_t maxSettingsBytes = 1024 * 1024;
+
 using nlohmann::json;
 
 // Reads values by JSON pointer and records which keys were read. failOnUnknown() then rejects every key that was never read.
@@ -244,10 +247,18 @@
 
 settings readSettingsFile(const std::string &path)
 {
+    std::error_code code;
+    if (std::filesystem::exists(path, code) && !std::filesystem::is_regular_file(path, code)) { // opening a pipe could block forever
+        throw error(error_kind::BadRequest, path + ": expected a regular file");
+    }
     const std::ifstream file(path);
-    if (!file) {
+    const std::uintmax_t size = std::filesystem::file_size(path, code);
+    if (!file || code) {
         throw error(error_kind::BadRequest, path + ": cannot be read");
     }
+    if (size > maxSettingsBytes) {
+        throw error(error_kind::BadRequest, path + ": expected at most " + std::to_string(maxSettingsBytes) + " bytes, found " + std::to_string(size));
+    }
     std::ostringstream text;
     text << file.rdbuf();
     return parseSettings(text.str(), path);
--- a/src/core/yaml_json.cpp
+++ b/src/core/yaml_json.cpp
@@ -5,6 +5,7 @@
 
 #include <yaml-cpp/yaml.h>
 
+#include <algorithm>
 #include <mutex>
 
 namespace chicoryrouter::detail {
@@ -12,6 +13,14 @@
 namespace {
 
 constexpr int maxDepth = 32;
+constexpr std::size_t minNodeLimit = 10'000;
+
+// A node takes at least one byte of the text, unless aliases repeat it: those can multiply a short text without bound.
+struct conversion
+{
+    std::map<std::string, int> &lines;
+    std::size_t nodesLeft = 0;
+};
 
 nlohmann::json scalarToJson(const YAML::Node &node)
 {
@@ -39,16 +48,20 @@
     throw error(error_kind::BadRequest, "line " + std::to_string(node.Mark().line + 1) + ": " + text);
 }
 
-nlohmann::json nodeToJson(const YAML::Node &node, const std::string &pointer, int depth, std::map<std::string, int> &lines)
+nlohmann::json nodeToJson(const YAML::Node &node, const std::string &pointer, int depth, conversion &state)
 {
     if (depth > maxDepth) {
         failAt(node, "nested too deeply");
     }
-    lines[pointer] = node.Mark().line + 1;
+    if (state.nodesLeft == 0) {
+        failAt(node, "aliases repeat too much of the text");
+    }
+    --state.nodesLeft;
+    state.lines[pointer] = node.Mark().line + 1;
     if (node.IsSequence()) {
         auto array = nlohmann::json::array();
         for (std::size_t i = 0; i < node.size(); ++i) {
-            array.push_back(nodeToJson(node[i], pointer + "/" + std::to_string(i), depth + 1, lines));
+            array.push_back(nodeToJson(node[i], pointer + "/" + std::to_string(i), depth + 1, state));
         }
         return array;
     }
@@ -59,8 +72,8 @@
             if (object.contains(key)) {
                 failAt(entry.first, "key '" + key + "' is listed twice");
             }
-            object[key] = nodeToJson(entry.second, pointer + "/" + key, depth + 1, lines);
-            lines[pointer + "/" + key] = entry.first.Mark().line + 1;
+            object[key] = nodeToJson(entry.second, pointer + "/" + key, depth + 1, state);
+            state.lines[pointer + "/" + key] = entry.first.Mark().line + 1;
         }
         return object;
     }
@@ -77,7 +90,8 @@
     try {
         const YAML::Node root = YAML::Load(std::string(text));
         yaml_value value;
-        value.json = nodeToJson(root, "", 0, value.lines);
+        conversion state{value.lines, std::max(text.size(), minNodeLimit)};
+        value.json = nodeToJson(root, "", 0, state);
         return value;
     } catch (const YAML::Exception &fault) {
         throw error(error_kind::BadRequest, "line " + std::to_string(fault.mark.line + 1) + ": " + fault.msg);
--- a/src/programs/chicoryrouterd.cpp
+++ b/src/programs/chicoryrouterd.cpp
@@ -26,6 +26,8 @@
         logEvent(log_event::SettingsRead, {{"changed", true}, {"why", "log level " + reloaded.logLevel}});
     } catch (const error &fault) {
         logEvent(log_event::SettingsRead, {{"changed", false}, {"why", fault.detail()}});
+    } catch (const std::exception &fault) { // out of memory, for example
+        logEvent(log_event::SettingsRead, {{"changed", false}, {"why", fault.what()}});
     }
 }
 
@@ -60,6 +62,9 @@
     } catch (const error &fault) {
         std::cerr << fault.detail() << "\n";
         return exitUsage;
+    } catch (const std::exception &fault) {
+        std::cerr << FLAGS_settings << ": " << fault.what() << "\n";
+        return exitUsage;
     }
     if (FLAGS_check || FLAGS_check_settings) {
         return exitSuccess;
--- a/src/programs/program.h
+++ b/src/programs/program.h
@@ -34,13 +34,23 @@
     return signals;
 }
 
-// Waits until SIGTERM or SIGINT arrives. Calls `onSettingsChanged` for every SIGHUP in the meantime.
+// Whether a stop request waits to be taken.
+inline bool isStopPending()
+{
+    sigset_t pending;
+    sigemptyset(&pending);
+    sigpending(&pending);
+    return sigismember(&pending, SIGTERM) == 1 || sigismember(&pending, SIGINT) == 1;
+}
+
+// Waits until SIGTERM or SIGINT arrives. Calls `onSettingsChanged` for every SIGHUP in the meantime. sigwait() takes the lowest signal first,
+// which is SIGHUP, so a stop request that is already there goes before the reload.
 inline void waitForStop(const sigset_t &signals, const std::function<void()> &onSettingsChanged = {})
 {
     int received = SIGHUP;
     while (received == SIGHUP) {
         sigwait(&signals, &received);
-        if (received == SIGHUP && onSettingsChanged) {
+        if (received == SIGHUP && onSettingsChanged && !isStopPending()) {
             onSettingsChanged();
         }
     }
--- a/tests/unit/process_signals.cpp
+++ b/tests/unit/process_signals.cpp
@@ -8,7 +8,9 @@
 #include <fstream>
 #include <iterator>
 #include <sstream>
+#include <sys/stat.h>
 #include <unistd.h>
+#include <vector>
 
 using namespace chicoryrouter;
 using namespace std::chrono_literals;
@@ -107,3 +109,69 @@
     cr_expect_gt(count, 0, "nothing is listed");
 #endif
 }
+
+// Guards against a settings file that ends or blocks the router at a reload: the old settings stay, and a stop request is still followed.
+Test(process_signals, a_reload_of_an_unusable_settings_file_changes_nothing)
+{
+    process_deployment all;
+    daemon_process &router = all.addRouter();
+    const std::string path = router.settingsFile();
+    const std::string valid = contentOf(path);
+    std::string aliases = "a0: &a0 [x, x, x, x, x, x, x, x, x]\n";
+    for (int i = 1; i < 9; ++i) {
+        const std::string previous = "*a" + std::to_string(i - 1);
+        aliases += "a" + std::to_string(i) + ": &a" + std::to_string(i) + " [";
+        for (int copy = 0; copy < 9; ++copy) {
+            aliases += (copy == 0 ? "" : ", ") + previous;
+        }
+        aliases += "]\n";
+    }
+    router.start();
+    cr_assert(all.serves(router));
+    const std::vector<std::string> unusable = {"", valid.substr(0, valid.size() / 2), valid + "region: \xff\xfe\n", valid + "x: " + std::string(100'000, '['),
+        valid + aliases, valid + "# " + std::string(100'000'000, 'x') + "\n"};
+    std::size_t refusals = 0;
+    const auto isRefused = [&] {
+        ++refusals;
+        router.hangUp();
+        return test::eventually([&] {
+            const std::string log = contentOf(router.logFile());
+            std::size_t count = 0;
+            for (std::size_t at = log.find("\"changed\":false"); at != std::string::npos; at = log.find("\"changed\":false", at + 1)) {
+                ++count;
+            }
+            return count >= refusals;
+        });
+    };
+    for (const std::string &content : unusable) {
+        std::ofstream(path) << content;
+        cr_assert(isRefused(), "file %zu is not refused; %s", refusals, router.runs() ? "runs" : describeEnd(router.endedWith()).c_str());
+    }
+    std::filesystem::remove(path);
+    cr_assert(isRefused(), "a missing file");
+    std::filesystem::create_directory(path);
+    cr_assert(isRefused(), "a directory");
+    std::filesystem::remove(path);
+    cr_assert_eq(mkfifo(path.c_str(), 0600), 0);
+    cr_assert(isRefused(), "a pipe");
+    cr_assert(all.serves(router));
+    cr_assert(router.stop(12s), "it does not stop");
+    cr_assert_eq(router.endedWith(), 0, "%s", describeEnd(router.endedWith()).c_str());
+}
+
+// Guards against a stop request that waits behind a series of reloads, or is lost in it.
+Test(process_signals, a_stop_request_goes_before_reloads)
+{
+    process_deployment all;
+    daemon_process &router = all.addRouter();
+    router.start();
+    cr_assert(all.serves(router));
+    for (int i = 0; i < 500; ++i) {
+        router.hangUp();
+    }
+    router.terminate();
+    router.hangUp();
+    cr_assert(logsEventually(router, "daemon_stop_asked"), "the stop request is not followed");
+    cr_assert(router.ends(12s));
+    cr_assert_eq(router.endedWith(), 0, "%s", describeEnd(router.endedWith()).c_str());
+}
