A planned stop answers what the kernel has accepted, and closes no connection with bytes of a request

Callers saw: at 2.5 s after SIGTERM, whole requests on fresh connections ended in a reset, and so did requests that came in pieces, on connections opened shortly before, or unread on kept ones.

Cause, one class: accepted by the kernel and not yet by us. (1) close() closed the listening socket with connections in its queue, and the accept loop dropped one that completed together with the close. (2) closeIdle() took every connection without a whole request for idle: with bytes in the kernel or in the buffer, or just accepted. (3) The close began when no request was open, which under steady callers is never; at the end of the time all was aborted. (4) A response that promised to keep its connection was followed by a close, and a bad request across the close got no answer. (5) Once the close had begun, the refusal of late requests was no longer switched on.

The time from which requests are refused is stored, so it holds in every part of the stop.

Why it works: what the kernel accepted is taken before the socket goes; what has sent a byte, or may be about to, is closed only after its answer. Left: a request that crosses the close of a kept connection that was silent for over two seconds; HTTP/1.1 cannot exclude it. The sending side is closed first, so its caller sees an end of the connection and no reset.

Considered: answering 503 for as long as callers connect. It only moves the same close to a later moment.

--- a/src/shell/http.h
+++ b/src/shell/http.h
@@ -86,8 +86,11 @@
     [[nodiscard]] std::uint16_t port() const;         // the port bound, also when port 0 was requested
     void setLimits(const http_server_limits &limits); // any thread; applies to requests received from now on
     void closeAfterResponses();                       // any thread; from now on every response closes its connection
-    void close();                                     // stops accepting; requests in progress finish, every connection closes after its next response
-    void closeIdle();                                 // any thread; closes the connections that have no request in progress
+    void close();                                     // any thread; stops accepting shortly, and every connection closes after its next response
+    void closeIdle();                                 // any thread; closes the connections on which no request is in progress, arriving or soon expected
+    [[nodiscard]] bool isListening() const;           // false: close() has taken all connections of the listening socket's queue
+    [[nodiscard]] std::size_t acceptedLate() const;   // connections accepted after close()
+    [[nodiscard]] std::size_t closedIdle() const;     // connections closed by closeIdle()
     [[nodiscard]] std::size_t connections() const;    // open connections
     [[nodiscard]] std::size_t busy() const;           // connections with a request in progress or a response still being sent
     void abortConnections();                          // any thread; closes every connection immediately, but goes on listening
--- a/src/shell/http_connection.h
+++ b/src/shell/http_connection.h
@@ -14,6 +14,7 @@
 #include <atomic>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -24,7 +25,8 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
-inline constexpr std::size_t readAheadBytes = 4096; // read size for pipelined requests that arrive during a response
+inline constexpr std::size_t readAheadBytes = 4096;                 // read size for pipelined requests that arrive during a response
+inline constexpr duration firstBytesTime = std::chrono::seconds(1); // at a stop, for the first bytes of a request that was invited
 
 class http_connection;
 
@@ -33,9 +35,9 @@
 {
     std::mutex lock;
     std::set<http_connection *> open;
-    std::atomic<bool> closing{false};
     std::atomic<bool> closeAfterResponses{false}; // every response closes its connection
     std::atomic<std::size_t> busy{0};             // connections with a request in progress or a response still being sent
+    std::atomic<std::size_t> closedIdle{0};       // connections closed by closeIdle()
     http_server_limits limits;                    // guarded by `lock`
 
     http_server_limits currentLimits()
@@ -45,7 +47,8 @@
     }
 
     std::vector<std::shared_ptr<http_connection>> openConnections();
-    void closeAll(bool unlessBusy);
+    void closeIdle();
+    void closeAll();
 };
 
 class http_connection : public http_exchange, public std::enable_shared_from_this<http_connection>
@@ -55,6 +58,7 @@
         : m_stream(std::move(socket))
         , m_connections(std::move(connections))
         , m_limits(limits)
+        , m_requestExpectedUntil(systemNow() + firstBytesTime)
     {
         const std::lock_guard guard(m_connections->lock);
         m_connections->open.insert(this);
@@ -71,7 +75,7 @@
     {
         bool keepOpen = true;
         bool first = true;
-        while (keepOpen) { // an accepted connection gets one request served even if the server is closing
+        while (keepOpen) {
             m_limits = m_connections->currentLimits();
             const read_result result = co_await receive(first);
             first = false;
@@ -84,7 +88,8 @@
             setBusy(true);
             co_await handle(handler);
             stopWatching();
-            keepOpen = m_keepAlive && !m_broken && !m_connections->closing;
+            keepOpen = m_keepAlive && !m_broken;
+            m_requestExpectedUntil = m_connections->closeAfterResponses ? systemNow() + firstBytesTime : time_point{};
             setBusy(!keepOpen);
         }
         if (!m_broken) {
@@ -161,17 +166,17 @@
     [[nodiscard]] bool started() const override { return m_started; }
     [[nodiscard]] asio::any_io_executor executor() const override { return const_cast<http_connection *>(this)->m_stream.get_executor(); }
 
-    // Any thread. Closes the connection on its own thread, and moves the reference there so that it is also released there. With `unlessBusy`,
-    // a connection with a request in progress stays open; a request not yet read does not count.
-    static void postClose(std::shared_ptr<http_connection> connection, bool unlessBusy)
+    // Any thread, both. They close the connection on its own thread, and move the reference there so that it is also released there.
+    static void postClose(std::shared_ptr<http_connection> connection)
     {
         const asio::any_io_executor owner = connection->m_stream.get_executor();
-        asio::post(owner, [self = std::move(connection), unlessBusy] {
-            if (!unlessBusy || !self->m_busy) {
-                self->m_broken = true;
-                self->m_stream.close();
-            }
-        });
+        asio::post(owner, [self = std::move(connection)] { self->abandon(); });
+    }
+
+    static void postCloseIfIdle(std::shared_ptr<http_connection> connection)
+    {
+        const asio::any_io_executor owner = connection->m_stream.get_executor();
+        asio::post(owner, [self = std::move(connection)] { self->closeIfIdle(); });
     }
 
 private:
@@ -190,7 +195,29 @@
     }
 
     [[nodiscard]] std::size_t maxUnreadBytes() const { return m_limits.maxHeaderBytes + m_limits.maxBodyBytes; } // received and not yet parsed
-    [[nodiscard]] bool canKeepAlive() const { return m_keepAlive && !m_connections->closing && !m_connections->closeAfterResponses; }
+    [[nodiscard]] bool canKeepAlive() const { return m_keepAlive && !m_connections->closeAfterResponses; }
+
+    // Whether closing loses nothing: no byte of a request has been received, by the kernel neither, and none is expected soon.
+    [[nodiscard]] bool isIdle()
+    {
+        const bool hasBytes = m_requestArriving || m_buffer.size() > 0 || (m_parser.has_value() && m_parser->got_some());
+        if (m_busy || hasBytes || systemNow() < m_requestExpectedUntil) {
+            return false;
+        }
+        beast::error_code code;
+        return m_stream.socket().available(code) == 0;
+    }
+
+    void closeIfIdle()
+    {
+        if (m_broken || !isIdle()) {
+            return;
+        }
+        ++m_connections->closedIdle;
+        beast::error_code ignored;
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored); // first, so that a caller whose request crosses it sees an end and not a reset
+        abandon();
+    }
 
     // Sends a complete response.
     asio::awaitable<void> write(http::response<http::string_body> &response)
@@ -239,7 +266,7 @@
 
     asio::awaitable<read_result> receive(bool first)
     {
-        http::request_parser<http::string_body> parser;
+        http::request_parser<http::string_body> &parser = m_parser.emplace();
         parser.header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
         parser.body_limit(m_limits.maxBodyBytes);
         m_buffer.max_size(
@@ -248,9 +275,11 @@
         if (!first && m_buffer.size() == 0) {
             m_stream.expires_after(m_limits.idleTimeout);
             co_await m_stream.socket().async_wait(tcp::socket::wait_read, storeErrorIn(code));
+            m_requestArriving = true;
         }
         m_stream.expires_after(m_limits.receiveTimeout);
         co_await http::async_read(m_stream, m_buffer, parser, storeErrorIn(code));
+        m_requestArriving = false;
         m_started = false;
         if (!code && !hasKnownBodyEnd(parser.get())) {
             code = http::error::bad_transfer_encoding;
@@ -291,7 +320,7 @@
     {
         const bool connectionEnded = code == http::error::end_of_stream || code == asio::error::operation_aborted || code == asio::error::connection_reset;
         const bool idle = code == beast::error::timeout && !gotSome;
-        if (connectionEnded || idle || m_connections->closing) {
+        if (connectionEnded || idle || m_broken) {
             co_return read_result::Closed;
         }
         error_kind kind = error_kind::BadRequest;
@@ -382,15 +411,18 @@
 
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser; // of the request being received, or of the latest one
     std::shared_ptr<http_connection_set> m_connections;
     http_server_limits m_limits;
+    time_point m_requestExpectedUntil; // not idle until then: the connection is new, or a response of a server that stops kept it open
     std::function<void()> m_onDisconnect;
     std::uint64_t m_watchGeneration = 0; // incremented per watch, so that callbacks of earlier watches are ignored
     unsigned m_version = 11;
     bool m_keepAlive = true;
     bool m_started = false;
     bool m_broken = false;
-    bool m_busy = false; // whether this connection is counted in the shared `busy`
+    bool m_busy = false;            // whether this connection is counted in the shared `busy`
+    bool m_requestArriving = false; // bytes of a request may be on their way from the kernel to `m_buffer`
 };
 
 // Shared pointers to all open connections. Release them without holding the lock, because the connection's destructor locks it.
@@ -406,10 +438,17 @@
     return owners;
 }
 
-inline void http_connection_set::closeAll(bool unlessBusy)
+inline void http_connection_set::closeIdle()
+{
+    for (std::shared_ptr<http_connection> &item : openConnections()) {
+        http_connection::postCloseIfIdle(std::move(item));
+    }
+}
+
+inline void http_connection_set::closeAll()
 {
     for (std::shared_ptr<http_connection> &item : openConnections()) {
-        http_connection::postClose(std::move(item), unlessBusy);
+        http_connection::postClose(std::move(item));
     }
 }
 
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -1,6 +1,7 @@
 // HTTP server: accepts connections and assigns each to a worker thread.
 #include "shell/asio_error.h"
 #include "shell/clock.h"
+#include "shell/handshake_filter.h"
 #include "shell/http.h"
 #include "shell/http_connection.h"
 #include "shell/worker_pool.h"
@@ -14,6 +15,7 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <atomic>
 #include <mutex>
 #include <set>
 
@@ -26,6 +28,7 @@
 
 namespace {
 constexpr duration acceptRetryDelay = std::chrono::milliseconds(50);
+constexpr duration handshakeTime = std::chrono::milliseconds(200); // at the close, for handshakes that have begun
 } // namespace
 
 std::string_view findHeader(const http_headers &headers, std::string_view name)
@@ -75,26 +78,69 @@
             asio::io_context &context = workers.nextContext();
             beast::error_code code;
             tcp::socket socket = co_await acceptor.async_accept(context, storeErrorIn(code));
+            if (!code) { // also after the close: it was accepted before
+                startConnection(context, std::move(socket));
+                continue;
+            }
             if (code == asio::error::operation_aborted || !acceptor.is_open()) {
                 co_return;
             }
-            if (code) { // out of descriptors, for example, and then the next try would fail at once too
-                asio::steady_timer pause(acceptor.get_executor(), acceptRetryDelay);
-                co_await pause.async_wait(storeErrorIn(code));
-                continue;
+            // Out of descriptors, for example, and then the next try would fail at once too.
+            asio::steady_timer pause(acceptor.get_executor(), acceptRetryDelay);
+            co_await pause.async_wait(storeErrorIn(code));
+        }
+    }
+
+    // The connection exists from here on, so that a server that stops counts it before its thread has begun to serve it.
+    void startConnection(asio::io_context &context, tcp::socket socket)
+    {
+        acceptedLate += closing ? 1 : 0;
+        beast::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        auto connection = std::make_shared<http_connection>(std::move(socket), connections, connections->currentLimits());
+        asio::post(context, [self = shared_from_this(), context = &context, moved = std::move(connection)] {
+            asio::co_spawn(
+                *context, [self, moved]() -> asio::awaitable<void> { co_await moved->serve(self->handler); }, asio::detached);
+        });
+    }
+
+    // Closes the listening socket once it has no handshake in progress and no connection in its queue: closing would reset both.
+    asio::awaitable<void> closeEmptied()
+    {
+        const auto self = shared_from_this();
+        dropNewHandshakes(acceptor.native_handle());
+        beast::error_code ignored;
+        asio::steady_timer pause(acceptor.get_executor(), handshakeTime);
+        co_await pause.async_wait(storeErrorIn(ignored));
+        takeQueuedConnections();
+        closeListeningSocket();
+    }
+
+    void takeQueuedConnections()
+    {
+        beast::error_code code;
+        acceptor.non_blocking(true, code);
+        while (!code) {
+            asio::io_context &context = workers.nextContext();
+            tcp::socket socket(context);
+            acceptor.accept(socket, code);
+            if (!code) {
+                startConnection(context, std::move(socket));
             }
-            beast::error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            asio::post(context, [self, moved = std::move(socket)]() mutable { self->startConnection(std::move(moved)); });
         }
     }
 
-    void startConnection(tcp::socket socket)
+    void closeListeningSocket()
     {
-        const auto executor = socket.get_executor();
-        const auto connection = std::make_shared<http_connection>(std::move(socket), connections, connections->currentLimits());
-        asio::co_spawn(
-            executor, [self = shared_from_this(), connection]() -> asio::awaitable<void> { co_await connection->serve(self->handler); }, asio::detached);
+        beast::error_code ignored;
+        acceptor.close(ignored);
+        listening = false;
+    }
+
+    void postCloseListeningSocket()
+    {
+        connections->closeAfterResponses = true;
+        asio::post(acceptor.get_executor(), [self = shared_from_this()] { self->closeListeningSocket(); });
     }
 
     worker_pool &workers;
@@ -102,6 +148,9 @@
     http_handler handler;
     std::shared_ptr<http_connection_set> connections = std::make_shared<http_connection_set>();
     std::uint16_t port = 0;
+    std::atomic<bool> listening{true};
+    std::atomic<bool> closing{false};
+    std::atomic<std::size_t> acceptedLate{0}; // after the close had begun
 };
 
 http_server::http_server(worker_pool &workers, const address &listenAddress, http_handler handler, http_server_limits limits)
@@ -114,7 +163,7 @@
 
 http_server::~http_server()
 {
-    close();
+    m_state->postCloseListeningSocket();
 }
 
 std::uint16_t http_server::port() const
@@ -135,16 +184,32 @@
 
 void http_server::close()
 {
-    m_state->connections->closing = true;
-    asio::post(m_state->acceptor.get_executor(), [self = m_state] {
-        beast::error_code ignored;
-        self->acceptor.close(ignored);
-    });
+    if (m_state->closing.exchange(true)) {
+        return;
+    }
+    m_state->connections->closeAfterResponses = true;
+    asio::co_spawn(
+        m_state->acceptor.get_executor(), [self = m_state]() -> asio::awaitable<void> { co_await self->closeEmptied(); }, asio::detached);
 }
 
 void http_server::closeIdle()
 {
-    m_state->connections->closeAll(true);
+    m_state->connections->closeIdle();
+}
+
+bool http_server::isListening() const
+{
+    return m_state->listening;
+}
+
+std::size_t http_server::acceptedLate() const
+{
+    return m_state->acceptedLate;
+}
+
+std::size_t http_server::closedIdle() const
+{
+    return m_state->connections->closedIdle;
 }
 
 std::size_t http_server::connections() const
@@ -160,12 +225,12 @@
 
 void http_server::abortConnections()
 {
-    m_state->connections->closeAll(false);
+    m_state->connections->closeAll();
 }
 
 void http_server::abortAll()
 {
-    close();
+    m_state->postCloseListeningSocket();
     abortConnections();
 }
 
--- a/src/shell/relay_gateway.h
+++ b/src/shell/relay_gateway.h
@@ -10,6 +10,7 @@
 #include "shell/request_session.h"
 
 #include <algorithm>
+#include <atomic>
 #include <concepts>
 #include <string>
 
@@ -63,7 +64,7 @@
     {
     }
 
-    std::atomic<bool> rejectNewRequests{false}; // set near the end of a planned stop, when a new request could no longer finish
+    std::atomic<time_point> rejectRequestsFrom{noDeadline}; // set at a planned stop: a request that arrives later might not finish in time
 
     boost::asio::awaitable<void> handle(http_exchange &exchange)
     {
@@ -107,7 +108,7 @@
         if (route == nullptr) {
             throw error(error_kind::UnknownRoute);
         }
-        if (rejectNewRequests) {
+        if (now >= rejectRequestsFrom.load()) {
             throw error(error_kind::ShuttingDown);
         }
         contract effectiveRoute = *route;
