A plain daemon's planned stop closes its callers' connections as the hosted one does

Callers saw: a request that was on its way in when no other was open ended without an answer.

Cause: stop() waited for open requests and then closed everything as a crash does; what had not become a request by then was cut. Change: stop() says on every response that the connection closes, and ends with stopServer(), for which it reserves the last part of its time; open requests go on meanwhile.

--- a/src/shell/daemon.cpp
+++ b/src/shell/daemon.cpp
@@ -10,6 +10,7 @@
 #include "shell/operator_api.h"
 #include "shell/peer_link.h"
 #include "shell/request_threads.h"
+#include "shell/server_stop.h"
 #include "shell/worker_pool.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -154,12 +155,14 @@
     const time_point stopDeadline = systemNow() + m_parts->ownSettings.stopWithin;
     logEvent(log_event::DaemonStopAsked, {{"instance", m_parts->ownSettings.instance}, {"callers", m_parts->requestGateway.activeCallers.load()}});
     m_parts->requestGateway.stopping = true;
+    m_parts->server->closeAfterResponses();
     m_parts->controlStrand->leave();
     // Open requests may finish on their own first. The rest is handed over, and this daemon relays their output until the deadline.
     const duration drainTime = m_parts->ownSettings.handOverAfter > duration{} ? m_parts->ownSettings.handOverAfter : m_parts->ownSettings.stopWithin / 2;
     waitForCallers(systemNow() + std::min(drainTime, m_parts->ownSettings.stopWithin));
     m_parts->handOverOpenRequests();
-    waitForCallers(stopDeadline);
+    waitForCallers(stopDeadline - std::min(serverStopTime, m_parts->ownSettings.stopWithin / 4));
+    stopServer(*m_parts->server, stopDeadline);
     logEvent(log_event::DaemonStopped, {{"instance", m_parts->ownSettings.instance}, {"callers", m_parts->requestGateway.activeCallers.load()}});
     crash();
 }
--- a/tests/unit/server_stops.cpp
+++ b/tests/unit/server_stops.cpp
@@ -1,6 +1,7 @@
-// The planned end of an HTTP server against requests that are between the kernel and the server.
+// The planned end of an HTTP server and of a plain daemon, against requests that are between the kernel and the server.
 #include "shell/http.h"
 #include "shell/worker_pool.h"
+#include "standin/deployment.h"
 #include "support/socket_caller.h"
 #include "support/waiting.h"
 
@@ -9,6 +10,7 @@
 #include <criterion/criterion.h>
 
 #include <deque>
+#include <future>
 #include <thread>
 
 using namespace chicoryrouter;
@@ -77,3 +79,21 @@
     const socket_answer answer = caller.readAnswer();
     cr_assert(answer.isWhole() && answer.status == 400, "%s", answer.text().c_str());
 }
+
+// A plain daemon without open requests ended at once, also with a request on its way in.
+Test(server_stops, a_plain_daemons_stop_answers_a_request_that_is_arriving)
+{
+    deployment all(deployment_options{});
+    cr_assert(all.waitReady());
+    socket_caller caller;
+    cr_assert(caller.connect(all.at(0).gateway()));
+    cr_assert(caller.send("GET /readyz HTTP/1.1\r\nHost: a\r\n"));
+    std::this_thread::sleep_for(50ms);
+    auto stopping = std::async(std::launch::async, [&] { all.at(0).stop(); });
+    std::this_thread::sleep_for(300ms);
+    caller.send("\r\n");
+    const socket_answer answer = caller.readAnswer();
+    cr_assert(answer.isWhole() && answer.status == 503, "%s", answer.text().c_str());
+    caller.close();
+    stopping.get();
+}
