The last line of a stop says how its callers' connections ended

A stop's log line had only the number of open requests, so it could not tell a quiet stop from one that cut callers or left some in its listening queue. daemon_stopped now has the connections accepted after the close began, those closed idle, requests and connections cut at the deadline, and how long the close took. `callers` is replaced by `cut_requests`, which also counts responses that were still being sent.

--- a/src/shell/daemon.cpp
+++ b/src/shell/daemon.cpp
@@ -162,8 +162,7 @@
     waitForCallers(systemNow() + std::min(drainTime, m_parts->ownSettings.stopWithin));
     m_parts->handOverOpenRequests();
     waitForCallers(stopDeadline - std::min(serverStopTime, m_parts->ownSettings.stopWithin / 4));
-    stopServer(*m_parts->server, stopDeadline);
-    logEvent(log_event::DaemonStopped, {{"instance", m_parts->ownSettings.instance}, {"callers", m_parts->requestGateway.activeCallers.load()}});
+    logDaemonStopped(m_parts->ownSettings.instance, stopServer(*m_parts->server, stopDeadline));
     crash();
 }
 
--- a/src/shell/server_stop.cpp
+++ b/src/shell/server_stop.cpp
@@ -1,7 +1,9 @@
 // Closes a server's listening socket, then its connections as they become idle.
 #include "shell/server_stop.h"
 
+#include "chicoryrouter/units.h"
 #include "shell/clock.h"
+#include "shell/log.h"
 
 #include <thread>
 
@@ -28,4 +30,11 @@
     return report;
 }
 
+void logDaemonStopped(const std::string &instance, const server_stop_report &report)
+{
+    logEvent(log_event::DaemonStopped,
+        {{"instance", instance}, {"accepted_late", report.acceptedLate}, {"closed_idle", report.closedIdle}, {"cut_requests", report.cutRequests},
+            {"cut_connections", report.cutConnections}, {"close_ms", inMilliseconds(report.took)}});
+}
+
 } // namespace chicoryrouter
--- a/src/shell/server_stop.h
+++ b/src/shell/server_stop.h
@@ -4,6 +4,8 @@
 #include "chicoryrouter/time.h"
 #include "shell/http.h"
 
+#include <string>
+
 namespace chicoryrouter {
 
 // How a server's connections ended.
@@ -21,4 +23,6 @@
 // Blocks until every connection has ended, at most until `giveUpAt`. Requests that arrive meanwhile still go to the server's handler.
 server_stop_report stopServer(http_server &server, time_point giveUpAt);
 
+void logDaemonStopped(const std::string &instance, const server_stop_report &report);
+
 } // namespace chicoryrouter
--- a/tests/unit/process_stops.cpp
+++ b/tests/unit/process_stops.cpp
@@ -6,11 +6,13 @@
 
 #include <atomic>
 #include <deque>
+#include <fstream>
 #include <thread>
 
 using namespace chicoryrouter;
 using namespace std::chrono_literals;
 
+using test::answer_end;
 using test::daemon_process;
 using test::describeEnd;
 using test::process_deployment;
@@ -76,6 +78,18 @@
     time_point stopRequestedAt{};
 };
 
+// The last line of a router's log that has `text`; empty if there is none.
+std::string logLine(const daemon_process &router, const std::string &text)
+{
+    std::ifstream log(router.logFile());
+    std::string line;
+    std::string found;
+    while (std::getline(log, line)) {
+        found = line.find(text) != std::string::npos ? line : found;
+    }
+    return found;
+}
+
 // What a crowd of callers saw, each request on a connection of its own.
 struct crowd_result
 {
@@ -262,6 +276,28 @@
     all.assertEnds();
 }
 
+// The log tells what a stop closed and cut.
+Test(process_stops, the_last_line_of_the_log_says_how_connections_ended)
+{
+    stopping_router all;
+    all.all.writer1.faults.workMillis = 2000; // the stream's events need longer than a stop may take
+    all.all.writer2.faults.workMillis = 2000;
+    socket_caller idle;
+    cr_assert(idle.connect(all.gateway()));
+    cr_assert(idle.send(lookRequest("idle")));
+    assertTruthful(idle.readAnswer(), "before the stop");
+    socket_caller cut;
+    cr_assert(cut.connect(all.gateway()));
+    cr_assert(cut.send(streamRequest("cut")));
+    all.terminate();
+    cr_assert_eq(idle.readAnswer().end, answer_end::Ended);
+    cr_assert_neq(cut.readAnswer().end, answer_end::Whole);
+    all.assertEnds();
+    const std::string line = logLine(all.router, "daemon_stopped");
+    cr_assert_neq(line.find("\"closed_idle\":1"), std::string::npos, "%s", line.c_str());
+    cr_assert_neq(line.find("\"cut_requests\":1"), std::string::npos, "%s", line.c_str());
+}
+
 // Further signals neither end a stop nor shorten it.
 Test(process_stops, signals_during_a_stop_change_nothing)
 {
