--- a/src/shell/http_connection.h
+++ b/src/shell/http_connection.h
@@ -15,6 +15,7 @@
 #include <atomic>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -25,7 +26,8 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
-inline constexpr std::size_t readAheadBytes = 4096; // read size for pipelined requests that arrive during a response
+inline constexpr std::size_t readAheadBytes = 4096;                 // read size for pipelined requests that arrive during a response
+inline constexpr duration firstBytesTime = std::chrono::seconds(1); // at a stop, for the first bytes of a request that was invited
 
 class http_connection;
 
@@ -34,9 +36,9 @@
 {
     std::mutex lock;
     std::set<http_connection *> open;
-    std::atomic<bool> closing{false};
     std::atomic<bool> closeAfterResponses{false}; // every response closes its connection
     std::atomic<std::size_t> busy{0};             // connections with a request in progress or a response still being sent
+    std::atomic<std::size_t> closedIdle{0};       // connections closed by closeIdle()
     http_server_limits limits;                    // guarded by `lock`
 
     http_server_limits currentLimits()
@@ -46,7 +48,8 @@
     }
 
     std::vector<std::shared_ptr<http_connection>> openConnections();
-    void closeAll(bool unlessBusy);
+    void closeIdle();
+    void closeAll();
 };
 
 class http_connection : public http_exchange, public std::enable_shared_from_this<http_connection>
@@ -56,6 +59,7 @@
         : m_stream(std::move(socket))
         , m_connections(std::move(connections))
         , m_limits(limits)
+        , m_requestExpectedUntil(systemNow() + firstBytesTime)
     {
         const std::lock_guard guard(m_connections->lock);
         m_connections->open.insert(this);
@@ -72,7 +76,7 @@
     {
         bool keepOpen = true;
         bool first = true;
-        while (keepOpen) { // an accepted connection gets one request served even if the server is closing
+        while (keepOpen) {
             m_limits = m_connections->currentLimits();
             const read_result result = co_await receive(first);
             first = false;
@@ -85,7 +89,8 @@
             setBusy(true);
             co_await handle(handler);
             stopWatching();
-            keepOpen = m_keepAlive && !m_broken; // as the response's headers said
+            keepOpen = m_keepAlive && !m_broken;
+            m_requestExpectedUntil = m_connections->closeAfterResponses ? systemNow() + firstBytesTime : time_point{};
             setBusy(!keepOpen);
         }
         if (!m_broken) {
@@ -162,19 +167,17 @@
     [[nodiscard]] bool started() const override { return m_started; }
     [[nodiscard]] asio::any_io_executor executor() const override { return const_cast<http_connection *>(this)->m_stream.get_executor(); }
 
-    // Any thread. Closes the connection on its own thread, and moves the reference there so that it is also released there. With `unlessBusy`,
-    // a request that has begun to arrive is still read and answered, and the connection closes after its response.
-    static void postClose(std::shared_ptr<http_connection> connection, bool unlessBusy)
+    // Any thread, both. They close the connection on its own thread, and move the reference there so that it is also released there.
+    static void postClose(std::shared_ptr<http_connection> connection)
     {
         const asio::any_io_executor owner = connection->m_stream.get_executor();
-        asio::post(owner, [self = std::move(connection), unlessBusy] {
-            if (!unlessBusy) {
-                self->m_broken = true;
-                self->m_stream.close();
-            } else if (!self->m_busy) {
-                self->interruptReceive();
-            }
-        });
+        asio::post(owner, [self = std::move(connection)] { self->abandon(); });
+    }
+
+    static void postCloseIfIdle(std::shared_ptr<http_connection> connection)
+    {
+        const asio::any_io_executor owner = connection->m_stream.get_executor();
+        asio::post(owner, [self = std::move(connection)] { self->closeIfIdle(); });
     }
 
 private:
@@ -193,28 +196,28 @@
     }
 
     [[nodiscard]] std::size_t maxUnreadBytes() const { return m_limits.maxHeaderBytes + m_limits.maxBodyBytes; } // received and not yet parsed
-    [[nodiscard]] bool canKeepAlive() const { return m_keepAlive && !m_closeIfIdle && !m_connections->closing && !m_connections->closeAfterResponses; }
-
-    // Only receive() knows whether the connection is idle: the bytes of a request may have been read without their handler having run yet.
-    void interruptReceive()
-    {
-        m_closeIfIdle = true;
-        beast::error_code ignored;
-        m_stream.socket().cancel(ignored);
-    }
+    [[nodiscard]] bool canKeepAlive() const { return m_keepAlive && !m_connections->closeAfterResponses; }
 
-    // Closes without drain(), so that a request that crosses the close stays unread and its caller may send it again.
-    read_result closeUnread()
+    // Whether closing loses nothing: no byte of a request has been received, by the kernel neither, and none is expected soon.
+    [[nodiscard]] bool isIdle()
     {
-        m_broken = true;
-        m_stream.close();
-        return read_result::Closed;
+        const bool hasBytes = m_requestArriving || m_buffer.size() > 0 || (m_parser.has_value() && m_parser->got_some());
+        if (m_busy || hasBytes || systemNow() < m_requestExpectedUntil) {
+            return false;
+        }
+        beast::error_code code;
+        return m_stream.socket().available(code) == 0;
     }
 
-    [[nodiscard]] bool hasUnreadInput()
+    void closeIfIdle()
     {
-        beast::error_code code;
-        return m_buffer.size() > 0 || (m_stream.socket().available(code) > 0 && !code);
+        if (m_broken || !isIdle()) {
+            return;
+        }
+        ++m_connections->closedIdle;
+        beast::error_code ignored;
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored); // first, so that a caller whose request crosses it sees an end and not a reset
+        abandon();
     }
 
     // Sends a complete response.
@@ -264,7 +267,7 @@
 
     asio::awaitable<read_result> receive(bool first)
     {
-        http::request_parser<http::string_body> parser;
+        http::request_parser<http::string_body> &parser = m_parser.emplace();
         parser.header_limit(static_cast<std::uint32_t>(m_limits.maxHeaderBytes));
         parser.body_limit(m_limits.maxBodyBytes);
         m_buffer.max_size(
@@ -273,19 +276,11 @@
         if (!first && m_buffer.size() == 0) {
             m_stream.expires_after(m_limits.idleTimeout);
             co_await m_stream.socket().async_wait(tcp::socket::wait_read, storeErrorIn(code));
-            if (m_closeIfIdle && !hasUnreadInput()) {
-                co_return closeUnread();
-            }
+            m_requestArriving = true;
         }
         m_stream.expires_after(m_limits.receiveTimeout);
         co_await http::async_read(m_stream, m_buffer, parser, storeErrorIn(code));
-        while (code == asio::error::operation_aborted && m_closeIfIdle && !m_broken) { // see interruptReceive()
-            if (!parser.got_some() && !hasUnreadInput()) {
-                co_return closeUnread();
-            }
-            setBusy(true);
-            co_await http::async_read(m_stream, m_buffer, parser, storeErrorIn(code));
-        }
+        m_requestArriving = false;
         m_started = false;
         if (!code && !hasKnownBodyEnd(parser.get())) {
             code = http::error::bad_transfer_encoding;
@@ -326,7 +321,7 @@
     {
         const bool connectionEnded = code == http::error::end_of_stream || code == asio::error::operation_aborted || code == asio::error::connection_reset;
         const bool idle = code == beast::error::timeout && !gotSome;
-        if (connectionEnded || idle || m_connections->closing) {
+        if (connectionEnded || idle || m_broken) {
             co_return read_result::Closed;
         }
         error_kind kind = error_kind::BadRequest;
@@ -418,16 +413,18 @@
 
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser; // of the request being received, or of the latest one
     std::shared_ptr<http_connection_set> m_connections;
     http_server_limits m_limits;
+    time_point m_requestExpectedUntil; // not idle until then: the connection is new, or a response of a server that stops kept it open
     std::function<void()> m_onDisconnect;
     std::uint64_t m_watchGeneration = 0; // incremented per watch, so that callbacks of earlier watches are ignored
     unsigned m_version = 11;
     bool m_keepAlive = true;
     bool m_started = false;
     bool m_broken = false;
-    bool m_busy = false;        // whether this connection is counted in the shared `busy`
-    bool m_closeIfIdle = false; // closes once no request is arriving or in progress; never reset
+    bool m_busy = false;            // whether this connection is counted in the shared `busy`
+    bool m_requestArriving = false; // bytes of a request may be on their way from the kernel to `m_buffer`
 };
 
 // Shared pointers to all open connections. Release them without holding the lock, because the connection's destructor locks it.
@@ -443,10 +440,17 @@
     return owners;
 }
 
-inline void http_connection_set::closeAll(bool unlessBusy)
+inline void http_connection_set::closeIdle()
+{
+    for (std::shared_ptr<http_connection> &item : openConnections()) {
+        http_connection::postCloseIfIdle(std::move(item));
+    }
+}
+
+inline void http_connection_set::closeAll()
 {
     for (std::shared_ptr<http_connection> &item : openConnections()) {
-        http_connection::postClose(std::move(item), unlessBusy);
+        http_connection::postClose(std::move(item));
     }
 }
 
