--- a/tests/soak/disturber.h
+++ b/tests/soak/disturber.h
@@ -24,6 +24,7 @@
         : m_all(all)
         , m_seen(seen)
         , m_random(seed)
+        , m_hangUpRandom(~seed)
         , m_endpointsToo(seed % 2 == 0)
     {
     }
@@ -44,6 +45,9 @@
 private:
     using what = disturbance::what;
 
+    static constexpr std::uint64_t maxHangUpsAtStart = 3;
+    static constexpr std::uint64_t maxHangUpGapMicros = 4000;
+
     void one()
     {
         switch (uniformBelow(m_random, m_endpointsToo ? 9 : 7)) {
@@ -93,7 +97,7 @@
         if (const auto which = takeOne(down + 500ms)) {
             note(what::Daemon, *which, down + 500ms);
             m_all.routers[*which]->kill();
-            later(down, [this, which] { m_all.start(*which); });
+            later(down, [this, which] { startAndHangUp(*which); });
         }
     }
 
@@ -104,7 +108,7 @@
                 m_all.busyUntil[i] = systemNow() + 1s;
                 note(what::Daemon, i, 1s);
                 m_all.routers[i]->kill();
-                later(someTime(50, 600), [this, i] { m_all.start(i); });
+                later(someTime(50, 600), [this, i] { startAndHangUp(i); });
             }
         }
     }
@@ -172,7 +176,17 @@
         }
     }
 
-    // A process that has only just been started has no say yet in what its signals do.
+    // Also within the first milliseconds of the process, and several times.
+    void startAndHangUp(std::size_t which)
+    {
+        m_all.start(which);
+        for (std::uint64_t left = uniformBelow(m_hangUpRandom, maxHangUpsAtStart + 1); left > 0; --left) {
+            std::this_thread::sleep_for(std::chrono::microseconds(uniformBelow(m_hangUpRandom, maxHangUpGapMicros)));
+            m_all.routers[which]->hangUp();
+        }
+    }
+
+    // Not one that is being stopped or started, which another thread may be doing.
     void hangUpOne()
     {
         const std::size_t which = pick();
@@ -253,6 +267,7 @@
     stage &m_all;
     ledger &m_seen;
     seeded_random m_random;
+    seeded_random m_hangUpRandom; // of its own, so that the other faults of a seed stay what they were
     bool m_endpointsToo;
     std::vector<std::pair<time_point, std::function<void()>>> m_pending;
     std::vector<std::future<void>> m_stops;
