A start that fails says why in its log, and doesn't abort

Seen: a start that couldn't serve left nothing in the structured log, only a line on standard error, with the source path of a library in it; and one that got too few threads ended by signal 6 with no word of its own.

Cause: main() wrote the reason to standard error only, and a settings file that can't be read was judged before the log ran. worker_pool's constructor let std::system_error of the second thread leave while the first was joinable, which calls std::terminate().

Not covered: if the log's own thread can't be created, the reason goes to standard error only; if that happens for a settings file that is invalid besides, the process still ends by signal 6.

--- a/src/programs/chicoryrouterd.cpp
+++ b/src/programs/chicoryrouterd.cpp
@@ -29,6 +29,41 @@
     }
 }
 
+template<typename Daemon>
+void serve(const chicoryrouter::settings &own, const sigset_t &signals)
+{
+    using namespace chicoryrouter;
+    Daemon router(own);
+    waitForStop(signals, reloadSettings);
+    router.stop();
+}
+
+int fail(const std::string &why, int exitCode)
+{
+    using namespace chicoryrouter;
+    logEvent(log_event::DaemonFailed, {{"why", why}});
+    stopLog();
+    std::cerr << why << "\n";
+    return exitCode;
+}
+
+int run(const chicoryrouter::settings &own, const sigset_t &signals)
+{
+    using namespace chicoryrouter;
+    try {
+        startLog(own.logLevel, own.logFile, own.logLinesPerSecond);
+        if (own.hosted) {
+            serve<platform::hosted_daemon>(own, signals);
+        } else {
+            serve<chicoryrouter::daemon>(own, signals);
+        }
+    } catch (const std::exception &fault) {
+        return fail(std::string("cannot serve: ") + fault.what(), exitFailure);
+    }
+    stopLog();
+    return exitSuccess;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -45,31 +80,15 @@
         std::cout << logEventsDocument();
         return exitSuccess;
     }
+    const bool checksOnly = FLAGS_check || FLAGS_check_settings;
     settings daemonSettings;
     try {
         daemonSettings = readSettingsFile(FLAGS_settings);
     } catch (const error &fault) {
-        std::cerr << fault.detail() << "\n";
-        return exitUsage;
-    }
-    if (FLAGS_check || FLAGS_check_settings) {
-        return exitSuccess;
-    }
-    startLog(daemonSettings.logLevel, daemonSettings.logFile, daemonSettings.logLinesPerSecond);
-    try {
-        if (daemonSettings.hosted) {
-            platform::hosted_daemon router(daemonSettings);
-            waitForStop(signals, reloadSettings);
-            router.stop();
-        } else {
-            chicoryrouter::daemon router(daemonSettings);
-            waitForStop(signals, reloadSettings);
-            router.stop();
+        if (!checksOnly) {
+            startLog(daemonSettings.logLevel, daemonSettings.logFile, daemonSettings.logLinesPerSecond);
         }
-    } catch (const std::exception &fault) {
-        std::cerr << "cannot serve: " << fault.what() << "\n";
-        return exitFailure;
+        return fail(fault.detail(), exitUsage);
     }
-    stopLog();
-    return exitSuccess;
+    return checksOnly ? exitSuccess : run(daemonSettings, signals);
 }
--- a/src/shell/daemon.cpp
+++ b/src/shell/daemon.cpp
@@ -30,6 +30,16 @@
         , workers(settings.threads)
         , requestGateway(host, settings.instance)
         , copies(host, requestGateway, workers)
+    {
+        try {
+            assemble();
+        } catch (...) {
+            workers.stop(); // the threads use the members that are destroyed before `workers`
+            throw;
+        }
+    }
+
+    void assemble()
     {
         host.copier = &copies;
         requestGateway.peers = &copies;
--- a/src/shell/log_events.cpp
+++ b/src/shell/log_events.cpp
@@ -92,6 +92,7 @@
     {DaemonStarted, "daemon_started", log_part::Daemon, log_level::Info, "serves", "instance failure_domain version"},
     {DaemonStopAsked, "daemon_stop_asked", log_part::Daemon, log_level::Info, "the daemon was asked to stop", "instance callers"},
     {DaemonStopped, "daemon_stopped", log_part::Daemon, log_level::Info, "stops", "instance callers"},
+    {DaemonFailed, "daemon_failed", log_part::Daemon, log_level::Error, "the daemon could not start or go on, and ends", "why"},
     {SettingsRead, "settings_read", log_part::Daemon, log_level::Info, "the daemon read its settings file again", "changed why"},
     {LoopFault, "loop_fault", log_part::Daemon, log_level::Error, "a background loop ended with an exception and will be restarted", "loop why"},
     {LinesLeftOut, "lines_left_out", log_part::Daemon, log_level::Warning, "log lines of one event were suppressed by its rate limit", "kind lines"},
--- a/src/shell/log_events.h
+++ b/src/shell/log_events.h
@@ -88,6 +88,7 @@
     DaemonStarted,
     DaemonStopAsked,
     DaemonStopped,
+    DaemonFailed, // the start, most of the time
     SettingsRead,
     LoopFault,
     LinesLeftOut, // suppressed by the rate limit
--- a/src/shell/worker_pool.cpp
+++ b/src/shell/worker_pool.cpp
@@ -5,10 +5,15 @@
 
 worker_pool::worker_pool(unsigned threads)
 {
-    for (unsigned i = 0; i < threads; ++i) {
-        m_workers.push_back(std::make_unique<worker>());
-        worker &added = *m_workers.back();
-        added.thread = std::thread([&added] { added.context.run(); });
+    try {
+        for (unsigned i = 0; i < threads; ++i) {
+            m_workers.push_back(std::make_unique<worker>());
+            worker &added = *m_workers.back();
+            added.thread = std::thread([&added] { added.context.run(); });
+        }
+    } catch (...) {
+        stop();
+        throw;
     }
 }
 
--- a/src/shell/worker_pool.h
+++ b/src/shell/worker_pool.h
@@ -15,8 +15,8 @@
 class worker_pool
 {
 public:
-    explicit worker_pool(unsigned threads);
-    ~worker_pool(); // calls stop()
+    explicit worker_pool(unsigned threads); // throws std::system_error if a thread can't be created
+    ~worker_pool();                         // calls stop()
     worker_pool(const worker_pool &) = delete;
     worker_pool &operator=(const worker_pool &) = delete;
 
