A start waits for ports that are in use, and listens on none before it has all

Seen: while another process held the port of the gateway, the readiness probe, the metrics or the peers (TCP, or UDP of the datagrams), an outgoing connection had it, or the previous process of the instance was still closing, the daemon ended with exit code 1 at once. Ports taken before were already listening, so their callers were cut.

Cause: each server bound and listened in its constructor, and any error ended the process.

What SO_REUSEADDR does here (listening_ports.cpp): the port is in use beside a listening socket, a bound socket without the option, an outgoing connection, and an outgoing connection in TIME_WAIT; it is free beside accepted connections in TIME_WAIT. Two sockets with the option may be bound; the second listen() fails. A UDP port has one owner, so two hosted daemons with the same settings exclude each other before either listens.

Change: listening_port owns a bound socket, daemon_ports binds all of a daemon's settings in turn and keeps them; servers and the datagram link take them over, the gateway last. A port in use is tried again every 50 ms until a stored deadline, 70 s after the start: TIME_WAIT keeps the port of an outgoing connection for 60 s, and while the start waits, the supervisor has nothing to restart. Then, and at once for errors that waiting can't mend, the start fails with code 1 and a line that names setting, address and reason. port_wait and port_taken tell of the wait. SIGTERM and SIGINT end it with code 0; SIGHUP is handled as while serving. If sigtimedwait() isn't available, the wait sleeps. Nothing changes on the request path, and no system call is added where no port is in use but a getsockname() for the UDP port.

The process test binds its own port; the system's choice is covered by listening_ports.

Open: if another program with SO_REUSEADDR listens on a port between our bind and our listen, the start fails with code 1.

--- a/include/chicoryrouter/daemon.h
+++ b/include/chicoryrouter/daemon.h
@@ -15,11 +15,14 @@
 
 namespace chicoryrouter {
 
+struct daemon_ports;
+
 class daemon
 {
 public:
-    explicit daemon(const settings &daemonSettings); // port 0 in `gateway` or `peer`: uses any free port
-    ~daemon();                                       // stops at once if stop() was not called; open requests are interrupted
+    explicit daemon(const settings &daemonSettings);              // port 0 in `gateway` or `peer`: uses any free port
+    daemon(const settings &daemonSettings, daemon_ports &&ports); // listens at ports that are already bound
+    ~daemon();                                                    // stops at once if stop() was not called; open requests are interrupted
     daemon(const daemon &) = delete;
     daemon &operator=(const daemon &) = delete;
 
--- a/src/programs/chicoryrouterd.cpp
+++ b/src/programs/chicoryrouterd.cpp
@@ -4,9 +4,13 @@
 #include "chicoryrouter/daemon.h"
 #include "chicoryrouter/error.h"
 #include "hosted_daemon.h"
+#include "shell/daemon_ports.h"
 #include "shell/log.h"
 
+#include <algorithm>
+#include <cerrno>
 #include <iostream>
+#include <thread>
 
 DEFINE_string(settings, "", "YAML file with this daemon's settings (examples/daemon.yaml shows every key)");
 DEFINE_bool(check_settings, false, "check the settings file, then exit");
@@ -29,11 +33,35 @@
     }
 }
 
+// SIGTERM or SIGINT arrived while the start waited.
+class start_stopped : public std::exception
+{
+};
+
+// Waits until `until`, and handles the signals that arrive before.
+void pauseStart(const sigset_t &signals, chicoryrouter::time_point until)
+{
+    using namespace std::chrono;
+    const nanoseconds left = std::max<nanoseconds>(until - chicoryrouter::systemNow(), nanoseconds(0));
+    const timespec span = {duration_cast<seconds>(left).count(), (left % seconds(1)).count()};
+    const int received = sigtimedwait(&signals, nullptr, &span);
+    if (received == SIGHUP) {
+        reloadSettings();
+    } else if (received > 0) {
+        throw start_stopped();
+    } else if (errno != EAGAIN && errno != EINTR) { // the call isn't available
+        std::this_thread::sleep_for(left);
+    }
+}
+
 template<typename Daemon>
 void serve(const chicoryrouter::settings &own, const sigset_t &signals)
 {
     using namespace chicoryrouter;
-    Daemon router(own);
+    const auto pause = [&signals](time_point until) {
+        pauseStart(signals, until);
+    };
+    Daemon router(own, takePorts(own, systemNow() + portWaitLimit, pause));
     waitForStop(signals, reloadSettings);
     router.stop();
 }
@@ -57,6 +85,8 @@
         } else {
             serve<chicoryrouter::daemon>(own, signals);
         }
+    } catch (const start_stopped &) {
+        logEvent(log_event::DaemonStopped, {{"instance", own.instance}, {"callers", 0}});
     } catch (const std::exception &fault) {
         return fail(std::string("cannot serve: ") + fault.what(), exitFailure);
     }
--- a/src/shell/control.cpp
+++ b/src/shell/control.cpp
@@ -54,6 +54,7 @@
     copy_manager &copies,
     std::shared_ptr<store_counters> storeCounters,
     std::shared_ptr<peer_counters> peerCounters,
+    listening_port datagrams,
     control_hooks hooks)
     : m_settings(daemonSettings)
     , m_hooks(std::move(hooks))
@@ -73,9 +74,9 @@
     , m_spending(daemonSettings.instance)
     , m_usage(daemonSettings.usageWindow)
 {
-    if (daemonSettings.hosted) {
+    if (datagrams.isBound()) {
         m_datagramLink = std::make_unique<datagram_link>(
-            m_context, daemonSettings.peer, daemonSettings.peerKey, [this](datagram_kind kind, std::string_view bytes) { receiveDatagram(kind, bytes); });
+            m_context, std::move(datagrams), daemonSettings.peerKey, [this](datagram_kind kind, std::string_view bytes) { receiveDatagram(kind, bytes); });
     }
 }
 
--- a/src/shell/control.h
+++ b/src/shell/control.h
@@ -51,6 +51,7 @@
         copy_manager &copies,
         std::shared_ptr<store_counters> storeCounters,
         std::shared_ptr<peer_counters> peerCounters,
+        listening_port datagrams = {}, // none: no reports are sent to peers or received from them
         control_hooks hooks = {});
     ~control();
 
@@ -150,7 +151,7 @@
     prompt_quarantine m_quarantine;                                  // of prompt parts that crash endpoints
     departure_reports m_departures;                                  // endpoints that said to this daemon that they leave
     spending_tracker m_spending;                                     // of accounts with a token rate limit
-    std::unique_ptr<datagram_link> m_datagramLink;                   // UDP; null when `hosted` is off in the settings: no reports are sent or received
+    std::unique_ptr<datagram_link> m_datagramLink;                   // null: no reports are sent or received
     std::uint64_t m_datagramSequence = 0;
     usage_ledger m_usage;                                              // requests started on this daemon
     std::vector<std::pair<std::string, time_point>> m_startedRequests; // account and start time since the last tick; guarded by m_outcomesLock
--- a/src/shell/daemon.cpp
+++ b/src/shell/daemon.cpp
@@ -5,6 +5,7 @@
 #include "shell/connection_gauges.h"
 #include "shell/control.h"
 #include "shell/copy_manager.h"
+#include "shell/daemon_ports.h"
 #include "shell/gateway.h"
 #include "shell/log.h"
 #include "shell/operator_api.h"
@@ -23,7 +24,7 @@
 
 struct daemon::parts
 {
-    explicit parts(const settings &settings)
+    parts(const settings &settings, daemon_ports &&ports)
         : ownSettings(settings)
         , storeCounters(std::make_shared<store_counters>())
         , peerCounters(std::make_shared<peer_counters>())
@@ -32,21 +33,21 @@
         , copies(host, requestGateway, workers)
     {
         try {
-            assemble();
+            assemble(std::move(ports));
         } catch (...) {
             workers.stop(); // the threads use the members that are destroyed before `workers`
             throw;
         }
     }
 
-    void assemble()
+    void assemble(daemon_ports &&ports)
     {
         host.copier = &copies;
         requestGateway.peers = &copies;
         threads = bindRequestThreads(workers, ownSettings, storeCounters, peerCounters);
         peerServer = std::make_unique<peer_server>(
-            workers, ownSettings.peer, ownSettings.peerKey, [this](std::string path, std::string body) { return onPeerCall(std::move(path), std::move(body)); },
-            peerCounters);
+            workers, std::move(ports.peer), ownSettings.peerKey,
+            [this](std::string path, std::string body) { return onPeerCall(std::move(path), std::move(body)); }, peerCounters);
         ownSettings.peer.port = peerServer->port();
         controlStrand = std::make_unique<control>(ownSettings, host, requestGateway, copies, storeCounters, peerCounters);
         operatorApi = std::make_unique<operator_api>(ownSettings, *controlStrand, host, requestGateway);
@@ -59,7 +60,7 @@
         requestGateway.updateGauges = [this](metrics &counts) {
             setConnectionGauges(counts, *storeCounters, *peerCounters);
         };
-        server = std::make_unique<http_server>(workers, ownSettings.gateway, [this](http_exchange &exchange) { return requestGateway.handle(exchange); });
+        server = std::make_unique<http_server>(workers, std::move(ports.gateway), [this](http_exchange &exchange) { return requestGateway.handle(exchange); });
         ownSettings.gateway.port = server->port();
         controlStrand->start();
     }
@@ -107,7 +108,12 @@
 };
 
 daemon::daemon(const settings &daemonSettings)
-    : m_parts(std::make_unique<parts>(daemonSettings))
+    : daemon(daemonSettings, takePortsAtOnce(daemonSettings))
+{
+}
+
+daemon::daemon(const settings &daemonSettings, daemon_ports &&ports)
+    : m_parts(std::make_unique<parts>(daemonSettings, std::move(ports)))
 {
     logEvent(log_event::DaemonStarted, {{"instance", daemonSettings.instance}, {"failure_domain", daemonSettings.failureDomain}, {"version", CHICORY_VERSION}});
 }
--- a/src/shell/datagram_link.cpp
+++ b/src/shell/datagram_link.cpp
@@ -11,11 +11,12 @@
 using asio::ip::udp;
 
 datagram_link::datagram_link(
-    asio::io_context &context, const address &listenAddress, std::string_view peerKey, std::function<void(datagram_kind, std::string_view)> onDatagram)
-    : m_socket(context, udp::endpoint(asio::ip::make_address(listenAddress.ip), listenAddress.port))
+    asio::io_context &context, listening_port port, std::string_view peerKey, std::function<void(datagram_kind, std::string_view)> onDatagram)
+    : m_socket(context)
     , m_prefix(std::to_string(hashBytes(peerKey)) + "\n")
     , m_onDatagram(std::move(onDatagram))
 {
+    port.moveInto(m_socket);
     m_socket.non_blocking(true);
     receive();
 }
--- a/src/shell/datagram_link.h
+++ b/src/shell/datagram_link.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "chicoryrouter/endpoint.h"
+#include "shell/listening_port.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -27,13 +28,10 @@
 class datagram_link
 {
 public:
-    // Listens on UDP at `listenAddress`, with the same port number as the TCP connections between peers. `onDatagram` is called on the
-    // context's thread with the kind and payload of each datagram that begins with the deployment's prefix; others are dropped. Throws
-    // boost::system::system_error when the address is invalid or can't be bound.
-    datagram_link(boost::asio::io_context &context,
-        const address &listenAddress,
-        std::string_view peerKey,
-        std::function<void(datagram_kind, std::string_view)> onDatagram);
+    // `port` is a UDP port with the number of the TCP port for peers. `onDatagram` is called on the context's thread with the kind and payload
+    // of each datagram that begins with the deployment's prefix; others are dropped.
+    datagram_link(
+        boost::asio::io_context &context, listening_port port, std::string_view peerKey, std::function<void(datagram_kind, std::string_view)> onDatagram);
 
     // Call on the context's thread. Drops datagrams that can't be sent without blocking.
     void send(const std::vector<address> &peers, datagram_kind kind, std::string_view payload);
--- a/src/shell/http.h
+++ b/src/shell/http.h
@@ -17,6 +17,7 @@
 
 namespace chicoryrouter {
 
+class listening_port;
 class worker_pool;
 
 struct http_header
@@ -78,7 +79,9 @@
 class http_server
 {
 public:
-    http_server(worker_pool &workers, const address &listenAddress, http_handler handler, http_server_limits limits = {}); // throws if it cannot listen
+    // Listens at once, and throws port_error if it can't: at a port that is already bound, or at an address (port 0: any free port).
+    http_server(worker_pool &workers, listening_port port, http_handler handler, http_server_limits limits = {});
+    http_server(worker_pool &workers, const address &listenAddress, http_handler handler, http_server_limits limits = {});
     ~http_server();
     http_server(const http_server &) = delete;
     http_server &operator=(const http_server &) = delete;
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -3,6 +3,7 @@
 #include "shell/clock.h"
 #include "shell/http.h"
 #include "shell/http_connection.h"
+#include "shell/listening_port.h"
 #include "shell/worker_pool.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -58,14 +59,11 @@
         connections->limits = bounds;
     }
 
-    void listen(const address &listenAddress)
+    void listen(listening_port bound)
     {
-        const tcp::endpoint tcpEndpoint(asio::ip::make_address(listenAddress.ip), listenAddress.port);
-        acceptor.open(tcpEndpoint.protocol());
-        acceptor.set_option(asio::socket_base::reuse_address(true));
-        acceptor.bind(tcpEndpoint);
-        acceptor.listen();
-        port = acceptor.local_endpoint().port();
+        bound.listen();
+        bound.moveInto(acceptor);
+        port = bound.port();
     }
 
     asio::awaitable<void> acceptLoop()
@@ -105,9 +103,14 @@
 };
 
 http_server::http_server(worker_pool &workers, const address &listenAddress, http_handler handler, http_server_limits limits)
+    : http_server(workers, listening_port({"listen address", listenAddress}), std::move(handler), limits)
+{
+}
+
+http_server::http_server(worker_pool &workers, listening_port port, http_handler handler, http_server_limits limits)
     : m_state(std::make_shared<state>(workers, std::move(handler), limits))
 {
-    m_state->listen(listenAddress);
+    m_state->listen(std::move(port));
     asio::co_spawn(
         m_state->acceptor.get_executor(), [self = m_state]() -> asio::awaitable<void> { co_await self->acceptLoop(); }, asio::detached);
 }
--- a/src/shell/log_events.h
+++ b/src/shell/log_events.h
@@ -89,6 +89,8 @@
     DaemonStopAsked,
     DaemonStopped,
     DaemonFailed, // the start, most of the time
+    PortWait,
+    PortTaken,
     SettingsRead,
     LoopFault,
     LinesLeftOut, // suppressed by the rate limit
--- a/src/shell/peer_link.cpp
+++ b/src/shell/peer_link.cpp
@@ -3,6 +3,7 @@
 
 #include "shell/asio_error.h"
 #include "shell/clock.h"
+#include "shell/listening_port.h"
 #include "shell/peer_connection.h"
 #include "shell/worker_pool.h"
 
@@ -154,15 +155,12 @@
     std::uint16_t port = 0;
 };
 
-peer_server::peer_server(worker_pool &workers, const address &listenAddress, std::string key, peer_handler handler, std::shared_ptr<peer_counters> counters)
+peer_server::peer_server(worker_pool &workers, listening_port port, std::string key, peer_handler handler, std::shared_ptr<peer_counters> counters)
     : m_state(std::make_shared<state>(workers, std::move(key), std::move(handler), std::move(counters)))
 {
-    const tcp::endpoint listenEndpoint(asio::ip::make_address(listenAddress.ip), listenAddress.port);
-    m_state->acceptor.open(listenEndpoint.protocol());
-    m_state->acceptor.set_option(asio::socket_base::reuse_address(true));
-    m_state->acceptor.bind(listenEndpoint);
-    m_state->acceptor.listen();
-    m_state->port = m_state->acceptor.local_endpoint().port();
+    port.listen();
+    port.moveInto(m_state->acceptor);
+    m_state->port = port.port();
     asio::co_spawn(
         m_state->acceptor.get_executor(), [self = m_state]() -> asio::awaitable<void> { co_await self->acceptLoop(); }, asio::detached);
 }
--- a/src/shell/peer_link.h
+++ b/src/shell/peer_link.h
@@ -18,6 +18,7 @@
 
 namespace chicoryrouter {
 
+class listening_port;
 class worker_pool;
 
 inline constexpr std::size_t maxPeerBodyBytes = 4 * 1024 * 1024; // of a request or response; the receiver resets the stream of a larger one
@@ -38,8 +39,8 @@
 class peer_server
 {
 public:
-    // Listens at once; port 0 takes any free port. Throws boost::system::system_error when the address is invalid or can't be bound.
-    peer_server(worker_pool &workers, const address &listenAddress, std::string key, peer_handler handler, std::shared_ptr<peer_counters> counters);
+    // Listens at once; throws port_error if it can't.
+    peer_server(worker_pool &workers, listening_port port, std::string key, peer_handler handler, std::shared_ptr<peer_counters> counters);
     ~peer_server();
     peer_server(const peer_server &) = delete;
     peer_server &operator=(const peer_server &) = delete;
