--- a/src/programs/chicoryrouterd.cpp
+++ b/src/programs/chicoryrouterd.cpp
@@ -5,10 +5,15 @@
 #include "chicoryrouter/daemon.h"
 #include "chicoryrouter/error.h"
 #include "hosted_daemon.h"
+#include "shell/daemon_ports.h"
 #include "shell/log.h"
+#include "shell/server_stop.h"
 
+#include <algorithm>
+#include <cerrno>
 #include <cstdlib>
 #include <iostream>
+#include <thread>
 
 DEFINE_string(settings, "", "YAML file with this daemon's settings (examples/daemon.yaml shows every key)");
 DEFINE_bool(check_settings, false, "check the settings file, then exit");
@@ -57,6 +62,65 @@
     return exitCode;
 }
 
+// SIGTERM or SIGINT arrived while the start waited.
+class start_stopped : public std::exception
+{
+};
+
+// Waits until `until`, and handles the signals that arrive before.
+void pauseStart(const sigset_t &signals, chicoryrouter::time_point until)
+{
+    using namespace std::chrono;
+    const nanoseconds left = std::max<nanoseconds>(until - chicoryrouter::systemNow(), nanoseconds(0));
+    const timespec span = {duration_cast<seconds>(left).count(), (left % seconds(1)).count()};
+    const int received = sigtimedwait(&signals, nullptr, &span);
+    if (received == SIGHUP) {
+        reloadSettings();
+    } else if (received > 0) {
+        throw start_stopped();
+    } else if (errno != EAGAIN && errno != EINTR) { // the call isn't available
+        std::this_thread::sleep_for(left);
+    }
+}
+
+template<typename Daemon>
+void serve(const chicoryrouter::settings &own, const sigset_t &signals)
+{
+    using namespace chicoryrouter;
+    const auto pause = [&signals](time_point until) {
+        pauseStart(signals, until);
+    };
+    Daemon router(own, takePorts(own, systemNow() + portWaitLimit, pause));
+    waitForStop(signals, reloadSettings);
+    router.stop();
+}
+
+int fail(const std::string &why, int exitCode)
+{
+    using namespace chicoryrouter;
+    logEvent(log_event::DaemonFailed, {{"why", why}});
+    writeToStandardError(why + "\n");
+    return endProgram(exitCode);
+}
+
+int run(const chicoryrouter::settings &own, const sigset_t &signals)
+{
+    using namespace chicoryrouter;
+    try {
+        startLog(own.logLevel, own.logFile, own.logLinesPerSecond);
+        if (own.hosted) {
+            serve<platform::hosted_daemon>(own, signals);
+        } else {
+            serve<chicoryrouter::daemon>(own, signals);
+        }
+    } catch (const start_stopped &) {
+        logDaemonStopped(own.instance, {});
+    } catch (const std::exception &fault) {
+        return fail(std::string("cannot serve: ") + fault.what(), exitFailure);
+    }
+    return endProgram(exitSuccess);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -74,33 +138,16 @@
         std::cout << logEventsDocument();
         return exitSuccess;
     }
+    const bool checksOnly = FLAGS_check || FLAGS_check_settings;
     settings daemonSettings;
     try {
         daemonSettings = readSettingsFile(FLAGS_settings);
-    } catch (const error &fault) {
-        writeToStandardError(fault.detail() + "\n");
-        return exitUsage;
     } catch (const std::exception &fault) {
-        std::cerr << FLAGS_settings << ": " << fault.what() << "\n";
-        return exitUsage;
-    }
-    if (FLAGS_check || FLAGS_check_settings) {
-        return exitSuccess;
-    }
-    startLog(daemonSettings.logLevel, daemonSettings.logFile, daemonSettings.logLinesPerSecond);
-    try {
-        if (daemonSettings.hosted) {
-            platform::hosted_daemon router(daemonSettings);
-            waitForStop(signals, reloadSettings);
-            router.stop();
-        } else {
-            chicoryrouter::daemon router(daemonSettings);
-            waitForStop(signals, reloadSettings);
-            router.stop();
+        if (!checksOnly) {
+            startLog(daemonSettings.logLevel, daemonSettings.logFile, daemonSettings.logLinesPerSecond);
         }
-    } catch (const std::exception &fault) {
-        writeToStandardError(std::string("cannot serve: ") + fault.what() + "\n");
-        return endProgram(exitFailure);
+        const auto *invalid = dynamic_cast<const error *>(&fault);
+        return fail(invalid != nullptr ? invalid->detail() : FLAGS_settings + ": " + fault.what(), exitUsage);
     }
-    return endProgram(exitSuccess);
+    return checksOnly ? exitSuccess : run(daemonSettings, signals);
 }
--- a/src/shell/log_events.h
+++ b/src/shell/log_events.h
@@ -89,6 +89,9 @@
     DaemonStarted,
     DaemonStopAsked,
     DaemonStopped,
+    DaemonFailed, // the start, most of the time
+    PortWait,
+    PortTaken,
     SettingsRead,
     LoopFault,
     ThreadFault,  // an exception that nothing else caught
--- a/src/shell/worker_pool.cpp
+++ b/src/shell/worker_pool.cpp
@@ -7,10 +7,15 @@
 
 worker_pool::worker_pool(unsigned threads)
 {
-    for (unsigned i = 0; i < threads; ++i) {
-        m_workers.push_back(std::make_unique<worker>());
-        worker &added = *m_workers.back();
-        added.thread = std::thread([&added] { runContext(added.context, "request"); });
+    try {
+        for (unsigned i = 0; i < threads; ++i) {
+            m_workers.push_back(std::make_unique<worker>());
+            worker &added = *m_workers.back();
+            added.thread = std::thread([&added] { runContext(added.context, "request"); });
+        }
+    } catch (...) {
+        stop();
+        throw;
     }
 }
 
--- a/tests/support/process_deployment.h
+++ b/tests/support/process_deployment.h
@@ -41,7 +41,7 @@
     // Whether a lookup at this router is answered before long.
     bool serves(const daemon_process &router)
     {
-        return eventually([this, &router] { return callOn(router, "GET", "/look/ready", "ready").response.status == 200; });
+        return eventually([&router] { return callOn(router, "GET", "/look/ready", "ready").response.status == 200; });
     }
 
     static sync_client::partial_response callOn(const daemon_process &router, const std::string &method, const std::string &target, const std::string &id)
