--- a/tests/unit/process_signals.cpp
+++ b/tests/unit/process_signals.cpp
@@ -128,8 +128,8 @@
     }
     router.start();
     cr_assert(all.serves(router));
-    const std::vector<std::string> unusable = {"", valid.substr(0, valid.size() / 2), valid + "region: \xff\xfe\n", valid + "x: " + std::string(100'000, '['),
-        valid + aliases, valid + "# " + std::string(100'000'000, 'x') + "\n"};
+    const std::vector<std::string> unusable
+        = {"", valid.substr(0, valid.size() / 2), valid + "region: \xff\xfe\n", valid + "x: " + std::string(100'000, '['), valid + aliases};
     std::size_t refusals = 0;
     const auto isRefused = [&] {
         ++refusals;
@@ -147,6 +147,9 @@
         std::ofstream(path) << content;
         cr_assert(isRefused(), "file %zu is not refused; %s", refusals, router.runs() ? "runs" : describeEnd(router.endedWith()).c_str());
     }
+    std::ofstream(path) << valid;
+    std::filesystem::resize_file(path, 100'000'000);
+    cr_assert(isRefused(), "a large file");
     std::filesystem::remove(path);
     cr_assert(isRefused(), "a missing file");
     std::filesystem::create_directory(path);
