--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -192,7 +192,8 @@
     }
     m_state->connections->closeAfterResponses = true;
     asio::co_spawn(
-        m_state->acceptor.get_executor(), [self = m_state]() -> asio::awaitable<void> { co_await self->closeEmptied(); }, asio::detached);
+        m_state->acceptor.get_executor(), [self = m_state]() -> asio::awaitable<void> { co_await self->closeEmptied(); },
+        logged_end("close of a listening socket"));
 }
 
 void http_server::closeIdle()
