--- a/tests/unit/thread_faults.cpp
+++ b/tests/unit/thread_faults.cpp
@@ -3,7 +3,6 @@
 #include "shell/datagram_link.h"
 #include "shell/metrics.h"
 #include "shell/worker_pool.h"
-#include "support/daemon_process.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
@@ -58,9 +57,10 @@
 Test(thread_faults, datagrams_are_received_after_one_that_throws)
 {
     asio::io_context context;
-    const address own{"127.0.0.1", test::freePort()};
+    listening_port port({"peer", {"127.0.0.1", 0}, port_transport::Udp});
+    const address own{"127.0.0.1", port.port()};
     std::vector<std::string> heard;
-    datagram_link link(context, own, "key", [&](datagram_kind, std::string_view bytes) {
+    datagram_link link(context, std::move(port), "key", [&](datagram_kind, std::string_view bytes) {
         heard.emplace_back(bytes);
         if (heard.size() == 1) {
             throw std::runtime_error("a fault in the handling");
