A connection that is served late still has its time for the first bytes of a request

Found by the review of this issue, by reading. Callers would see the end of their connection without an answer at a planned stop, if the thread that serves them was held up for over a second since the accept: on the first receive the bytes may have been taken from the kernel and not yet handed on, and only m_requestExpectedUntil, set at the accept, kept the connection from being taken for idle. It is set again when the connection is served. Before: http_server_close/a_request_on_a_connection_that_is_served_late_is_answered: 'isAnswered("/late") is false'; after: passes.

--- a/src/shell/http_connection.h
+++ b/src/shell/http_connection.h
@@ -76,6 +76,7 @@
     {
         bool keepOpen = true;
         bool first = true;
+        m_requestExpectedUntil = systemNow() + firstBytesTime; // again: this thread may have been held up since the connection was accepted
         while (keepOpen) {
             m_limits = m_connections->currentLimits();
             const read_result result = co_await receive(first);
--- a/tests/unit/http_server_close.cpp
+++ b/tests/unit/http_server_close.cpp
@@ -24,6 +24,11 @@
 
 using test::eventually;
 
+asio::awaitable<void> answerTarget(http_exchange &exchange)
+{
+    co_await exchange.respond(200, "text/plain", "answer to " + exchange.request.target);
+}
+
 // A server with one thread, which a test can hold up.
 struct one_thread_server
 {
@@ -36,7 +41,7 @@
     asio::awaitable<void> answer(http_exchange &exchange)
     {
         ++handled;
-        co_await exchange.respond(200, "text/plain", "answer to " + exchange.request.target);
+        co_await answerTarget(exchange);
     }
 
     // Holds up the server's thread; returns what lets it go on.
@@ -188,3 +193,22 @@
     asio::write(caller.socket, asio::buffer(requestFor("/crossing")), code);
     cr_assert(code, "the connection still takes bytes");
 }
+
+// A thread that is held up between accepting a connection and serving it: the time for its first bytes counts from when it is served.
+Test(http_server_close, a_request_on_a_connection_that_is_served_late_is_answered)
+{
+    constexpr std::size_t servingThread = 1; // the first connection's, as the listening socket took the other
+    worker_pool workers{2};
+    http_server server(workers, {"127.0.0.1", 0}, answerTarget);
+    std::promise<void> release;
+    asio::post(workers.at(servingThread), [held = release.get_future().share()] { held.wait(); });
+    keeping_caller caller(server);
+    caller.send(requestFor("/late"));
+    cr_assert(eventually([&] { return server.connections() == 1; }));
+    std::this_thread::sleep_for(1200ms); // longer than a new connection has for its first bytes
+    server.closeIdle();
+    release.set_value();
+    cr_expect(caller.isAnswered("/late"));
+    server.abortAll();
+    workers.stop();
+}
