SIGPWR and SIGSTKFLT do not end a router either

Before: process_log/signals_without_a_meaning_do_not_end_the_router, with these two added: 'no lookup is answered; signal 30'.

--- a/src/programs/program.h
+++ b/src/programs/program.h
@@ -38,7 +38,7 @@
 // file size limit fails by its error code. A handler that someone has installed stays.
 inline void ignoreUnusedSignals()
 {
-    for (const int number : {SIGPIPE, SIGXFSZ, SIGTTOU, SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO}) {
+    for (const int number : {SIGPIPE, SIGXFSZ, SIGTTOU, SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR, SIGSTKFLT}) {
         struct sigaction current
         {
         };
--- a/tests/unit/process_log.cpp
+++ b/tests/unit/process_log.cpp
@@ -172,7 +172,7 @@
     daemon_process &router = all.addRouter();
     router.start();
     expectServes(all, router);
-    for (const int signal : {SIGPIPE, SIGXFSZ, SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO}) {
+    for (const int signal : {SIGPIPE, SIGXFSZ, SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO, SIGPWR, SIGSTKFLT}) {
         kill(router.id(), signal);
     }
     std::this_thread::sleep_for(100ms);
