Datagrams that waited while the start waited for a port are not taken for new

The UDP port is bound first, and what it received meanwhile would have been dated by its receipt, a quarantine that had lapsed for example. Before: thread_faults/datagrams_that_waited_for_the_link_are_not_delivered: 'heard: old'; after: passes.

--- a/src/shell/datagram_link.cpp
+++ b/src/shell/datagram_link.cpp
@@ -19,9 +19,19 @@
 {
     port.moveInto(m_socket);
     m_socket.non_blocking(true);
+    discardWaiting();
     receive();
 }
 
+// The start may have waited since the port was bound, and the age of a report counts from its receipt.
+void datagram_link::discardWaiting()
+{
+    boost::system::error_code code;
+    while (!code) {
+        m_socket.receive_from(asio::buffer(m_buffer), m_sender, 0, code);
+    }
+}
+
 void datagram_link::send(const std::vector<address> &peers, datagram_kind kind, std::string_view payload)
 {
     const std::array<asio::const_buffer, 3> parts = {asio::buffer(m_prefix), asio::buffer(&kind, sizeof(kind)), asio::buffer(payload.data(), payload.size())};
--- a/src/shell/datagram_link.h
+++ b/src/shell/datagram_link.h
@@ -37,6 +37,7 @@
     void send(const std::vector<address> &peers, datagram_kind kind, std::string_view payload);
 
 private:
+    void discardWaiting();
     void receive();
     void deliver(std::string_view kindAndPayload);
 
--- a/tests/unit/thread_faults.cpp
+++ b/tests/unit/thread_faults.cpp
@@ -75,3 +75,24 @@
     cr_assert_eq(heard.size(), 2);
     cr_expect_eq(caughtFaults(), 1);
 }
+
+// Guards against reports of before a long start that are taken as new: their age counts from the moment at which they are read.
+Test(thread_faults, datagrams_that_waited_for_the_link_are_not_delivered)
+{
+    asio::io_context context;
+    listening_port port({"peer", {"127.0.0.1", 0}, port_transport::Udp});
+    const address own{"127.0.0.1", port.port()};
+    datagram_link sender(context, listening_port({"peer", {"127.0.0.1", 0}, port_transport::Udp}), "key", [](datagram_kind, std::string_view) {});
+    sender.send({own}, datagram_kind{}, "old");
+    std::vector<std::string> heard;
+    datagram_link link(context, std::move(port), "key", [&](datagram_kind, std::string_view bytes) {
+        heard.emplace_back(bytes);
+        context.stop();
+    });
+    sender.send({own}, datagram_kind{}, "new");
+    asio::steady_timer giveUp(context, 10s);
+    giveUp.async_wait([&context](const boost::system::error_code &) { context.stop(); });
+    runContext(context, "test");
+    cr_assert_eq(heard.size(), 1);
+    cr_expect(heard.front() == "new", "heard: %s", heard.front().c_str());
+}
