Small finds of the review: pauses, bounds and two races

By reading, without a test of their own: the peers' accept loop pauses after an error, as the callers' does; the log may hold up the end for 0.2 s, within what a stop reserves for closing down; a start that can't wait for signals asks for a pending stop; a stop sees a connection whose accept has succeeded and waits for its turn; a rest that an endpoint asks for while another one ends is kept.

--- a/src/core/endpoint.cpp
+++ b/src/core/endpoint.cpp
@@ -14,15 +14,21 @@
 
 void endpoint_load::rest(time_point until)
 {
-    time_point known = restUntil.load(std::memory_order_relaxed);
-    while (known < until && !restUntil.compare_exchange_weak(known, until, std::memory_order_relaxed)) {
+    time_point known = restUntil.load();
+    while (known < until && !restUntil.compare_exchange_weak(known, until)) {
     }
-    resting.store(true, std::memory_order_relaxed);
+    resting.store(true);
 }
 
 void endpoint_load::updateRest(time_point now)
 {
-    resting.store(now < restUntil.load(std::memory_order_relaxed), std::memory_order_relaxed);
+    if (now < restUntil.load()) {
+        return;
+    }
+    resting.store(false);
+    if (now < restUntil.load()) { // rest() came in between
+        resting.store(true);
+    }
 }
 
 bool endpoint_load::tryAcquire()
--- a/src/programs/chicoryrouterd.cpp
+++ b/src/programs/chicoryrouterd.cpp
@@ -80,6 +80,9 @@
         throw start_stopped();
     } else if (errno != EAGAIN && errno != EINTR) { // the call isn't available
         std::this_thread::sleep_for(left);
+        if (chicoryrouter::isStopPending()) {
+            throw start_stopped();
+        }
     }
 }
 
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -28,7 +28,6 @@
 using tcp = asio::ip::tcp;
 
 namespace {
-constexpr duration acceptRetryDelay = std::chrono::milliseconds(50);
 constexpr duration handshakeTime = std::chrono::milliseconds(200); // at the close, for handshakes that have begun
 } // namespace
 
@@ -111,7 +110,8 @@
         asio::steady_timer pause(acceptor.get_executor(), handshakeTime);
         co_await pause.async_wait(storeErrorIn(ignored));
         takeQueuedConnections();
-        closeListeningSocket();
+        acceptor.close(ignored);
+        asio::post(acceptor.get_executor(), [self] { self->listening = false; }); // behind an accept that has succeeded and waits for its turn
     }
 
     void takeQueuedConnections()
--- a/src/shell/listening_port.h
+++ b/src/shell/listening_port.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "chicoryrouter/endpoint.h"
+#include "chicoryrouter/time.h"
 
 #include <cstdint>
 #include <stdexcept>
@@ -46,6 +47,8 @@
     int m_reason;
 };
 
+inline constexpr duration acceptRetryDelay = std::chrono::milliseconds(50); // after an accept that failed: the next one would fail at once too
+
 class listening_port
 {
 public:
--- a/src/shell/log.cpp
+++ b/src/shell/log.cpp
@@ -29,7 +29,7 @@
 
     constexpr std::size_t maxQueuedBytes = 8 * 1024 * 1024;
     constexpr std::size_t maxBatchLines = 128;
-    constexpr std::chrono::milliseconds stopTimeout{500}; // how long an output that takes nothing may delay the end of the process
+    constexpr std::chrono::milliseconds stopTimeout{200}; // how long an output that takes nothing may delay the end of the process
     constexpr std::size_t maxFieldBytes = 2000;           // limit for each text field; longer texts are cut
 
     struct log_line
--- a/src/shell/peer_link.cpp
+++ b/src/shell/peer_link.cpp
@@ -96,7 +96,11 @@
             if (!code) {
                 const auto executor = socket.get_executor();
                 asio::post(executor, [self, moved = std::move(socket)]() mutable { self->startConnection(std::move(moved)); });
+                continue;
             }
+            // Out of descriptors, for example, and then the next try would fail at once too.
+            asio::steady_timer pause(acceptor.get_executor(), acceptRetryDelay);
+            co_await pause.async_wait(storeErrorIn(code));
         }
     }
 
