--- a/tests/unit/http_server_close.cpp
+++ b/tests/unit/http_server_close.cpp
@@ -1,5 +1,6 @@
 // The HTTP server closes its idle connections while requests arrive on them: a request that is read is answered.
 #include "shell/http.h"
+#include "shell/http_connection.h"
 #include "support/waiting.h"
 
 #include "shell/worker_pool.h"
@@ -17,7 +18,6 @@
 
 using namespace chicoryrouter;
 using namespace std::chrono_literals;
-namespace asio = boost::asio;
 using asio::ip::tcp;
 
 namespace {
@@ -128,6 +128,7 @@
             caller.send(requestFor("/first"));
             cr_assert(caller.isAnswered("/first"));
         }
+        std::this_thread::sleep_for(firstBytesTime + 100ms); // so that no new connection's time for its first bytes keeps it open
         caller.send("POST /parts HTTP/1.1\r\nHost: a\r\nContent-Length: 8\r\n\r\n1234");
         std::this_thread::sleep_for(20ms);
         all.server.close();
