review: the stage takes ports that no outgoing connection can have

Cause: case 8 once ended with exit code 2, as a daemon did not become ready; not traced. Ports from the range of outgoing connections can be taken between the choice and the daemon's start, and the system may give one out twice. Change: the stage gives out each port once, from below that range.

--- a/review/stage-2/stage.h
+++ b/review/stage-2/stage.h
@@ -163,21 +163,26 @@
     return place;
 }
 
-// A port that is free for TCP and UDP at this moment.
+// A port that is free for TCP and UDP at this moment. Each is given out once, and all lie below the range from which the system takes ports for
+// outgoing connections: one of these could get the port before a daemon does.
 inline int freePort()
 {
-    for (int i = 0; i < 100; ++i) {
+    constexpr int firstPort = 12000;
+    constexpr int lastPort = 32000;
+    static std::mutex lock;
+    const std::lock_guard guard(lock);
+    static int next = firstPort + ::getpid() * 61 % (lastPort - firstPort);
+    for (int i = firstPort; i < lastPort; ++i) {
+        next = next + 1 < lastPort ? next + 1 : firstPort;
         const int tcp = ::socket(AF_INET, SOCK_STREAM, 0);
         const int udp = ::socket(AF_INET, SOCK_DGRAM, 0);
-        sockaddr_in place = loopback(0);
-        socklen_t size = sizeof(place);
-        bool bound = ::bind(tcp, reinterpret_cast<sockaddr *>(&place), sizeof(place)) == 0;
-        ::getsockname(tcp, reinterpret_cast<sockaddr *>(&place), &size);
-        bound = bound && ::bind(udp, reinterpret_cast<sockaddr *>(&place), sizeof(place)) == 0;
+        const sockaddr_in place = loopback(next);
+        const bool free = ::bind(tcp, reinterpret_cast<const sockaddr *>(&place), sizeof(place)) == 0
+            && ::bind(udp, reinterpret_cast<const sockaddr *>(&place), sizeof(place)) == 0;
         ::close(tcp);
         ::close(udp);
-        if (bound) {
-            return ntohs(place.sin_port);
+        if (free) {
+            return next;
         }
     }
     cannotRun("no free port");
