A planned stop answers requests that wait for a slot, or that no endpoint has answered

Requests that it had read whole and that waited for a slot got no answer; their connections were closed when the process ended, 6 to 7 s after they were sent. They had not run.

Cause: an open request was bounded by its own deadline only, also during a stop. The queue for slots, the next attempt and the answer of an endpoint may all last beyond the end of the process.

New tests on the code before: process_stops/requests_that_wait_for_a_slot_are_refused_as_not_run ("request 3: ended, status 0, 0 bytes"), process_stops/requests_that_no_endpoint_answers_get_an_answer_before_the_end ("ended, status 0, 0 bytes"), daemons/a_stop_refuses_a_request_that_waits_for_a_slot ("its connection was closed without an answer"). process_stops/requests_that_wait_for_a_slot_get_one_that_becomes_free held before too: the queue was still served.

Change: stop_plan.h computes the moments of a stop, and request_machine::onStopping() tells every open request two of them. After the first no attempt begins, so what has none is refused as a request that arrives then (503 shutting_down), or fails if it may have run. At the second, in time for the error to be sent, what no endpoint has answered fails (502 stopped_unanswered). Streams that have begun go on until the connection closes, and must-finish requests are left to the peer with their copy. The daemon with the own interface does the same after its handover. Why it works: a request's timer now ends before the process does in every state in which it has no answer yet.

--- a/include/chicoryrouter/chicoryrouter.h
+++ b/include/chicoryrouter/chicoryrouter.h
@@ -26,6 +26,7 @@
 #include "chicoryrouter/dispatcher.h"      // grants endpoint slots to requests, or queues them; thread-safe
 #include "chicoryrouter/request_machine.h" // state machine of a request: attempts, retries, hedges, stream moves, and exactly one result
 #include "chicoryrouter/retry_budget.h"    // limits the load that retries and hedges may add
+#include "chicoryrouter/stop_plan.h"       // the moments of a planned stop, and what it asks of open requests
 #include "chicoryrouter/stream_moves.h"    // which streams of a reclaimed endpoint are moved with their KV cache
 
 // ---- Endpoints and load ----------------------------------------------------------------------------------------------------------------
--- a/include/chicoryrouter/error.h
+++ b/include/chicoryrouter/error.h
@@ -34,12 +34,13 @@
     ClaimedElsewhere,    // another call with the same key is in progress
     AnswerNotHeld,       // the key was used before and its response is no longer stored
     // Endpoints
-    EndpointRefused, // the endpoint proved that it did not run the request
-    EndpointFailed,  // the endpoint failed after part of the request may have been sent
-    EndpointLost,    // the connection broke after part of the request may have been sent; the process or instance may be gone
-    EndpointGarbage, // the endpoint's response is malformed
-    DeadlinePassed,  // the route's deadline passed after part of the request may have been sent
-    CallerGone,      // the caller disconnected before the response was complete
+    EndpointRefused,   // the endpoint proved that it did not run the request
+    EndpointFailed,    // the endpoint failed after part of the request may have been sent
+    EndpointLost,      // the connection broke after part of the request may have been sent; the process or instance may be gone
+    EndpointGarbage,   // the endpoint's response is malformed
+    DeadlinePassed,    // the route's deadline passed after part of the request may have been sent
+    StoppedUnanswered, // this entry instance stops, and the endpoint has not answered yet
+    CallerGone,        // the caller disconnected before the response was complete
     // Operators
     NotAuthorized,   // operator token missing or invalid
     InvalidDocument, // the document violates the schema or a cross-check
--- a/include/chicoryrouter/request_machine.h
+++ b/include/chicoryrouter/request_machine.h
@@ -14,8 +14,8 @@
 //   - The request ends exactly once, by finish_request, fail_request or onHandedOver(), and every granted slot is released.
 //   - fail_request never carries an error kind that is answered with `ran: no` (it did not run) if a byte may have been sent.
 //   - A request may be refused until its first attempt is sent. After that it fails only at its deadline, when an endpoint fails and
-//     it may not be repeated, when its attempts are used up, when its caller disconnects, or when the retry budget is exhausted.
-//     Must-finish requests wait for the budget instead.
+//     it may not be repeated, when its attempts are used up, when its caller disconnects, when the retry budget is exhausted, or when
+//     the daemon stops. Must-finish requests wait for the budget instead, and a peer that holds a copy continues them after a stop.
 #pragma once
 
 #include "chicoryrouter/document.h"
@@ -23,6 +23,7 @@
 #include "chicoryrouter/error.h"
 #include "chicoryrouter/prompt_parts.h"
 #include "chicoryrouter/router.h"
+#include "chicoryrouter/stop_plan.h"
 #include "chicoryrouter/time.h"
 
 #include <cstdint>
@@ -177,6 +178,7 @@
     request_actions onCallerGone(time_point now);  // the caller disconnected; a must-finish request continues
     request_actions onQuarantined(time_point now); // a part of the prompt crashes endpoints: ends the request unless its answer has got going
     request_actions onHandedOver(time_point now);  // another daemon took the request over; it ends here without an answer
+    request_actions onStopping(const stop_bounds &bounds, time_point now); // the daemon stops: the request ends within these bounds
     request_actions onTimer(time_point now);
 
     [[nodiscard]] time_point nextDeadline() const;
@@ -226,6 +228,7 @@
     [[nodiscard]] bool attemptsLeft() const;
     [[nodiscard]] bool wasSentTo(const address &destination) const;
     [[nodiscard]] time_point hedgeAt() const;
+    [[nodiscard]] time_point stopDeadline() const;
     [[nodiscard]] duration silenceTimeout() const;
     [[nodiscard]] duration overdueTimeout() const;
     [[nodiscard]] error_kind kindToReport(error_kind kind) const;
@@ -240,6 +243,7 @@
     slot_purpose m_heldSlotPurpose = slot_purpose::None; // purpose of the held slot
     time_point m_retryAt = noDeadline;                   // when to request a slot again; set while a retry is delayed or waits for the budget
     time_point m_reclaimDeadline = noDeadline;           // deadline of the newest reclaim notice
+    stop_bounds m_stop;                                  // noDeadline unless the daemon stops
     move_method m_method = move_method::Resume;
     error_kind m_lastFailure = error_kind::Internal;
     std::uint32_t m_sends = 0; // number of attempts sent, which is also the number of the newest one
--- a/src/core/request_machine.cpp
+++ b/src/core/request_machine.cpp
@@ -361,6 +361,25 @@
     return actions;
 }
 
+request_actions request_machine::onStopping(const stop_bounds &bounds, time_point now)
+{
+    if (m_over || m_facts.route.mustFinish) {
+        return {}; // a peer that holds a copy of a must-finish request continues it; an end here would drop the copy
+    }
+    m_stop = bounds;
+    return onTimer(now);
+}
+
+// When the stop of the daemon ends the request if nothing changes. A caller that has pieces of its answer gets more of them until the daemon
+// closes the connection.
+time_point request_machine::stopDeadline() const
+{
+    if (m_delivered > 0) {
+        return noDeadline;
+    }
+    return m_attempts.empty() ? m_stop.sendUntil : m_stop.answerUntil;
+}
+
 request_actions request_machine::onTimer(time_point now)
 {
     if (m_over) {
@@ -369,6 +388,9 @@
     if (now >= m_facts.deadline) {
         return fail(error_kind::DeadlinePassed);
     }
+    if (now >= stopDeadline()) {
+        return fail(mayHaveRun() ? error_kind::StoppedUnanswered : error_kind::ShuttingDown);
+    }
     const auto timedOut = std::find_if(m_attempts.begin(), m_attempts.end(), [&](const attempt &open) { return now >= open.silenceDeadline; });
     if (timedOut != m_attempts.end()) {
         const attempt silent = *timedOut;
@@ -406,7 +428,7 @@
     if (m_over) {
         return noDeadline;
     }
-    time_point next = std::min(m_facts.deadline, std::min(m_retryAt, hedgeAt()));
+    time_point next = std::min({m_facts.deadline, m_retryAt, hedgeAt(), stopDeadline()});
     for (const attempt &open : m_attempts) {
         next = std::min({next, open.silenceDeadline, open.overdueAt});
     }
--- a/src/shell/daemon.cpp
+++ b/src/shell/daemon.cpp
@@ -1,6 +1,7 @@
 // Assembles a daemon: request threads, gateway, peer server and control strand.
 #include "chicoryrouter/daemon.h"
 
+#include "chicoryrouter/stop_plan.h"
 #include "shell/clock.h"
 #include "shell/connection_gauges.h"
 #include "shell/control.h"
@@ -171,7 +172,7 @@
             std::this_thread::sleep_for(10ms);
         }
     };
-    const time_point stopDeadline = systemNow() + m_parts->ownSettings.stopWithin;
+    const stop_plan plan = planStop(systemNow(), m_parts->ownSettings.stopWithin);
     logEvent(log_event::DaemonStopAsked, {{"instance", m_parts->ownSettings.instance}, {"callers", m_parts->requestGateway.activeCallers.load()}});
     m_parts->requestGateway.stopping = true;
     m_parts->server->closeAfterResponses();
@@ -180,8 +181,9 @@
     const duration drainTime = m_parts->ownSettings.handOverAfter > duration{} ? m_parts->ownSettings.handOverAfter : m_parts->ownSettings.stopWithin / 2;
     waitForCallers(systemNow() + std::min(drainTime, m_parts->ownSettings.stopWithin));
     m_parts->handOverOpenRequests();
-    waitForCallers(stopDeadline - std::min(serverStopTime, m_parts->ownSettings.stopWithin / 4));
-    logDaemonStopped(m_parts->ownSettings.instance, stopServer(*m_parts->server, stopDeadline));
+    m_parts->host.beginStop({.sendUntil = plan.closeAt, .answerUntil = plan.bounds.answerUntil}); // for what no peer has taken
+    waitForCallers(plan.closeAt);
+    logDaemonStopped(m_parts->ownSettings.instance, stopServer(*m_parts->server, plan.giveUpAt));
     crash();
 }
 
--- a/src/shell/relay_gateway.h
+++ b/src/shell/relay_gateway.h
@@ -10,7 +10,6 @@
 #include "shell/request_session.h"
 
 #include <algorithm>
-#include <atomic>
 #include <concepts>
 #include <string>
 
@@ -74,8 +73,6 @@
     {
     }
 
-    std::atomic<time_point> rejectRequestsFrom{noDeadline}; // set at a planned stop: a request that arrives later might not finish in time
-
     boost::asio::awaitable<void> handle(http_exchange &exchange)
     {
         const scoped_count activeCount(m_gateway.activeCallers);
@@ -119,7 +116,7 @@
         if (route == nullptr) {
             throw error(error_kind::UnknownRoute);
         }
-        if (now >= rejectRequestsFrom.load()) {
+        if (now >= m_host.stopBounds().sendUntil) {
             throw error(error_kind::ShuttingDown);
         }
         contract effectiveRoute = *route;
--- a/src/shell/request_host.cpp
+++ b/src/shell/request_host.cpp
@@ -94,6 +94,24 @@
     return openSessions().size();
 }
 
+// A request that begins meanwhile is either among the open ones, or was added later and then reads the bounds itself.
+void request_host::beginStop(const stop_bounds &bounds)
+{
+    {
+        const std::lock_guard guard(m_lock);
+        m_stopBounds = bounds;
+    }
+    for (const auto &session : openSessions()) {
+        session->postStopping(bounds);
+    }
+}
+
+stop_bounds request_host::stopBounds() const
+{
+    const std::lock_guard guard(m_lock);
+    return m_stopBounds;
+}
+
 void request_host::clear()
 {
     std::map<std::string, std::shared_ptr<request_session>> removed; // destroyed outside the lock
--- a/src/shell/request_host.h
+++ b/src/shell/request_host.h
@@ -10,6 +10,7 @@
 #include "chicoryrouter/prompt_quarantine.h"
 #include "chicoryrouter/rcu_cell.h"
 #include "chicoryrouter/retry_budget.h"
+#include "chicoryrouter/stop_plan.h"
 #include "shell/endpoint_dialect.h"
 #include "shell/http.h"
 #include "shell/metrics.h"
@@ -102,7 +103,10 @@
 
     void add(const std::shared_ptr<request_session> &session);                       // find() returns it until it is retired and evicted
     void retire(const std::shared_ptr<request_session> &session, std::size_t bytes); // at the request's end; find() returns it until evicted
-    void clear();                                                                    // forgets all sessions; call after all request threads have stopped
+    // Any thread. The daemon stops: open requests, and those that are added from now on, end within these bounds.
+    void beginStop(const stop_bounds &bounds);
+    [[nodiscard]] stop_bounds stopBounds() const; // any thread; noDeadline unless the daemon stops
+    void clear();                                 // forgets all sessions; call after all request threads have stopped
     [[nodiscard]] std::shared_ptr<request_session> find(const std::string &requestId) const;
     [[nodiscard]] std::vector<std::shared_ptr<request_session>> openSessions() const;
     [[nodiscard]] std::size_t openCount() const;
@@ -122,6 +126,7 @@
     };
 
     mutable std::mutex m_lock;
+    stop_bounds m_stopBounds;
     std::map<std::string, std::unique_ptr<retry_budget>> m_budgets;
     std::int64_t m_retryReserve = retry_budget::defaultReserve;         // reserve of each budget
     std::map<std::string, std::shared_ptr<request_session>> m_sessions; // by request id; open ones, and ended ones that callers may still read
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -53,6 +53,10 @@
     m_host.add(shared_from_this());
     const bool quarantinedSinceAdmission = m_host.quarantinedPart(facts().promptParts).has_value();
     perform(quarantinedSinceAdmission ? m_machine.onQuarantined(systemNow()) : m_machine.start(systemNow()));
+    const stop_bounds stop = m_host.stopBounds(); // after add(), so that a stop that begins now is seen here or tells this request
+    if (stop.answerUntil != noDeadline) {
+        perform(m_machine.onStopping(stop, systemNow()));
+    }
 }
 
 // ---- Readers ---------------------------------------------------------------------------------------------------------------------------
@@ -531,6 +535,11 @@
     asio::post(m_thread.context, [self = shared_from_this()] { self->perform(self->m_machine.onQuarantined(systemNow())); });
 }
 
+void request_session::postStopping(const stop_bounds &bounds)
+{
+    asio::post(m_thread.context, [self = shared_from_this(), bounds] { self->perform(self->m_machine.onStopping(bounds, systemNow())); });
+}
+
 void request_session::postReclaimNotice(const std::string &endpointId, time_point leaveBy, move_method method)
 {
     asio::post(m_thread.context, [self = shared_from_this(), endpointId, leaveBy, method] {
--- a/src/shell/request_session.h
+++ b/src/shell/request_session.h
@@ -60,7 +60,8 @@
 
     // ---- Any thread
     void postSlotAnswer(const slot_answer &answer);
-    void postQuarantined(); // a part of the prompt has been quarantined
+    void postQuarantined();                       // a part of the prompt has been quarantined
+    void postStopping(const stop_bounds &bounds); // the daemon stops
     void postReclaimNotice(const std::string &endpointId, time_point leaveBy, move_method method);
     [[nodiscard]] std::uint64_t currentEndpointKey() const { return m_currentEndpointKey; }
     [[nodiscard]] std::uint32_t recomputeTokens() const; // estimated tokens that another endpoint would have to process again: the prompt and the answer so far
--- a/src/shell/server_stop.h
+++ b/src/shell/server_stop.h
@@ -18,8 +18,6 @@
     duration took{};
 };
 
-constexpr duration serverStopTime = std::chrono::milliseconds(1500); // enough to close a server that has no open requests
-
 // Blocks until every connection has ended, at most until `giveUpAt`. Requests that arrive meanwhile still go to the server's handler.
 server_stop_report stopServer(http_server &server, time_point giveUpAt);
 
--- a/tests/unit/daemons.cpp
+++ b/tests/unit/daemons.cpp
@@ -405,6 +405,34 @@
     stopping.get();
 }
 
+// A request that still waits for a slot when a daemon without peers ends is refused, and does not lose its connection without an answer.
+Test(daemons, a_stop_refuses_a_request_that_waits_for_a_slot)
+{
+    deployment_options options = slowEngines(20ms);
+    options.daemons = 1;
+    options.failureDomains = {"fd-1"};
+    options.initialConcurrency = 1;
+    options.maxConcurrency = 1;
+    options.stopWithin = 4s;
+    deployment all(options);
+    cr_assert(all.waitReady());
+    const auto ask = [&all](const std::string &prompt) {
+        return std::async(
+            std::launch::async, [&all, prompt] { return sync_client().callAllowingPartial(all.at(0).gateway(), completionCall("chat", prompt, 600)); });
+    };
+    auto served = ask("served");
+    cr_assert(all.waitUntil([&] { return all.engineAt(0).generationsStarted() == 1; }, 10s));
+    auto waiting = ask("waiting");
+    cr_assert(all.waitUntil([&] { return all.at(0).openRequests() == 2; }, 10s));
+    all.at(0).stop();
+    const sync_client::partial_response refused = waiting.get();
+    cr_assert(refused.complete, "its connection was closed without an answer");
+    cr_expect_eq(refused.response.status, 503);
+    cr_expect_eq(kindOf(refused.response), "shutting_down");
+    cr_expect_eq(all.engineAt(0).generationsStarted(), 1);
+    served.get();
+}
+
 // ---- Configuration and failure domains -------------------------------------------------------------------------------------------------
 
 Test(daemons, an_accepted_configuration_is_in_force_everywhere_and_a_stale_one_changes_nothing)
--- a/tests/unit/process_stops.cpp
+++ b/tests/unit/process_stops.cpp
@@ -21,10 +21,11 @@
 
 namespace {
 
-constexpr duration closesAfter = 2500ms; // after SIGTERM: the router closes what is idle, and its listening socket
-constexpr duration refusesAfter = 3s;    // after SIGTERM: new requests
-constexpr duration callerPause = 2ms;    // between two requests of a caller
-constexpr duration stopBound = 10s;      // stop_within is 8 s
+constexpr duration closesAfter = 2500ms;  // after SIGTERM: the router closes what is idle, and its listening socket
+constexpr duration refusesAfter = 3s;     // after SIGTERM: new requests
+constexpr duration callerPause = 2ms;     // between two requests of a caller
+constexpr duration stopBound = 10s;       // stop_within is 8 s
+constexpr std::size_t slotsOfWriters = 8; // of both endpoints of the model service
 
 std::string lookRequest(const std::string &id)
 {
@@ -71,6 +72,20 @@
         cr_assert_eq(router.endedWith(), 0, "%s", describeEnd(router.endedWith()).c_str());
     }
 
+    // Takes all slots of the model service with streams that outlast every stop. The callers must live as long as the slots are to be taken.
+    void takeAllSlots(std::deque<socket_caller> &callers)
+    {
+        all.writer1.faults.workMillis = 2000; // before the answer and between its events: 14 s in all
+        all.writer2.faults.workMillis = 2000;
+        callers.resize(slotsOfWriters);
+        int number = 0;
+        for (socket_caller &caller : callers) {
+            cr_assert(caller.connect(gateway()));
+            cr_assert(caller.send(streamRequest("long-" + std::to_string(++number))));
+        }
+        cr_assert(test::eventually([this] { return all.writer1.open() + all.writer2.open() == slotsOfWriters; }), "the streams did not reach the endpoints");
+    }
+
     [[nodiscard]] const address &gateway() const { return router.own().gateway; }
 
     process_deployment all;
@@ -276,6 +291,77 @@
     all.assertEnds();
 }
 
+// Requests that wait for a slot when the stop begins, or arrive after it, are refused in time: the router kept them until it ended, and closed
+// their connections without an answer.
+Test(process_stops, requests_that_wait_for_a_slot_are_refused_as_not_run)
+{
+    stopping_router all;
+    std::deque<socket_caller> streams;
+    all.takeAllSlots(streams);
+    std::deque<socket_caller> waiting(4);
+    const duration sentAfterStop[] = {-400ms, -100ms, 400ms, 1600ms};
+    all.stopRequestedAt = systemNow() + 500ms;
+    for (std::size_t i = 0; i < waiting.size(); ++i) {
+        if (sentAfterStop[i] > 0ms && sentAfterStop[i - 1] < 0ms) {
+            all.waitUntilAfterStopRequest(0ms);
+            all.terminate();
+        }
+        all.waitUntilAfterStopRequest(sentAfterStop[i]);
+        cr_assert(waiting[i].connect(all.gateway()));
+        cr_assert(waiting[i].send(streamRequest("waiting-" + std::to_string(i))));
+    }
+    for (std::size_t i = 0; i < waiting.size(); ++i) {
+        const socket_answer answer = waiting[i].readAnswer();
+        cr_expect(answer.isWhole() && answer.status == 503, "request %zu: %s", i, answer.text().c_str());
+        cr_expect_neq(answer.bytes.find("Retry-After: "), std::string::npos, "request %zu", i);
+        cr_expect_eq(all.all.runsOf("waiting-" + std::to_string(i)), 0, "request %zu ran", i);
+    }
+    cr_expect_leq(systemNow() - all.stopRequestedAt, refusesAfter + 1s);
+    all.assertEnds();
+}
+
+// A slot that becomes free in time still goes to a request that waits for it.
+Test(process_stops, requests_that_wait_for_a_slot_get_one_that_becomes_free)
+{
+    stopping_router all;
+    std::deque<socket_caller> streams;
+    all.takeAllSlots(streams);
+    socket_caller waiting;
+    cr_assert(waiting.connect(all.gateway()));
+    cr_assert(waiting.send(streamRequest("waiting")));
+    all.all.writer1.faults.workMillis = 50;
+    all.all.writer2.faults.workMillis = 50;
+    all.terminate();
+    std::this_thread::sleep_for(300ms);
+    for (socket_caller &caller : streams) {
+        caller.close();
+    }
+    const socket_answer answer = waiting.readAnswer();
+    cr_assert(answer.isWhole() && answer.status == 200, "%s", answer.text().c_str());
+    all.assertEnds();
+}
+
+// A request that an endpoint has and does not answer gets a final answer before the stop ends: its connection was closed without one.
+Test(process_stops, requests_that_no_endpoint_answers_get_an_answer_before_the_end)
+{
+    stopping_router all;
+    all.all.writer1.faults.workMillis = 20000;
+    all.all.writer2.faults.workMillis = 20000;
+    std::deque<socket_caller> callers(3);
+    int number = 0;
+    for (socket_caller &caller : callers) {
+        cr_assert(caller.connect(all.gateway()));
+        cr_assert(caller.send(streamRequest("held-" + std::to_string(++number))));
+    }
+    cr_assert(test::eventually([&all] { return all.all.runsOf("held-1") + all.all.runsOf("held-2") + all.all.runsOf("held-3") == 3; }));
+    all.terminate();
+    for (socket_caller &caller : callers) {
+        const socket_answer answer = caller.readAnswer();
+        cr_expect(answer.isWhole() && answer.status == 502, "%s", answer.text().c_str()); // a 503 would promise that it has not run
+    }
+    all.assertEnds();
+}
+
 // The log tells what a stop closed and cut.
 Test(process_stops, the_last_line_of_the_log_says_how_connections_ended)
 {
