A part of an answer without a length is not taken for the whole after a reset upload

What callers saw: an endpoint answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection while the upload is still written. The caller got the part as a whole answer.

Cause: a broken connection reports its error once. The write of the request took it, and the read that follows saw an ordinary end, which is what ends an answer without a length.

Evidence, on the code before: http_client/an_answer_without_a_length_whose_upload_is_reset_is_not_whole and unframed_answers/what_is_reset_during_the_upload_is_not_whole failed.

Change: the client remembers that the write failed; an answer that ends with that connection is broken off. One with a length or chunks is judged by them, as before. Both tests pass, with all of http_client, unframed_answers, endless_answers and late_copies (30).

--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -244,6 +244,9 @@
                 co_return got;
             }
         }
+        if (endsWithConnection && m_requestBroken) {
+            throw http_failure(true, error_kind::EndpointLost, "answer: the connection broke while the request was written");
+        }
         // Bytes after the response belong to no request, so such a connection is not reused.
         if (m_connection != nullptr && m_parser->keep_alive() && m_buffer.size() == 0 && !m_failed && m_returnToPool) {
             m_returnToPool(std::move(m_connection));
@@ -280,6 +283,13 @@
 
     void closeAfterResponse() override { m_returnToPool = nullptr; }
 
+    // The connection failed while the request was written. That error has been taken, so a further read reports the end of the stream in its place.
+    void markRequestBroken()
+    {
+        m_requestBroken = true;
+        closeAfterResponse();
+    }
+
     void cancel() override
     {
         if (m_connection != nullptr) {
@@ -293,6 +303,7 @@
     beast::flat_buffer m_buffer{maxUnparsedBytes};                    // received and not yet parsed; bodies are read past it
     std::optional<http::response_parser<http::buffer_body>> m_parser; // never empty
     bool m_failed = false;
+    bool m_requestBroken = false; // see markRequestBroken()
 
     asio::awaitable<void> readAnyHead()
     {
@@ -369,6 +380,9 @@
         }
     };
     auto stream = std::make_unique<response_stream>(std::move(connection), std::move(returnToPool));
+    if (code) {
+        stream->markRequestBroken();
+    }
     co_await readHeadAndClearHandle(*stream, handle.get());
     co_return stream;
 }
--- a/tests/support/small_deployment.h
+++ b/tests/support/small_deployment.h
@@ -50,13 +50,15 @@
         cr_assert(eventually([this] { return routers.back()->isReady() && routers.back()->usableEndpointCount() >= 4; }), "the daemon did not become ready");
     }
 
-    sync_client::partial_response ask(const std::string &method, const std::string &target, const std::string &id, http_headers extra = {})
+    sync_client::partial_response ask(
+        const std::string &method, const std::string &target, const std::string &id, http_headers extra = {}, std::string body = {})
     {
         http_call call;
         call.method = method;
         call.target = target;
         call.headers = {{"Host", "tassel.example"}, {"X-Request-Id", id}, {"X-Api-Key", "key-1"}, {"X-Deadline-Ms", "10000"}};
         call.headers.insert(call.headers.end(), extra.begin(), extra.end());
+        call.body = std::move(body);
         sync_client client;
         return client.callAllowingPartial(routers.front()->gateway(), call);
     }
--- a/tests/unit/http_client.cpp
+++ b/tests/unit/http_client.cpp
@@ -254,3 +254,58 @@
     const std::size_t after = openDescriptors();
     cr_assert_leq(after, before + 8 * connections, "%zu descriptors, then %zu", before, after);
 }
+
+namespace {
+
+// Answers as soon as a request begins, without reading on, and resets the connection while the request is still being written.
+void answerAndReset(raw_peer &peer, const std::string &answer)
+{
+    tcp::socket socket = peer.acceptor.accept();
+    std::array<char, 4096> buffer{};
+    boost::system::error_code code;
+    socket.read_some(asio::buffer(buffer), code);
+    asio::write(socket, asio::buffer(answer), code);
+    std::this_thread::sleep_for(100ms); // a reset would overtake the bytes
+    socket.set_option(asio::socket_base::linger(true, 0), code);
+}
+
+asio::awaitable<void> upload(http_client &client, address where, std::string &body)
+{
+    try {
+        http_call call;
+        call.method = "POST";
+        call.body = std::string(16 * 1024 * 1024, 'u'); // more than the kernel takes from a writer whose peer doesn't read
+        const http_response response = co_await client.call(where, std::move(call), systemNow() + 5s);
+        body = response.body;
+    } catch (const http_failure &) {
+        body = "failed";
+    }
+}
+
+std::string bodyOfUpload(const std::string &answer)
+{
+    raw_peer peer;
+    std::thread serving([&] { answerAndReset(peer, answer); });
+    asio::io_context context;
+    http_client client(context.get_executor());
+    std::string body;
+    asio::co_spawn(context, upload(client, peer.where(), body), asio::detached);
+    context.run();
+    serving.join();
+    return body;
+}
+
+} // namespace
+
+// The write took the connection's error, so that the read after it saw an ordinary end: a part of an answer without a length looked whole.
+Test(http_client, an_answer_without_a_length_whose_upload_is_reset_is_not_whole)
+{
+    cr_assert_eq(bodyOfUpload("HTTP/1.1 200 OK\r\n\r\na part"), "failed");
+}
+
+// An early answer with a length is whole when all of it has arrived, whatever became of the rest of the upload.
+Test(http_client, an_answer_with_a_length_whose_upload_is_reset_is_whole)
+{
+    cr_assert_eq(bodyOfUpload("HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno"), "no");
+    cr_assert_eq(bodyOfUpload("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\na part"), "failed");
+}
--- a/tests/unit/unframed_answers.cpp
+++ b/tests/unit/unframed_answers.cpp
@@ -36,17 +36,20 @@
 const std::string streamHead = head + "Content-Type: text/event-stream\r\n\r\n";
 
 // The caller's view of a request that only the unframed endpoint can serve.
-sync_client::partial_response answerThrough(const std::string &answer, ending end, const std::string &service, const std::string &path)
+sync_client::partial_response answerThrough(
+    const std::string &answer, ending end, const std::string &service, const std::string &path, const std::string &body = {})
 {
     const raw_endpoint only(answerAndEnd(answer, end));
-    small_deployment all;
+    nlohmann::json configuration = hostedConfiguration();
+    configuration["Limits"]["MaxBodyBytes"] = std::max<std::size_t>(body.size(), 100000);
+    small_deployment all(configuration);
     all.start();
     for (const char *other : {"writer-1", "writer-2", "shop-1", "shop-2"}) {
         all.store.remove(std::string("servers/") + other);
     }
     all.store.put("servers/only", only.entry(service));
     cr_assert(test::eventually([&] { return all.routers.front()->isLeaving("shop-1") && all.routers.front()->usableEndpointCount() == 1; }));
-    return all.ask("POST", path, "u1", {{"X-Prompt-Prefix", "aa01:20,bb01:10"}});
+    return all.ask("POST", path, "u1", {{"X-Prompt-Prefix", "aa01:20,bb01:10"}}, body);
 }
 
 bool isWhole(const sync_client::partial_response &answer)
@@ -87,3 +90,13 @@
     const auto answer = answerThrough(head + "\r\nthe answer", ending::Closed, "shop", "/order/1");
     cr_assert(isWhole(answer) && answer.response.body == "the answer");
 }
+
+// An endpoint that answers a long upload at once and resets the connection while it is still written: the part that it sent looked whole.
+Test(unframed_answers, what_is_reset_during_the_upload_is_not_whole)
+{
+    const std::string upload(4 * 1024 * 1024, 'u'); // more than the kernel takes from a writer whose peer doesn't read
+    const std::string someEvents = hostedEvent(1) + hostedEvent(2);
+    cr_assert(!isWhole(answerThrough(head + "\r\na part", ending::Reset, "shop", "/order/1", upload)));
+    cr_assert(!isWhole(answerThrough(head + "\r\na part", ending::Reset, "shop", "/look/1", upload)));
+    cr_assert(!isWhole(answerThrough(streamHead + someEvents, ending::Reset, "writer", "/write/1", upload)));
+}
