A status that is none fails the call in place of being passed on

What callers saw: an endpoint in trouble sent a head with status 000, and the caller got it as an answer, seal included.

Cause: the parser takes any three digits, and nothing asked whether they are a status.

Change: a final status outside 200 to 599 fails the call as malformed, so the caller gets 502 or another endpoint is tried. 101 is treated so too: no request asks for it, and what follows is no HTTP.

--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -34,6 +34,7 @@
 constexpr std::size_t maxSkippedBytes = 1024 * 1024;                // longest response to another request that is discarded; a longer one fails the call
 constexpr std::size_t maxUnparsedBytes = 64 * 1024; // of a response's head, the line with a chunk's size, or its trailer; a longer one fails the call
 constexpr std::uint32_t maxInterimResponses = 8;    // before one response; more of them fail the call
+constexpr unsigned switchingProtocols = 101;        // no request asks for it, and what follows it is no HTTP
 constexpr duration idleCheckInterval = std::chrono::milliseconds(50); // between two looks for idle connections that are of no use any more
 constexpr duration idleConnectionLifetime = std::chrono::seconds(20); // shorter than the servers' idle timeout, so that the client closes first
 
@@ -216,15 +217,17 @@
     asio::awaitable<void> readHead()
     {
         co_await readAnyHead();
-        for (std::uint32_t interim = 0; m_parser->get().result_int() / 100 == 1; ++interim) {
+        for (std::uint32_t interim = 0; isInterim(m_parser->get().result_int()); ++interim) {
             if (interim == maxInterimResponses) {
-                m_failed = true;
-                throw http_failure(true, error_kind::EndpointGarbage, "answer headers: too many interim responses");
+                failHead("too many interim responses");
             }
             resetParser();
             co_await readAnyHead();
         }
         status = static_cast<int>(m_parser->get().result_int());
+        if (!isFinal(m_parser->get().result_int())) {
+            failHead("status " + std::to_string(status));
+        }
         headers = copyHeaders(m_parser->get());
         endsWithConnection = m_parser->need_eof();
     }
@@ -305,6 +308,15 @@
     bool m_failed = false;
     bool m_requestBroken = false; // see markRequestBroken()
 
+    static bool isInterim(unsigned code) { return code / 100 == 1 && code != switchingProtocols; }
+    static bool isFinal(unsigned code) { return code >= 200 && code < 600; }
+
+    [[noreturn]] void failHead(const std::string &why)
+    {
+        m_failed = true;
+        throw http_failure(true, error_kind::EndpointGarbage, "answer headers: " + why);
+    }
+
     asio::awaitable<void> readAnyHead()
     {
         beast::error_code code;
--- a/tests/unit/http_client.cpp
+++ b/tests/unit/http_client.cpp
@@ -188,6 +188,18 @@
     cr_assert(bodiesOf(many + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") == std::vector<std::string>{"failed"});
 }
 
+// A head whose status no HTTP response can have was passed on as an answer.
+Test(http_client, a_status_that_is_none_fails_the_call)
+{
+    const std::string rest = " Text\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok";
+    for (const std::string status : {"000", "001", "099", "101", "600", "999"}) {
+        cr_expect(bodiesOf("HTTP/1.1 " + status + rest) == std::vector<std::string>{"failed"}, "status %s", status.c_str());
+    }
+    for (const std::string status : {"200", "299", "400", "599"}) {
+        cr_expect(bodiesOf("HTTP/1.1 " + status + rest) == std::vector<std::string>{"ok"}, "status %s", status.c_str());
+    }
+}
+
 // The exception of the address parser used to leave the coroutine: the caller waited for its deadline.
 Test(http_client, an_address_that_is_no_ip_address_fails_the_call)
 {
--- a/tests/unit/unframed_answers.cpp
+++ b/tests/unit/unframed_answers.cpp
@@ -1,4 +1,5 @@
 // Answers with neither a length nor chunks, which end with their connection: whole ones are passed on as whole, broken ones never look whole.
+// And heads that are none: their status is no status.
 #include "support/raw_endpoint.h"
 #include "support/small_deployment.h"
 
@@ -100,3 +101,14 @@
     cr_assert(!isWhole(answerThrough(head + "\r\na part", ending::Reset, "shop", "/look/1", upload)));
     cr_assert(!isWhole(answerThrough(streamHead + someEvents, ending::Reset, "writer", "/write/1", upload)));
 }
+
+// The caller got the endpoint's head as its answer, seal included.
+Test(unframed_answers, an_answer_whose_status_is_none_is_not_passed_on)
+{
+    for (const char *status : {"000", "099", "101", "700"}) {
+        const std::string answer = std::string("HTTP/1.1 ") + status + " Text\r\nX-Response-Seal: s\r\nX-Request-Id: u1\r\nContent-Length: 4\r\n\r\ndone";
+        const auto got = answerThrough(answer, ending::Closed, "shop", "/order/1");
+        cr_expect_eq(got.response.status, 502, "%s: %d", status, got.response.status);
+        cr_expect(findHeader(got.response.headers, "X-Response-Seal").empty());
+    }
+}
