The bounds of a stop are read without a lock; the tests of broken answers cover streams and framings

It is an rcu_cell now, as the quarantined parts beside it are. A request that begins as the stop does still sees the bounds or is told of them: add() and openSessions() order the two by the host's lock. - stop_plan.h said that no attempt begins after sendUntil; an open one may still be hedged or moved. - unframed_answers: more cases, none taken out: statuses that are none also without a length and on a streaming route, an upload that is reset on a route that may resume, and behind an answer with a length. These were not run on the code before the fixes.

--- a/include/chicoryrouter/stop_plan.h
+++ b/include/chicoryrouter/stop_plan.h
@@ -15,7 +15,7 @@
 // What a planned stop asks of open requests; see request_machine::onStopping(). noDeadline: the daemon isn't stopping.
 struct stop_bounds
 {
-    time_point sendUntil = noDeadline;   // no attempt begins after it: what has none open then is refused, or fails
+    time_point sendUntil = noDeadline;   // what has no attempt open then is refused, or fails; an open attempt may still be hedged or moved
     time_point answerUntil = noDeadline; // a request of which the caller has no piece yet fails then, in time to send the error
 };
 
--- a/src/shell/request_host.cpp
+++ b/src/shell/request_host.cpp
@@ -97,21 +97,12 @@
 // A request that begins meanwhile is either among the open ones, or was added later and then reads the bounds itself.
 void request_host::beginStop(const stop_bounds &bounds)
 {
-    {
-        const std::lock_guard guard(m_lock);
-        m_stopBounds = bounds;
-    }
+    m_stopBounds.publish(std::make_shared<stop_bounds>(bounds));
     for (const auto &session : openSessions()) {
         session->postStopping(bounds);
     }
 }
 
-stop_bounds request_host::stopBounds() const
-{
-    const std::lock_guard guard(m_lock);
-    return m_stopBounds;
-}
-
 void request_host::clear()
 {
     std::map<std::string, std::shared_ptr<request_session>> removed; // destroyed outside the lock
--- a/src/shell/request_host.h
+++ b/src/shell/request_host.h
@@ -105,8 +105,8 @@
     void retire(const std::shared_ptr<request_session> &session, std::size_t bytes); // at the request's end; find() returns it until evicted
     // Any thread. The daemon stops: open requests, and those that are added from now on, end within these bounds.
     void beginStop(const stop_bounds &bounds);
-    [[nodiscard]] stop_bounds stopBounds() const; // any thread; noDeadline unless the daemon stops
-    void clear();                                 // forgets all sessions; call after all request threads have stopped
+    [[nodiscard]] const stop_bounds &stopBounds() const { return m_stopBounds.read(); } // any thread; noDeadline unless the daemon stops
+    void clear();                                                                       // forgets all sessions; call after all request threads have stopped
     [[nodiscard]] std::shared_ptr<request_session> find(const std::string &requestId) const;
     [[nodiscard]] std::vector<std::shared_ptr<request_session>> openSessions() const;
     [[nodiscard]] std::size_t openCount() const;
@@ -125,8 +125,8 @@
         std::size_t bytes = 0;
     };
 
+    rcu_cell<stop_bounds> m_stopBounds;
     mutable std::mutex m_lock;
-    stop_bounds m_stopBounds;
     std::map<std::string, std::unique_ptr<retry_budget>> m_budgets;
     std::int64_t m_retryReserve = retry_budget::defaultReserve;         // reserve of each budget
     std::map<std::string, std::shared_ptr<request_session>> m_sessions; // by request id; open ones, and ended ones that callers may still read
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -53,7 +53,7 @@
     m_host.add(shared_from_this());
     const bool quarantinedSinceAdmission = m_host.quarantinedPart(facts().promptParts).has_value();
     perform(quarantinedSinceAdmission ? m_machine.onQuarantined(systemNow()) : m_machine.start(systemNow()));
-    const stop_bounds stop = m_host.stopBounds(); // after add(), so that a stop that begins now is seen here or tells this request
+    const stop_bounds &stop = m_host.stopBounds(); // after add(), so that a stop that begins now is seen here or tells this request
     if (stop.answerUntil != noDeadline) {
         perform(m_machine.onStopping(stop, systemNow()));
     }
--- a/tests/unit/unframed_answers.cpp
+++ b/tests/unit/unframed_answers.cpp
@@ -33,6 +33,8 @@
     };
 }
 
+constexpr std::size_t uploadBytes = 4 * 1024 * 1024; // more than the kernel takes from a writer whose peer doesn't read
+
 const std::string head = "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\n";
 const std::string streamHead = head + "Content-Type: text/event-stream\r\n\r\n";
 
@@ -42,7 +44,7 @@
 {
     const raw_endpoint only(answerAndEnd(answer, end));
     nlohmann::json configuration = hostedConfiguration();
-    configuration["Limits"]["MaxBodyBytes"] = std::max<std::size_t>(body.size(), 100000);
+    configuration["Limits"]["MaxBodyBytes"] = uploadBytes;
     small_deployment all(configuration);
     all.start();
     for (const char *other : {"writer-1", "writer-2", "shop-1", "shop-2"}) {
@@ -95,20 +97,27 @@
 // An endpoint that answers a long upload at once and resets the connection while it is still written: the part that it sent looked whole.
 Test(unframed_answers, what_is_reset_during_the_upload_is_not_whole)
 {
-    const std::string upload(4 * 1024 * 1024, 'u'); // more than the kernel takes from a writer whose peer doesn't read
+    const std::string upload(uploadBytes, 'u');
     const std::string someEvents = hostedEvent(1) + hostedEvent(2);
     cr_assert(!isWhole(answerThrough(head + "\r\na part", ending::Reset, "shop", "/order/1", upload)));
     cr_assert(!isWhole(answerThrough(head + "\r\na part", ending::Reset, "shop", "/look/1", upload)));
     cr_assert(!isWhole(answerThrough(streamHead + someEvents, ending::Reset, "writer", "/write/1", upload)));
+    cr_assert(!isWhole(answerThrough(streamHead + someEvents, ending::Reset, "writer", "/chat/1", upload)));
+    cr_assert(!isWhole(answerThrough(head + "Content-Length: 9\r\n\r\na part", ending::Reset, "shop", "/order/1", upload)));
 }
 
 // The caller got the endpoint's head as its answer, seal included.
 Test(unframed_answers, an_answer_whose_status_is_none_is_not_passed_on)
 {
-    for (const char *status : {"000", "099", "101", "700"}) {
-        const std::string answer = std::string("HTTP/1.1 ") + status + " Text\r\nX-Response-Seal: s\r\nX-Request-Id: u1\r\nContent-Length: 4\r\n\r\ndone";
-        const auto got = answerThrough(answer, ending::Closed, "shop", "/order/1");
-        cr_expect_eq(got.response.status, 502, "%s: %d", status, got.response.status);
+    const auto expectRefused = [](const std::string &status, const std::string &length, const std::string &service, const std::string &path) {
+        const std::string answer = "HTTP/1.1 " + status + " Text\r\nX-Response-Seal: s\r\nX-Request-Id: u1\r\n" + length + "\r\ndone";
+        const auto got = answerThrough(answer, ending::Closed, service, path);
+        cr_expect_eq(got.response.status, 502, "%s: %d", status.c_str(), got.response.status);
         cr_expect(findHeader(got.response.headers, "X-Response-Seal").empty());
+    };
+    for (const char *status : {"000", "099", "101", "700"}) {
+        expectRefused(status, "Content-Length: 4\r\n", "shop", "/order/1");
+        expectRefused(status, "", "shop", "/order/1");
+        expectRefused(status, "", "writer", "/write/1");
     }
 }
