--- a/tests/unit/daemons.cpp
+++ b/tests/unit/daemons.cpp
@@ -433,6 +433,25 @@
     served.get();
 }
 
+// The claim of an order can't be written in time: the order is refused when the daemon ends, and has not run.
+Test(daemons, a_stop_refuses_an_order_that_waits_for_its_claim)
+{
+    deployment_options options;
+    options.daemons = 1;
+    options.failureDomains = {"fd-1"};
+    options.stopWithin = 2s; // the order may wait longer than that
+    deployment all(options);
+    cr_assert(all.waitReady());
+    all.store().faults.slowMillis = 60000;
+    auto order = std::async(std::launch::async, [&] { return all.plain(0, "POST", "/orders", "a-key", "one"); });
+    cr_assert(all.waitUntil([&] { return all.at(0).openRequests() == 1; }, 10s));
+    all.at(0).stop();
+    const http_response refused = order.get(); // throws if the connection was closed without an answer
+    cr_expect_eq(refused.status, 503);
+    cr_expect_eq(kindOf(refused), "shutting_down");
+    cr_expect_eq(all.plainAt(0).ordersRun(), 0);
+}
+
 // ---- Configuration and failure domains -------------------------------------------------------------------------------------------------
 
 Test(daemons, an_accepted_configuration_is_in_force_everywhere_and_a_stale_one_changes_nothing)
--- a/tests/unit/overload.cpp
+++ b/tests/unit/overload.cpp
@@ -3,6 +3,7 @@
 #include "chicoryrouter/request_machine.h"
 #include "chicoryrouter/wait_estimate.h"
 #include "relay_dialect.h"
+#include "support/request_trial.h"
 #include "support/world.h"
 
 #include <criterion/criterion.h>
@@ -449,27 +450,14 @@
 
 Test(overload, at_the_deadline_open_attempts_are_cancelled)
 {
-    const time_point now = test::worldStart;
-    contract route;
-    route.route = "chat";
-    route.service = "m";
-    route.streamed = true;
+    contract route = test::routeOf("chat");
     route.deadline = 8s;
-    route.firstTokenTarget = 400ms;
-    retry_budget budget;
-    request_machine machine(makeFacts("r1", "a", route, service_kind::Model, now), budget);
-    auto target = std::make_shared<endpoint>();
-    target->id = "e1";
-    target->load = std::make_shared<endpoint_load>();
-    target->load->slots = 1;
-    cr_assert(target->load->tryAcquire());
-    static_cast<void>(machine.start(now));
-    static_cast<void>(machine.onSlot(target, now));
-    machine.onSent(1, now);
-    cr_assert(machine.nextDeadline() <= now + 8s);
-    const request_actions actions = machine.onTimer(now + 8s);
-    cr_assert(std::any_of(actions.begin(), actions.end(), [](const auto &action) { return std::holds_alternative<cancel_attempt>(action); }));
-    cr_assert(machine.isOver());
+    test::request_trial request(route);
+    request.send();
+    cr_assert(request.machine.nextDeadline() <= test::worldStart + 8s);
+    request.actions = request.machine.onTimer(test::worldStart + 8s);
+    cr_assert(request.asksFor<cancel_attempt>());
+    cr_assert(request.machine.isOver());
 }
 
 Test(overload, endpoints_are_sent_the_order_or_else_the_rank)
--- a/tests/unit/process_stops.cpp
+++ b/tests/unit/process_stops.cpp
@@ -291,6 +291,32 @@
     all.assertEnds();
 }
 
+// A body that begins in time and ends after the router has ceased to serve: the request is whole only then, and is refused like one that arrives then.
+Test(process_stops, requests_whose_bodies_end_during_the_close_are_refused_as_not_run)
+{
+    stopping_router all;
+    std::deque<socket_caller> callers(2);
+    const auto id = [](std::size_t number) {
+        return "body-" + std::to_string(number);
+    };
+    all.terminate();
+    all.waitUntilAfterStopRequest(closesAfter - 200ms);
+    for (std::size_t i = 0; i < callers.size(); ++i) {
+        const std::string request = streamRequest(id(i));
+        cr_assert(callers[i].connect(all.gateway()));
+        cr_assert(callers[i].send(request.substr(0, request.size() - 3)));
+    }
+    for (std::size_t i = 0; i < callers.size(); ++i) {
+        all.waitUntilAfterStopRequest(refusesAfter + i * 1s + 300ms);
+        const std::string request = streamRequest(id(i));
+        cr_assert(callers[i].send(request.substr(request.size() - 3)), "closed inside request %zu", i);
+        const socket_answer answer = callers[i].readAnswer();
+        cr_expect(answer.isWhole() && answer.status == 503, "request %zu: %s", i, answer.text().c_str());
+        cr_expect_eq(all.all.runsOf(id(i)), 0, "request %zu ran", i);
+    }
+    all.assertEnds();
+}
+
 // Requests that wait for a slot when the stop begins, or arrive after it, are refused in time: the router kept them until it ended, and closed
 // their connections without an answer.
 Test(process_stops, requests_that_wait_for_a_slot_are_refused_as_not_run)
--- a/tests/unit/stop_bounds.cpp
+++ b/tests/unit/stop_bounds.cpp
@@ -1,76 +1,26 @@
 // Open requests at a planned stop, without a network: each has its answer, a truthful one, before the daemon ends.
-#include "chicoryrouter/request_machine.h"
-#include "chicoryrouter/retry_budget.h"
 #include "chicoryrouter/stop_plan.h"
-#include "support/world.h"
+#include "support/request_trial.h"
 
 #include <criterion/criterion.h>
 
-#include <algorithm>
-
 using namespace chicoryrouter;
 using namespace std::chrono_literals;
 
+using test::factsOf;
+using test::request_trial;
+using test::routeOf;
+
 namespace {
 
 constexpr time_point stopAt = test::worldStart + 1s; // the requests arrive at worldStart
 const stop_plan plan = planStop(stopAt, 8s);
 
-contract routeOf(const std::string &name)
+void stop(request_trial &request)
 {
-    contract route;
-    route.route = name;
-    route.service = "m";
-    route.streamed = true;
-    route.deadline = 15s;
-    route.queueLimit = 15s;
-    route.firstTokenTarget = 400ms;
-    return route;
+    request.actions = request.machine.onStopping(plan.bounds, stopAt);
 }
 
-// One request of a service, and what its state machine asked for last.
-struct request_trial
-{
-    explicit request_trial(const contract &route = routeOf("chat"))
-        : machine(makeFacts("r1", "a", route, service_kind::Model, test::worldStart), budget)
-    {
-        target->id = "e1";
-        target->load = std::make_shared<endpoint_load>();
-        target->load->slots = 1;
-        actions = machine.start(test::worldStart);
-    }
-
-    void send(bool byteSent = true)
-    {
-        cr_assert(target->load->tryAcquire());
-        actions = machine.onSlot(target, test::worldStart);
-        if (byteSent) {
-            machine.onSent(1, test::worldStart);
-        }
-    }
-
-    void stop() { actions = machine.onStopping(plan.bounds, stopAt); }
-
-    // Calls every timer until then.
-    void runUntil(time_point until)
-    {
-        while (!machine.isOver() && machine.nextDeadline() <= until) {
-            actions = machine.onTimer(machine.nextDeadline());
-        }
-    }
-
-    [[nodiscard]] std::optional<error_kind> failure() const
-    {
-        const auto found = std::find_if(actions.begin(), actions.end(), [](const auto &action) { return std::holds_alternative<fail_request>(action); });
-        return found == actions.end() ? std::nullopt : std::optional(std::get<fail_request>(*found).kind);
-    }
-
-    retry_budget budget;
-    request_machine machine;
-    std::shared_ptr<endpoint> target = std::make_shared<endpoint>();
-    request_actions actions;
-};
-
 } // namespace
 
 Test(stop_bounds, the_moments_of_a_stop_are_in_order)
@@ -91,7 +41,7 @@
 Test(stop_bounds, a_request_that_waits_for_a_slot_is_refused_as_not_run)
 {
     request_trial request;
-    request.stop();
+    stop(request);
     cr_assert(!request.machine.isOver(), "a slot may still become free in time");
     request.runUntil(plan.bounds.sendUntil);
     cr_assert(request.failure() == error_kind::ShuttingDown);
@@ -101,15 +51,12 @@
 {
     request_trial request;
     request.send();
-    request.stop();
+    stop(request);
     request.runUntil(plan.bounds.answerUntil - 1ms);
     cr_assert(!request.machine.isOver(), "the endpoint may still answer");
     request.runUntil(plan.bounds.answerUntil);
     cr_assert(request.failure() == error_kind::StoppedUnanswered);
-    const auto cancels = [](const auto &action) {
-        return std::holds_alternative<cancel_attempt>(action);
-    };
-    cr_assert(std::any_of(request.actions.begin(), request.actions.end(), cancels));
+    cr_assert(request.asksFor<cancel_attempt>());
 }
 
 // It connects all the while: no byte has left, so the refusal may say so.
@@ -117,7 +64,7 @@
 {
     request_trial request;
     request.send(false);
-    request.stop();
+    stop(request);
     request.runUntil(plan.bounds.answerUntil);
     cr_assert(request.failure() == error_kind::ShuttingDown);
 }
@@ -130,7 +77,7 @@
         route.repeatable = true;
         request_trial request(route);
         request.send();
-        request.stop();
+        stop(request);
         request.actions = request.machine.onAttemptFailed(1, progress, error_kind::EndpointRefused, plan.bounds.sendUntil + 1s);
         request.runUntil(plan.bounds.sendUntil + 1s);
         const error_kind expected = progress == attempt_progress::MayHaveRun ? error_kind::StoppedUnanswered : error_kind::ShuttingDown;
@@ -146,7 +93,7 @@
     request_trial request(route);
     request.send();
     cr_assert(request.machine.onToken(1, "r1", 0, stopAt) == token_result::Deliver);
-    request.stop();
+    stop(request);
     request.runUntil(plan.giveUpAt);
     cr_assert(!request.machine.isOver());
 }
@@ -157,7 +104,62 @@
     contract route = routeOf("write-up");
     route.mustFinish = true;
     request_trial request(route);
-    request.stop();
+    stop(request);
     request.runUntil(plan.giveUpAt);
     cr_assert(!request.machine.isOver());
 }
+
+// Its claim is still being written in the key-value service. It is refused, and a claim that is won later sends nothing any more.
+Test(stop_bounds, a_request_that_waits_for_its_claim_is_refused_and_never_sent)
+{
+    contract route = routeOf("orders");
+    request_facts facts = factsOf(route, service_kind::Plain);
+    facts.needsClaim = true;
+    request_trial request(facts);
+    request.grantSlot();
+    cr_assert(request.asksFor<make_claim>());
+    stop(request);
+    request.runUntil(plan.bounds.sendUntil - 1ms);
+    cr_assert(!request.machine.isOver(), "the claim may still be won in time");
+    request.runUntil(plan.bounds.sendUntil);
+    cr_assert(request.failure() == error_kind::ShuttingDown);
+    request.actions = request.machine.onClaimed(plan.bounds.sendUntil + 1ms);
+    cr_assert(request.actions.empty());
+}
+
+// The first attempt may still be answered, so the end of the time to send does not end it; a slot that is granted after its end goes back.
+Test(stop_bounds, a_hedge_that_waits_for_a_slot_ends_with_the_first_attempt)
+{
+    contract route = routeOf("look");
+    route.repeatable = true;
+    request_trial request(factsOf(route, service_kind::Plain));
+    request.send();
+    request.runUntil(test::worldStart + route.firstTokenTarget);
+    cr_assert(request.asksFor<acquire_slot>(), "no hedge");
+    stop(request);
+    request.runUntil(plan.bounds.answerUntil - 1ms);
+    cr_assert(!request.machine.isOver());
+    request.runUntil(plan.bounds.answerUntil);
+    cr_assert(request.failure() == error_kind::StoppedUnanswered);
+    const endpoint_ptr other = test::endpointWithSlot("e2");
+    cr_assert(other->load->tryAcquire());
+    request.actions = request.machine.onSlot(other, plan.bounds.answerUntil + 1ms);
+    cr_assert(request.asksFor<release_slot>() && !request.asksFor<send_attempt>());
+}
+
+// Its endpoint is reclaimed and has not answered; the stream is still there until another endpoint has a slot.
+Test(stop_bounds, a_move_that_waits_for_a_slot_ends_with_its_attempt)
+{
+    contract route = routeOf("chat");
+    route.repeatable = true;
+    route.firstTokenTarget = 10s; // its silence is not the endpoint's fault before the end of the stop
+    request_trial request(route);
+    request.send();
+    request.actions = request.machine.onReclaimNotice("e1", plan.giveUpAt, move_method::Resume, test::worldStart);
+    cr_assert(request.asksFor<acquire_slot>(), "no move");
+    stop(request);
+    request.runUntil(plan.bounds.answerUntil - 1ms);
+    cr_assert(!request.machine.isOver());
+    request.runUntil(plan.bounds.answerUntil);
+    cr_assert(request.failure() == error_kind::StoppedUnanswered);
+}
