A request whose caller has left before it is read is not begun

Cause, by the log of such a request: admitted, placed and sent in one millisecond, 2.8 s after its caller's close, which is noticed 30 ms later. The watch of a caller waited for the thread's next turn, and the own interface's gateway began requests before it watched at all.

watchCaller() looks at once, both gateways watch before they begin, and begin() does nothing for a request that is over.

callers_that_left/* (two tests) failed before, three times of three; they pass with this change.

--- a/src/shell/gateway.cpp
+++ b/src/shell/gateway.cpp
@@ -163,8 +163,7 @@
     request_facts facts = makeRequestFacts(client, *route, service_kind::Model);
     facts.prefix = prefixKey(payload.prompt);
     const auto session = std::make_shared<request_session>(m_host, currentThread(), std::move(facts), std::move(payload));
-    session->begin();
-    co_await answer(exchange, session, 0);
+    co_await beginAndAnswer(exchange, session);
 }
 
 asio::awaitable<void> gateway::handlePlain(http_exchange &exchange)
@@ -195,35 +194,35 @@
     request_facts facts = makeRequestFacts(client, *route, service_kind::Plain);
     facts.needsClaim = !route->repeatable && !payload.idempotencyKey.empty();
     const auto session = std::make_shared<request_session>(m_host, currentThread(), std::move(facts), std::move(payload));
-    session->begin();
-    co_await answer(exchange, session, 0);
+    co_await beginAndAnswer(exchange, session);
 }
 
-asio::awaitable<void> gateway::answer(http_exchange &exchange, const std::shared_ptr<request_session> &session, std::uint32_t from)
+asio::awaitable<void> gateway::beginAndAnswer(http_exchange &exchange, const std::shared_ptr<request_session> &session)
 {
     exchange.watchCaller([session] { session->onCallerGone(); });
+    session->begin();
     if (session->payload().stream) {
-        co_await answerStream(exchange, session, from);
+        co_await answerStream(exchange, session);
     } else {
         co_await answerBuffered(exchange, session);
     }
     session->onReaderLeft();
 }
 
-asio::awaitable<void> gateway::answerStream(http_exchange &exchange, const std::shared_ptr<request_session> &session, std::uint32_t from)
+asio::awaitable<void> gateway::answerStream(http_exchange &exchange, const std::shared_ptr<request_session> &session)
 {
     const std::string id = session->facts().id;
     // Send the status only with the first token, so that a request that fails earlier gets an ordinary HTTP error.
-    while (session->readable() <= from && !session->isOver()) {
+    while (session->readable() == 0 && !session->isOver()) {
         co_await session->waitForChange();
     }
-    if (session->failed() && session->readable() <= from) {
+    if (session->failed() && session->readable() == 0) {
         co_await exchange.respond(responseFor(session->failure()).httpStatus, "application/json", errorBody(session->failure(), id, ""), idHeader(id));
         co_return;
     }
     bool open = co_await exchange.startStream(200, "text/event-stream", idHeader(id));
     const std::string prefix = eventPrefix(*session);
-    std::uint32_t next = from;
+    std::uint32_t next = 0;
     std::string batch;
     while (open) {
         batch = formatEvents(*session, next, prefix);
--- a/src/shell/gateway.h
+++ b/src/shell/gateway.h
@@ -75,8 +75,8 @@
     boost::asio::awaitable<void> attachToPeer(http_exchange &exchange, std::string id, std::string account, std::uint32_t from);
     boost::asio::awaitable<void> streamFromPeer(http_exchange &exchange, std::string id, std::string account, std::uint32_t next);
     boost::asio::awaitable<void> answerBufferedFromPeer(http_exchange &exchange, const std::shared_ptr<request_session> &session);
-    boost::asio::awaitable<void> answer(http_exchange &exchange, const std::shared_ptr<request_session> &session, std::uint32_t from);
-    boost::asio::awaitable<void> answerStream(http_exchange &exchange, const std::shared_ptr<request_session> &session, std::uint32_t from);
+    boost::asio::awaitable<void> beginAndAnswer(http_exchange &exchange, const std::shared_ptr<request_session> &session);
+    boost::asio::awaitable<void> answerStream(http_exchange &exchange, const std::shared_ptr<request_session> &session);
     boost::asio::awaitable<void> answerBuffered(http_exchange &exchange, const std::shared_ptr<request_session> &session);
 
     caller authenticate(const http_request &request) const;
--- a/src/shell/http.h
+++ b/src/shell/http.h
@@ -60,9 +60,10 @@
     // The same, but adds only the framing and Connection headers to the given ones. For responses forwarded from an endpoint.
     virtual boost::asio::awaitable<void> respondWithHeaders(int status, http_headers headers, std::string body) = 0;
     virtual boost::asio::awaitable<bool> startStreamWithHeaders(int status, http_headers headers) = 0; // false: the caller disconnected
-    virtual void abandon() = 0;                                       // closes without the final chunk: the caller sees a truncated response
-    virtual void watchCaller(std::function<void()> onDisconnect) = 0; // called once if the caller disconnects before the handler returns
-    [[nodiscard]] virtual bool started() const = 0;                   // the status line was sent, or sending it began
+    virtual void abandon() = 0; // closes without the final chunk: the caller sees a truncated response
+    // Called once if the caller disconnects before the handler returns; at once if it already has.
+    virtual void watchCaller(std::function<void()> onDisconnect) = 0;
+    [[nodiscard]] virtual bool started() const = 0; // the status line was sent, or sending it began
     [[nodiscard]] virtual boost::asio::any_io_executor executor() const = 0;
 };
 
--- a/src/shell/http_connection.h
+++ b/src/shell/http_connection.h
@@ -163,7 +163,7 @@
     {
         m_onDisconnect = std::move(onDisconnect);
         ++m_watchGeneration;
-        waitReadable();
+        onReadable(m_watchGeneration, {}); // the caller may have left before its request was read
     }
 
     [[nodiscard]] bool started() const override { return m_started; }
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -47,6 +47,9 @@
 
 void request_session::begin(std::vector<std::string> deliveredTokens)
 {
+    if (m_machine.isOver()) {
+        return; // its caller has left
+    }
     m_tokens = std::move(deliveredTokens);
     m_tokenCount = static_cast<std::uint32_t>(m_tokens.size());
     countUnread();
--- a/src/shell/request_session.h
+++ b/src/shell/request_session.h
@@ -28,7 +28,8 @@
 public:
     request_session(request_host &host, request_thread &thread, request_facts facts, request_payload payload);
 
-    void begin(std::vector<std::string> deliveredTokens = {}); // call once; `deliveredTokens`: tokens received from the previous owner
+    // Call once, after onCallerGone() if the caller has left already. `deliveredTokens`: received from the previous owner.
+    void begin(std::vector<std::string> deliveredTokens = {});
 
     // ---- For readers, on the session's thread
     [[nodiscard]] std::uint32_t readable() const; // number of tokens that may be sent to callers
