Looking for a caller's close takes no room in its connection's buffer

It peeks at one byte now, and reads only if something has come, as before. Behaviour is the same; callers_that_left/* and http_server/* pass. The memory was not measured.

--- a/src/shell/http_connection.h
+++ b/src/shell/http_connection.h
@@ -163,7 +163,11 @@
     {
         m_onDisconnect = std::move(onDisconnect);
         ++m_watchGeneration;
-        onReadable(m_watchGeneration, {}); // the caller may have left before its request was read
+        if (hasInput()) { // the caller may have left before its request was read
+            onReadable(m_watchGeneration, {});
+        } else {
+            waitReadable();
+        }
     }
 
     [[nodiscard]] bool started() const override { return m_started; }
@@ -425,6 +429,16 @@
         }
     }
 
+    // Whether a read would return at once, with bytes, the end or an error. Takes no room in the buffer, which a connection keeps for its life.
+    [[nodiscard]] bool hasInput()
+    {
+        beast::error_code code;
+        char next = 0;
+        m_stream.socket().non_blocking(true, code);
+        m_stream.socket().receive(asio::buffer(&next, 1), tcp::socket::message_peek, code);
+        return code != asio::error::would_block;
+    }
+
     void waitReadable()
     {
         m_stream.socket().async_wait(tcp::socket::wait_read,
