--- a/tests/support/socket_caller.h
+++ b/tests/support/socket_caller.h
@@ -15,6 +15,13 @@
 
 namespace chicoryrouter::test {
 
+// The head of a request to a small_deployment; `more`: further headers, each with its line end.
+inline std::string requestHead(const std::string &method, const std::string &target, const std::string &id, const std::string &more = {})
+{
+    return method + " " + target + " HTTP/1.1\r\nHost: tassel.example\r\nX-Request-Id: " + id + "\r\nX-Api-Key: key-1\r\nX-Deadline-Ms: 10000\r\n" + more
+        + "\r\n";
+}
+
 enum class answer_end {
     Whole,
     Ended, // the connection was closed before the answer was whole
@@ -74,6 +81,13 @@
         return true;
     }
 
+    // Whether anything has come, or the connection has ended.
+    [[nodiscard]] bool hasInput() const
+    {
+        char next = 0;
+        return ::recv(m_socket, &next, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    }
+
     socket_answer readAnswer()
     {
         socket_answer answer;
