Tests: the stand-in store can come back from an older copy

takeCopy() keeps items, history and both counters; comeBackFromCopy() makes the store that copy again: leases and the items under them are gone (or live on, comeBackFromCopyWithLeases()), revisions and lease numbers are given out again, waiting watches are cut, a watch from a revision that the store doesn't have gets 410, and the era rises by one. All answers state it in Store-Era, refusals too; faults.eraless leaves it out. What a test asserts against it: era(), revision(), revisionOf().

Nothing changes for a store that never comes back, but for the header.

--- a/tests/support/hosted_platform.cpp
+++ b/tests/support/hosted_platform.cpp
@@ -63,10 +63,10 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
-asio::awaitable<void> respondJson(http_exchange &exchange, int status, const json &body)
+asio::awaitable<void> respondJson(http_exchange &exchange, int status, const json &body, http_headers extra)
 {
     std::string text = body.dump();
-    co_await exchange.respond(status, "application/json", std::move(text));
+    co_await exchange.respond(status, "application/json", std::move(text), std::move(extra));
 }
 
 bool takeOne(std::atomic<int> &knob)
@@ -102,30 +102,30 @@
 
 void hosted_store::write(const std::string &key, std::string encoded, std::uint64_t lease)
 {
-    item &held = m_items[key];
+    item &held = m_now.items[key];
     held.value = std::move(encoded);
-    held.revision = ++m_revision;
+    held.revision = ++m_now.revision;
     held.createdAt = held.createdAt == 0 ? held.revision : held.createdAt;
     held.lease = lease;
-    m_changes.push_back({key, held.revision, false, held});
+    m_now.changes.push_back({key, held.revision, false, held});
 }
 
 void hosted_store::erase(const std::string &key)
 {
-    if (m_items.erase(key) > 0) {
-        m_changes.push_back({key, ++m_revision, true, {}});
+    if (m_now.items.erase(key) > 0) {
+        m_now.changes.push_back({key, ++m_now.revision, true, {}});
     }
 }
 
 void hosted_store::endLapsed()
 {
-    for (auto held = m_leases.begin(); held != m_leases.end();) {
+    for (auto held = m_now.leases.begin(); held != m_now.leases.end();) {
         if (held->second.until > systemNow()) {
             ++held;
             continue;
         }
         std::vector<std::string> gone;
-        for (const auto &[key, value] : m_items) {
+        for (const auto &[key, value] : m_now.items) {
             if (value.lease == held->first) {
                 gone.push_back(key);
             }
@@ -133,7 +133,7 @@
         for (const std::string &key : gone) {
             erase(key);
         }
-        held = m_leases.erase(held);
+        held = m_now.leases.erase(held);
     }
 }
 
@@ -152,15 +152,15 @@
 std::string hosted_store::value(const std::string &key)
 {
     const std::lock_guard guard(m_lock);
-    const auto found = m_items.find(key);
-    return found == m_items.end() ? std::string() : decode(found->second.value);
+    const auto found = m_now.items.find(key);
+    return found == m_now.items.end() ? std::string() : decode(found->second.value);
 }
 
 std::vector<std::string> hosted_store::keys(const std::string &prefix)
 {
     const std::lock_guard guard(m_lock);
     std::vector<std::string> found;
-    for (const auto &[key, value] : m_items) {
+    for (const auto &[key, value] : m_now.items) {
         if (key.compare(0, prefix.size(), prefix) == 0) {
             found.push_back(key);
         }
@@ -171,12 +171,69 @@
 void hosted_store::lapseLeases()
 {
     const std::lock_guard guard(m_lock);
-    for (auto &[id, held] : m_leases) {
+    for (auto &[id, held] : m_now.leases) {
         held.until = {};
     }
     endLapsed();
 }
 
+void hosted_store::takeCopy()
+{
+    const std::lock_guard guard(m_lock);
+    endLapsed();
+    m_copy = m_now;
+}
+
+void hosted_store::comeBackFromCopy()
+{
+    const std::lock_guard guard(m_lock);
+    becomeCopy();
+    for (auto held = m_now.items.begin(); held != m_now.items.end();) {
+        held = held->second.lease != 0 ? m_now.items.erase(held) : std::next(held);
+    }
+    m_now.leases.clear();
+}
+
+void hosted_store::comeBackFromCopyWithLeases()
+{
+    const std::lock_guard guard(m_lock);
+    becomeCopy();
+    for (auto &[id, held] : m_now.leases) {
+        held.until = systemNow() + held.term;
+    }
+}
+
+void hosted_store::becomeCopy()
+{
+    m_now = m_copy;
+    m_forgotten.clear();
+    ++m_era;
+}
+
+std::uint64_t hosted_store::era()
+{
+    const std::lock_guard guard(m_lock);
+    return m_era;
+}
+
+std::uint64_t hosted_store::revision()
+{
+    const std::lock_guard guard(m_lock);
+    return m_now.revision;
+}
+
+std::uint64_t hosted_store::revisionOf(const std::string &key)
+{
+    const std::lock_guard guard(m_lock);
+    const auto found = m_now.items.find(key);
+    return found == m_now.items.end() ? 0 : found->second.revision;
+}
+
+http_headers hosted_store::eraHeader() const
+{
+    return faults.eraless ? http_headers{} : http_headers{{"Store-Era", std::to_string(m_era)}};
+}
+
 json hosted_store::itemJson(const std::string &key, const item &held) const
 {
     return {{"Key", key}, {"Value", held.value}, {"Revision", held.revision}, {"CreatedAt", held.createdAt}, {"Lease", held.lease}};
@@ -194,9 +251,14 @@
         co_await pause(exchange, 60s);
         co_return;
     }
+    http_headers extra;
     if (faults.refusing) {
         const json nothing = json::object();
-        co_await respondJson(exchange, 503, nothing);
+        {
+            const std::lock_guard guard(m_lock);
+            extra = eraHeader();
+        }
+        co_await respondJson(exchange, 503, nothing, std::move(extra));
         co_return;
     }
     if (path == "/api/kv-watch") {
@@ -215,8 +277,8 @@
         if (path == "/api/kv-range") {
             const std::string prefix = unescape(exchange.request.parameter("Prefix"));
             const std::string after = unescape(exchange.request.parameter("After"));
-            answer = {{"Items", json::array()}, {"HasMore", false}, {"At", m_revision}};
-            for (const auto &[key, held] : m_items) {
+            answer = {{"Items", json::array()}, {"HasMore", false}, {"At", m_now.revision}};
+            for (const auto &[key, held] : m_now.items) {
                 if (key.compare(0, prefix.size(), prefix) != 0 || (!after.empty() && key <= after)) {
                     continue;
                 }
@@ -229,12 +291,12 @@
         } else if (path == "/api/kv-lease") {
             const json wanted = json::parse(exchange.request.body);
             const duration term = std::chrono::milliseconds(wanted.at("TtlMs").get<std::int64_t>());
-            m_leases[++m_nextLease] = {systemNow() + term, term};
-            answer = {{"Lease", m_nextLease}, {"TtlMs", wanted.at("TtlMs")}};
+            m_now.leases[++m_now.nextLease] = {systemNow() + term, term};
+            answer = {{"Lease", m_now.nextLease}, {"TtlMs", wanted.at("TtlMs")}};
         } else if (path.rfind("/api/kv-keep/", 0) == 0 || path.rfind("/api/kv-lease-end/", 0) == 0) {
-            const auto found = m_leases.find(std::stoull(path.substr(path.rfind('/') + 1)));
-            status = found == m_leases.end() ? 404 : 200;
-            if (found != m_leases.end()) {
+            const auto found = m_now.leases.find(std::stoull(path.substr(path.rfind('/') + 1)));
+            status = found == m_now.leases.end() ? 404 : 200;
+            if (found != m_now.leases.end()) {
                 const bool ends = path.rfind("/api/kv-lease-end/", 0) == 0;
                 found->second.until = ends ? time_point{} : systemNow() + found->second.term;
                 endLapsed();
@@ -242,25 +304,26 @@
         } else {
             status = 404;
         }
+        extra = eraHeader();
     }
     if (onPage && answer.contains("Items") && !answer["Items"].empty()) {
         onPage(answer["Items"].back()["Key"]);
     }
-    co_await answerItems(exchange, status, std::move(answer));
+    co_await answerItems(exchange, status, std::move(answer), std::move(extra));
 }
 
 // A list or watch's answer, as fast as the link is.
-asio::awaitable<void> hosted_store::answerItems(http_exchange &exchange, int status, json answer) const
+asio::awaitable<void> hosted_store::answerItems(http_exchange &exchange, int status, json answer, http_headers extra) const
 {
     const int rate = faults.bytesPerSecond;
     if (rate == 0) {
-        co_await respondJson(exchange, status, answer);
+        co_await respondJson(exchange, status, answer, std::move(extra));
         co_return;
     }
     constexpr duration pieceEach = 50ms;
     const std::string text = answer.dump();
-    http_headers headers = {{"Content-Type", "application/json"}};
-    bool open = co_await exchange.startStreamWithHeaders(status, std::move(headers));
+    extra.push_back({"Content-Type", "application/json"});
+    bool open = co_await exchange.startStreamWithHeaders(status, std::move(extra));
     const time_point begun = systemNow();
     std::size_t sent = 0;
     while (open && sent < text.size()) {
@@ -283,13 +346,21 @@
     const time_point until = systemNow() + std::chrono::milliseconds(std::stoll(exchange.request.parameter("WaitMs")));
     json answer = {{"events", json::array()}, {"At", after}};
     int status = 200;
+    http_headers extra;
+    std::uint64_t eraAsked = 0; // 0: not looked yet
+    bool cut = false;           // the store came back from a copy: its changes are others now, also under the same revisions
+    bool waits = true;
     const scoped_count waiting(m_watching);
-    while (systemNow() < until && answer["events"].empty() && status == 200 && !faults.down && !faults.silent) {
+    while (waits) {
         {
             const std::lock_guard guard(m_lock);
             endLapsed();
-            answer["At"] = m_revision;
-            for (const change &item : m_changes) {
+            eraAsked = eraAsked == 0 ? m_era : eraAsked;
+            cut = eraAsked != m_era;
+            extra = eraHeader();
+            answer["At"] = m_now.revision;
+            status = after > m_now.revision ? 410 : 200; // a revision that it doesn't have
+            for (const change &item : m_now.changes) {
                 if (item.revision > after && item.key.compare(0, prefix.size(), prefix) == 0) {
                     const json gone = {{"Key", item.key}, {"Revision", item.revision}, {"Deleted", true}};
                     answer["events"].push_back(item.deleted ? gone : itemJson(item.key, item.now));
@@ -299,18 +370,19 @@
                 status = 410;
             }
         }
-        if (answer["events"].empty() && status == 200) {
+        waits = systemNow() < until && answer["events"].empty() && status == 200 && !cut && !faults.down && !faults.silent;
+        if (waits) {
             co_await pause(exchange, 10ms);
         }
     }
     if (faults.silent) {
         co_await pause(exchange, 60s);
     }
-    if (faults.down) {
+    if (faults.down || cut) {
         exchange.abandon();
         co_return;
     }
-    co_await answerItems(exchange, status, std::move(answer));
+    co_await answerItems(exchange, status, std::move(answer), std::move(extra));
 }
 
 asio::awaitable<void> hosted_store::answerChange(http_exchange &exchange)
@@ -318,17 +390,18 @@
     const json wanted = json::parse(exchange.request.body);
     json answer = json::object();
     int status = 200;
+    http_headers extra;
     {
         const std::lock_guard guard(m_lock);
         endLapsed();
         for (const json &row : wanted.at("ExpectedRev")) {
-            const auto held = m_items.find(row.at("Key"));
-            const std::uint64_t revision = held == m_items.end() ? 0 : held->second.revision;
+            const auto held = m_now.items.find(row.at("Key"));
+            const std::uint64_t revision = held == m_now.items.end() ? 0 : held->second.revision;
             status = revision == row.at("Revision").get<std::uint64_t>() ? status : 412;
         }
         for (const json &row : wanted.at("Writes")) {
             const std::uint64_t lease = row.value("Lease", std::uint64_t{0});
-            status = status == 200 && lease != 0 && m_leases.count(lease) == 0 ? 404 : status;
+            status = status == 200 && lease != 0 && m_now.leases.count(lease) == 0 ? 404 : status;
         }
         if (status == 200) {
             for (const json &row : wanted.at("Writes")) {
@@ -337,14 +410,15 @@
             for (const json &key : wanted.at("Remove")) {
                 erase(key);
             }
-            answer["Revision"] = m_revision;
+            answer["Revision"] = m_now.revision;
         }
+        extra = eraHeader();
     }
     if (status == 200 && takeOne(faults.loseReplies)) {
         exchange.abandon();
         co_return;
     }
-    co_await respondJson(exchange, status, answer);
+    co_await respondJson(exchange, status, answer, std::move(extra));
 }
 
 // ---- Endpoints -------------------------------------------------------------------------------------------------------------------------
--- a/tests/support/hosted_platform.h
+++ b/tests/support/hosted_platform.h
@@ -39,6 +39,7 @@
     std::atomic<bool> refusing{false};  // 503 to everything
     std::atomic<int> loseReplies{0};    // so many changes take effect and their answers are lost
     std::atomic<bool> forgetful{false}; // watches are told that their history is gone, once each
+    std::atomic<bool> eraless{false};   // answers state no era, as stores did that never came back from a copy
     std::atomic<int> bytesPerSecond{0}; // of every answer to a list or watch, over a thin link; 0: at once
 };
 
@@ -56,6 +57,14 @@
     [[nodiscard]] std::string value(const std::string &key); // decoded; empty when there is none
     [[nodiscard]] std::vector<std::string> keys(const std::string &prefix);
     void lapseLeases(); // all leases run out at once
+    void takeCopy();    // items, history and both counters as they are now
+    // The store is the last copy from now on and its era rises. Acknowledged changes since are gone, and so are waiting watches; revisions and
+    // lease numbers are given out again. No lease is left, nor any item under one.
+    void comeBackFromCopy();
+    void comeBackFromCopyWithLeases(); // the same, but leases that the copy knows live on for another term, with the items under them
+    [[nodiscard]] std::uint64_t era();
+    [[nodiscard]] std::uint64_t revision();                         // of the newest change
+    [[nodiscard]] std::uint64_t revisionOf(const std::string &key); // 0: there is no such item
     [[nodiscard]] std::uint64_t calls() const { return m_calls; }
     [[nodiscard]] std::size_t watching() const { return m_watching; } // watches that wait for changes now
 
@@ -80,21 +89,30 @@
         duration term{};
     };
 
+    struct content
+    {
+        std::map<std::string, item> items;
+        std::vector<change> changes;
+        std::map<std::uint64_t, lease> leases;
+        std::uint64_t revision = 1;
+        std::uint64_t nextLease = 1000;
+    };
+
     boost::asio::awaitable<void> handle(http_exchange &exchange);
-    boost::asio::awaitable<void> answerItems(http_exchange &exchange, int status, nlohmann::json answer) const;
+    boost::asio::awaitable<void> answerItems(http_exchange &exchange, int status, nlohmann::json answer, http_headers extra) const;
     boost::asio::awaitable<void> answerWatch(http_exchange &exchange);
     boost::asio::awaitable<void> answerChange(http_exchange &exchange);
     nlohmann::json itemJson(const std::string &key, const item &held) const;
-    void write(const std::string &key, std::string encoded, std::uint64_t lease); // the three below with the lock held
+    void write(const std::string &key, std::string encoded, std::uint64_t lease); // the five below with the lock held
     void erase(const std::string &key);
     void endLapsed();
+    void becomeCopy();
+    [[nodiscard]] http_headers eraHeader() const;
 
     std::mutex m_lock;
-    std::map<std::string, item> m_items;
-    std::vector<change> m_changes;
-    std::map<std::uint64_t, lease> m_leases;
-    std::uint64_t m_revision = 1;
-    std::uint64_t m_nextLease = 1000;
+    content m_now;
+    content m_copy;
+    std::uint64_t m_era = 1;
     std::set<std::uint64_t> m_forgotten; // revisions at which a watch was already told to list again
     std::atomic<std::uint64_t> m_calls{0};
     std::atomic<std::size_t> m_watching{0};
