--- a/tests/support/hosted_platform.cpp
+++ b/tests/support/hosted_platform.cpp
@@ -588,6 +588,7 @@
         call.body = json::parse(exchange.request.body);
         {
             const std::lock_guard guard(m_lock);
+            call.at = systemNow();
             m_calls.push_back(std::move(call));
         }
         const int answered = status.load();
--- a/tests/support/hosted_platform.h
+++ b/tests/support/hosted_platform.h
@@ -182,6 +182,7 @@
     std::string holder;
     std::uint64_t fencing = 0;
     nlohmann::json body;
+    time_point at{}; // of its arrival
 };
 
 class hosted_cloud : hosted_stand_in
