A store that comes back from an older copy is noticed by its era, and nothing of the history before is compared with it

Cause: the daemons took the store's revisions to rise for ever. After a return they are given out again. A change below the revision known for its key was passed over, also when the store was listed anew; a watch went on from a position of the lost history; the record of the last usage report was believed although the copy's was older; the leader's key as held in memory kept everyone from leading; fencing tokens and document revisions fell.

Change: a position is an era (header Store-Era) and a revision. The first answer of another era makes a daemon drop position, items, change log, lease and leadership and list anew. The first one to do so records the return under chicory/return, together with what the system wrote and the copy lacks; until then nobody leads and no document is composed. Windows that were due by then are reported only as recorded. Numbers that peers and the platform compare rise by 2^32 with each return. Endpoints that left stay out although the copy lists them. An order of a version move that is written again is the one of before. docs/design/store-returns.md tells what was weighed.

Why this works: each number is compared within its era alone, and a usage window whose report may be lost is never reported with other counts.

--- a/src/shell/log_events.h
+++ b/src/shell/log_events.h
@@ -76,7 +76,9 @@
     StoreBack,
     StoreCallFailed,
     StoreHistoryGone,
-    TellerLeft, // stopped polling the peer that watches the key-value service
+    StoreReturned,  // from an older copy
+    ReturnRecorded, // with what the copy lacked
+    TellerLeft,     // stopped polling the peer that watches the key-value service
     // ---- Membership and leader tasks
     EntryLapsed, // this daemon's member entry expired
     LeadTaken,   // this daemon became the leader
--- a/tests/unit/change_log.cpp
+++ b/tests/unit/change_log.cpp
@@ -46,13 +46,13 @@
 Test(change_log, changes_survive_their_encoding_and_garbage_is_none)
 {
     change_batch told;
-    told.revision = 12;
+    told.at = {3, 12};
     told.age = 250ms;
     told.items = {itemAt(10), itemAt(12)};
     told.items[1].deleted = true;
     const std::string bytes = encodeChanges(told);
     const std::optional<change_batch> back = decodeChanges(bytes);
-    cr_assert(back && back->revision == 12 && back->age == duration(250ms) && back->items.size() == 2);
+    cr_assert(back && back->at == (store_position{3, 12}) && back->age == duration(250ms) && back->items.size() == 2);
     cr_assert(back->items[0].key == told.items[0].key && back->items[0].value == told.items[0].value && back->items[0].lease == 5);
     cr_assert(back->items[1].deleted && back->items[1].revision == 12);
     seeded_random random(7);
@@ -105,6 +105,17 @@
     }
 }
 
+// A peer of a former build states and reads no era.
+Test(change_log, a_position_is_read_with_and_without_its_era)
+{
+    cr_assert(decodePosition(encodePosition({4, 250}), 9) == (store_position{4, 250}));
+    cr_assert(decodePosition("250", 9) == (store_position{9, 250}));
+    cr_assert(encodePosition({4, 250}).starts_with("250 "), "a former build reads the digits before the blank");
+    for (const char *broken : {"", " ", "x", "-1", "250 x"}) {
+        cr_assert(!decodePosition(broken, 9), "'%s'", broken);
+    }
+}
+
 // Twelve followers of one teller on a link of 10 Mbit/s: a configuration of 1,445 routes that has changed three times since they asked
 // reaches all of them within half a second of sending. Whole and unpacked it took more than eight.
 Test(change_log, a_large_configuration_reaches_a_failure_domain_over_a_thin_link)
@@ -121,7 +132,7 @@
         log.add(item);
     }
     change_batch told;
-    told.revision = 103;
+    told.at = {1, 103};
     told.items = *log.since(100);
     const std::string bytes = encodeChanges(told);
     cr_assert_lt(bytes.size() * followers, linkBytesPerHalfSecond, "%zu bytes for each", bytes.size());
