An entry of an endpoint's earlier start is not taken for a restart

Cause: the fleet compared the incarnation of an entry (`born`) for difference only. A store that comes back from an older copy names an endpoint's earlier start until the endpoint has written again: the endpoint was taken for new, and that it leaves (told by its entry or in its answers) was forgotten, also after its own entry was back.

Change: only a higher incarnation is a restart; with a lower one what is known stays. An endpoint that starts again with its machine's clock set back keeps what is known of it; one that had been leaving stays out until its entry goes.

Result: limits/an_entry_of_an_earlier_start_* (2) failed before and pass.

--- a/include/chicoryrouter/fleet.h
+++ b/include/chicoryrouter/fleet.h
@@ -34,7 +34,7 @@
     bool leaving = false;
     time_point leaveBy = noDeadline; // when the instance will be gone; meaningful only if `leaving`
     std::uint32_t slots = 0;         // concurrent requests, as the endpoint reports; 0: the document's limit applies
-    std::uint64_t incarnation = 0;   // changes with every restart, which loses all requests and state; 0: unknown
+    std::uint64_t incarnation = 0;   // rises with every restart, which loses all requests and state; 0: unknown
     time_point coldUntil{};          // until then it accepts fewer new requests per second (service::coldRequestsPerSecond)
 };
 
--- a/src/core/fleet.cpp
+++ b/src/core/fleet.cpp
@@ -154,16 +154,17 @@
     return false;
 }
 
-// A restarted endpoint with a known id has lost its open requests and all state, so everything learned about it is reset.
+// A restarted endpoint with a known id has lost its open requests and all state, so everything learned about it is reset. A lower incarnation is no
+// restart: a list that came back from an older copy names a former one, until the endpoint has written its entry again.
 void fleet::applyRecord(known_endpoint &item, const instance_record &record)
 {
-    if (item.incarnation != 0 && record.incarnation != 0 && item.incarnation != record.incarnation) {
+    if (item.incarnation != 0 && record.incarnation > item.incarnation) {
         endpoint info = item.info;
         info.load = std::make_shared<endpoint_load>();
         item = {};
         item.info = std::move(info);
     }
-    item.incarnation = record.incarnation;
+    item.incarnation = record.incarnation == 0 ? 0 : std::max(item.incarnation, record.incarnation);
     if (hasDeparted(item)) {
         markDeparted(item);
     }
--- a/tests/unit/limits.cpp
+++ b/tests/unit/limits.cpp
@@ -249,12 +249,12 @@
 
 namespace {
 
-// Two endpoints of which "e0" has said in an answer that it leaves; both of incarnation 1.
+// Two endpoints of which "e0" has said in an answer that it leaves; "e1" is of incarnation 1.
 struct fleet_with_leaver
 {
-    fleet_with_leaver()
+    explicit fleet_with_leaver(std::uint64_t incarnation = 1)
     {
-        list(2, 1);
+        list(2, incarnation);
         all.buildTable();
         for (const endpoint_ptr &item : all.endpoints()) {
             leaver = item->id == "e0" ? item : leaver;
@@ -305,6 +305,35 @@
     cr_expect_eq(usable(restartedLater.all), 2);
 }
 
+// A store that comes back from an older copy lists the endpoint as it was before its newest start, until the endpoint has written again.
+Test(limits, an_entry_of_an_earlier_start_does_not_bring_back_an_endpoint_that_said_that_it_leaves)
+{
+    fleet_with_leaver one(5);
+    one.list(2, 4);
+    cr_expect_eq(usable(one.all), 1, "used by the entry of its earlier start");
+    one.list(2, 5);
+    cr_expect_eq(usable(one.all), 1, "used when its own entry is back");
+    one.list(2, 6);
+    cr_expect_eq(usable(one.all), 2, "not used after a new start");
+}
+
+Test(limits, an_entry_of_an_earlier_start_does_not_take_back_that_an_endpoint_leaves)
+{
+    fleet all = fleetOf(2);
+    std::vector<instance_record> list;
+    for (const char *id : {"e0", "e1"}) {
+        list.push_back({id, "fd-1", instance_class::Reclaimable, "writer", "v1", {"10.0.0.1", 1}});
+        list.back().incarnation = 5;
+    }
+    list[0].leaving = true;
+    all.onInstanceList(list, someday);
+    cr_assert_eq(usable(all), 1);
+    list[0].leaving = false;
+    list[0].incarnation = 4;
+    all.onInstanceList(list, someday);
+    cr_expect_eq(usable(all), 1);
+}
+
 // The endpoint is new to this daemon, or its entry has lapsed here.
 Test(limits, a_departure_told_by_another_daemon_holds_for_its_incarnation)
 {
