A daemon that starts again with its clock set back is heard again

Cause: a spending report whose process start is below the one known was taken for a late one of a former process, without an end: the member list keeps the known one alive. Its requests were missing from the usage, every usage report waited for its counts until the last moment, its spending was estimated.

Change: such a report is late only within 5 s of the newest one; after that it is a restart.

--- a/src/core/spending.cpp
+++ b/src/core/spending.cpp
@@ -15,6 +15,7 @@
 constexpr duration silentAfter = 700ms;         // several reports in a row are missing
 constexpr duration silentAfterPerMember = 30ms; // reports are sent less often in a large deployment
 constexpr double mostAsked = 1e12;              // tokens per second that a report may state
+constexpr duration lateReportAge = 5s;          // no report arrives so late: one of an earlier start is then a restart after the clock was set back
 constexpr duration removeAfter = 20s;           // neither heard from nor in the member list for that long: it no longer serves requests
 
 } // namespace
@@ -97,7 +98,7 @@
     if (!restarted && report.sequence <= from.sequence) {
         return;
     }
-    if (restarted && report.start < from.start) {
+    if (restarted && report.start < from.start && now < from.heardAt + lateReportAge) {
         return; // from a process before the known restart
     }
     from.interval = now - from.heardAt;
--- a/tests/unit/spending.cpp
+++ b/tests/unit/spending.cpp
@@ -68,6 +68,23 @@
     cr_assert_float_eq(tally.drainRemoteSpending("guild", 0.0, start + 1s), 80.0, 0.1);
 }
 
+// The process start in its notes comes from the machine's clock.
+Test(spending, a_daemon_that_starts_again_with_its_clock_set_back_is_heard_again)
+{
+    spending_tracker tally("entry-1");
+    tally.receive(noteOf("entry-2", 9, 50, 5000), start);
+    for (std::uint64_t sequence = 1; sequence <= 30; ++sequence) {
+        const time_point now = start + std::chrono::seconds(sequence);
+        tally.setMembers({"entry-1", "entry-2"}, now);
+        spending_report note = noteOf("entry-2", 7, sequence, 10 * sequence);
+        note.startedRequests[41]["guild"] = 5;
+        tally.receive(note, now);
+    }
+    cr_expect(tally.heardFromAllSince(start + 29s), "its notes are passed over for good");
+    cr_expect_eq(tally.remoteStartedRequests(41)["guild"], 5, "its requests are missing from the usage");
+    cr_expect_eq(tally.silentCount(start + 30s), 0);
+}
+
 // Two halves that cannot hear each other must not both take the whole limit.
 Test(spending, a_silent_daemon_is_taken_to_spend_its_part_until_it_must_be_gone)
 {
