A member that starts again with its clock set back goes above its former self

Cause: the first incarnation is the time of the start. Started again with the clock set back, a member was passed over; it raised its incarnation only against a suspicion. Known as leaving it stayed so for all others, known as alive it stayed at its former address.

Change: a member that doesn't leave goes above any later incarnation of its own name that it hears of. One that leaves doesn't, so that it doesn't outbid the next process of its name.

--- a/include/chicoryrouter/membership.h
+++ b/include/chicoryrouter/membership.h
@@ -106,7 +106,7 @@
     void suspect(const std::string &target, time_point now);
     void expire(time_point now, std::vector<probe> &probes);
     void requestIndirectProbes(const std::string &target, std::vector<probe> &probes);
-    void refuteIfSuspected(const member_info &update);
+    void refute(const member_info &update);
     [[nodiscard]] std::vector<const member_info *> ownDomainMembers() const; // Alive or Suspect; pointers are valid until the next change
     [[nodiscard]] std::vector<std::string> probeTargets(bool ownDomain) const;
     [[nodiscard]] std::vector<std::string> bridgesOf(const std::string &domain) const;
--- a/src/core/membership.cpp
+++ b/src/core/membership.cpp
@@ -181,10 +181,13 @@
     ++m_changeCount;
 }
 
-void membership::refuteIfSuspected(const member_info &update)
+// What the others know of a former process is out of date too, also if that one had the higher incarnation because the clock has been set back since.
+// A process that leaves doesn't argue about that: the next one of its name may have started.
+void membership::refute(const member_info &update)
 {
     const bool suspected = update.state == member_state::Suspect || update.state == member_state::Dead;
-    if (suspected && update.incarnation >= m_self.incarnation) {
+    const bool ofFormerProcess = m_self.state == member_state::Alive && update.incarnation > m_self.incarnation;
+    if (ofFormerProcess || (suspected && update.incarnation >= m_self.incarnation)) {
         m_self.incarnation = update.incarnation + 1;
     }
 }
@@ -209,7 +212,7 @@
 {
     for (const member_info &update : updates) {
         if (update.instance == m_self.instance) {
-            refuteIfSuspected(update);
+            refute(update);
         } else {
             adopt(update, now);
         }
--- a/tests/unit/agreement.cpp
+++ b/tests/unit/agreement.cpp
@@ -112,6 +112,29 @@
     cr_assert_eq(all.seenAs(all.nameOf(5), member_state::Leaving), 8);
 }
 
+// Its first incarnation is the time of its start, by the machine's clock; the others still know the later one of its former process.
+Test(agreement, a_member_that_starts_again_with_its_clock_set_back_is_not_taken_for_leaving)
+{
+    for (const member_state former : {member_state::Leaving, member_state::Alive}) {
+        membership other({"a", "d0", {"10.0.0.1", 1}, 10, member_state::Alive}, {}, 1);
+        other.onUpdates({{"b", "d0", {"10.0.0.1", 2}, 101, former}}, test::worldStart);
+        membership started({"b", "d0", {"10.0.0.1", 3}, 50, member_state::Alive}, {}, 2);
+        started.onUpdates(other.nextUpdates(10, "b"), test::worldStart + 1s);
+        other.onUpdates(started.nextUpdates(10, "a"), test::worldStart + 2s);
+        cr_expect(other.find("b")->state == member_state::Alive, "after %s", std::string(toText(former)).c_str());
+        cr_expect_eq(other.find("b")->peer.port, 3, "after %s: at its former address", std::string(toText(former)).c_str());
+    }
+}
+
+// Two processes of one name, the former about to end, must not outbid each other for as long as both run.
+Test(agreement, a_process_that_leaves_does_not_outbid_the_next_one_of_its_name)
+{
+    membership former({"b", "d0", {"10.0.0.1", 2}, 50, member_state::Alive}, {}, 1);
+    former.leave();
+    former.onUpdates({{"b", "d0", {"10.0.0.1", 3}, 200, member_state::Alive}}, test::worldStart);
+    cr_expect_eq(former.self().incarnation, 51);
+}
+
 Test(agreement, a_dead_member_that_is_still_listed_keeps_its_part_of_limits_for_a_minute)
 {
     membership own({"a", "d0", {"10.0.0.1", 1}, 1, member_state::Alive}, {}, 1);
