Demand counts at once after a restart or a death

Cause: a daemon numbers its demand reports from 1 in each process, and the sum of a failure domain bore the sum of its members' numbers. After a restart or a death the others passed over what followed until the numbers had caught up. Only limits on open requests are divided by it, which the hosted platform does not have.

Change: a daemon numbers from its first incarnation on; the sum bears the time at which its sender first saw it change. The message stays as it is. A former build that follows a new one under the same name is passed over until the others take the member for dead.

--- a/include/chicoryrouter/cluster_state.h
+++ b/include/chicoryrouter/cluster_state.h
@@ -133,9 +133,9 @@
     [[nodiscard]] double demandOf(std::uint64_t origin, const std::string &account) const;
     void addLoads(gossip_message &message);
     void mergeEvidence(const std::vector<evidence_cell> &cells, const std::vector<move_update> &updates);
-    void addDemands(gossip_message &message, bool crossesDomain);
+    void addDemands(gossip_message &message, bool crossesDomain, time_point now);
     void mergeDemand(const demand_report &report);
-    [[nodiscard]] demand_report domainDemand() const;
+    demand_report domainDemand(time_point now);
     struct live_member
     {
         std::uint64_t origin = 0; // hash of the instance name
@@ -158,7 +158,9 @@
     std::map<std::string, version_mover> m_moves;
     std::map<std::string, tracked_report> m_loads;     // by endpoint id
     std::map<std::uint64_t, tracked_demand> m_demands; // by origin, including this daemon
-    std::uint64_t m_demandSequence = 0;
+    std::uint64_t m_demandSequence;                    // begins at this process's first incarnation, so that it goes on above the former process's
+    std::vector<std::uint64_t> m_domainDemandParts;    // of the newest domainDemand(): origins and sequences
+    std::uint64_t m_domainDemandSequence = 0;
     std::uint64_t m_sendCounter = 0;                       // for leastRecentlySent(), of loads and demands
     std::map<std::string, std::uint64_t> m_warmUpAnswers;  // endpoint id -> answers of the new version whose latency was left out as warm-up
     std::map<std::string, time_point> m_nextLossCountedAt; // endpoint id -> lost connections before this time are not counted
--- a/src/core/cluster_state.cpp
+++ b/src/core/cluster_state.cpp
@@ -32,6 +32,7 @@
     , m_documents(options.reader)
     , m_members(std::move(self), options.members, seed)
     , m_evidence(hashBytes(m_members.self().instance + "\n" + std::to_string(m_members.self().incarnation)))
+    , m_demandSequence(m_members.self().incarnation)
 {
 }
 
@@ -43,7 +44,7 @@
     return m_members.onTick(now);
 }
 
-std::string cluster_state::compose(const std::string &to, time_point)
+std::string cluster_state::compose(const std::string &to, time_point now)
 {
     gossip_message message;
     message.from = m_members.self().instance;
@@ -61,7 +62,7 @@
             message.moveUpdates.push_back(*update);
         }
     }
-    addDemands(message, crossesDomain);
+    addDemands(message, crossesDomain, now);
     return encodeGossip(message);
 }
 
@@ -77,10 +78,10 @@
     }
 }
 
-void cluster_state::addDemands(gossip_message &message, bool crossesDomain)
+void cluster_state::addDemands(gossip_message &message, bool crossesDomain, time_point now)
 {
     if (crossesDomain) {
-        message.demands.push_back(domainDemand());
+        message.demands.push_back(domainDemand(now));
         return;
     }
     std::vector<tracked_demand *> items;
@@ -93,19 +94,19 @@
     }
 }
 
-// Sums the demand of this daemon's failure domain into one report under the domain's name. Its sequence is the sum of the members'
-// sequences, so it only grows while they are alive. When a member dies the sum drops, and receivers ignore the domain's reports until it
-// exceeds its former value.
-demand_report cluster_state::domainDemand() const
+// Sums the demand of this daemon's failure domain into one report under the domain's name. The sequence is the time at which this daemon first saw the
+// sum's parts as they are: it rises with each change, also when a member dies or begins to count anew, and whichever daemon sends the sum.
+demand_report cluster_state::domainDemand(time_point now)
 {
     demand_report sum;
     sum.origin = hashBytes(m_members.self().failureDomain);
+    std::vector<std::uint64_t> parts; // origins and sequences
     for (const member_info &item : m_members.liveMembers()) {
         const auto tracked = m_demands.find(hashBytes(item.instance));
         if (item.failureDomain != m_members.self().failureDomain || tracked == m_demands.end()) {
             continue;
         }
-        sum.sequence += tracked->second.report.sequence;
+        parts.insert(parts.end(), {tracked->first, tracked->second.report.sequence});
         for (const account_demand &part : tracked->second.report.accounts) {
             const auto known
                 = std::find_if(sum.accounts.begin(), sum.accounts.end(), [&](const account_demand &other) { return other.account == part.account; });
@@ -116,6 +117,11 @@
             }
         }
     }
+    if (parts != m_domainDemandParts) {
+        m_domainDemandParts = std::move(parts);
+        m_domainDemandSequence = std::max(m_domainDemandSequence + 1, static_cast<std::uint64_t>(now.time_since_epoch().count()));
+    }
+    sum.sequence = m_domainDemandSequence;
     return sum;
 }
 
--- a/tests/unit/agreement.cpp
+++ b/tests/unit/agreement.cpp
@@ -384,6 +384,59 @@
     cr_assert_gt(all.at(0).accountLimitShare(account), 60);
 }
 
+namespace {
+
+cluster_state memberOf(const std::string &name, const std::string &domain, std::uint64_t start, std::size_t smallLimit = 16)
+{
+    cluster_state_options options;
+    options.smallDeploymentLimit = smallLimit;
+    cluster_state state({name, domain, {"10.0.0.1", 1}, start, member_state::Alive}, options, 1);
+    state.members().onInstanceList({{"a", "d0", {"10.0.0.1", 1}, 0, member_state::Alive}, {"b", "d1", {"10.0.0.1", 2}, 0, member_state::Alive},
+                                       {"c", "d1", {"10.0.0.1", 3}, 0, member_state::Alive}},
+        test::worldStart);
+    return state;
+}
+
+const client_account demoAccount{"demo", 1.0, 100, {}};
+
+} // namespace
+
+// Its reports begin anew, while the others keep the number of the former process's newest.
+Test(agreement, the_demand_of_a_daemon_that_was_started_again_counts_at_once)
+{
+    cluster_state a = memberOf("a", "d0", 1000);
+    a.setDemand({{"demo", 10.0}});
+    cluster_state former = memberOf("b", "d1", 1000);
+    for (int change = 0; change < 20; ++change) {
+        former.setDemand({{"demo", change % 2 == 0 ? 1.0 : 90.0}});
+    }
+    a.receive(former.compose("a", test::worldStart + 1s), test::worldStart + 1s);
+    cr_assert_leq(a.accountLimitShare(demoAccount), 12);
+    cluster_state started = memberOf("b", "d1", 2000);
+    started.setDemand({{"demo", 10.0}});
+    a.receive(started.compose("a", test::worldStart + 2s), test::worldStart + 2s);
+    cr_expect_geq(a.accountLimitShare(demoAccount), 45, "%u", a.accountLimitShare(demoAccount));
+}
+
+// In a large deployment a failure domain's demand is told as one sum; the death of a member must not make the others pass over what follows.
+Test(agreement, the_demand_of_a_failure_domain_counts_at_once_after_a_death)
+{
+    cluster_state a = memberOf("a", "d0", 1000, 1);
+    a.setDemand({{"demo", 10.0}});
+    cluster_state b = memberOf("b", "d1", 1000, 1);
+    b.setDemand({{"demo", 10.0}});
+    cluster_state c = memberOf("c", "d1", 1000, 1);
+    for (int change = 0; change < 20; ++change) {
+        c.setDemand({{"demo", change % 2 == 0 ? 1.0 : 80.0}});
+    }
+    b.receive(c.compose("b", test::worldStart + 1s), test::worldStart + 1s);
+    a.receive(b.compose("a", test::worldStart + 2s), test::worldStart + 2s);
+    cr_assert_leq(a.accountLimitShare(demoAccount), 12, "%u", a.accountLimitShare(demoAccount));
+    b.members().onUpdates({{"c", "d1", {"10.0.0.1", 3}, 1000, member_state::Dead}}, test::worldStart + 3s);
+    a.receive(b.compose("a", test::worldStart + 4s), test::worldStart + 4s);
+    cr_expect_geq(a.accountLimitShare(demoAccount), 45, "%u", a.accountLimitShare(demoAccount));
+}
+
 Test(agreement, two_daemons_ask_an_endpoint_for_its_load_and_in_a_large_deployment_both_are_of_its_domain)
 {
     for (const std::size_t daemons : {9U, 30U}) {
