A version move ordered after a store's return bears no number of an order before it

The id of a move's order is the store's revision, which is given out again: a peer's verdict on a former order of the same text and number would have ended the new one. New orders are numbered across returns as documents and tokens are. Found by reading (docs/design/positions.md); the test of orderOf in store_history and the one of a later order in store_returns state the number.

--- a/include/chicoryrouter/store_history.h
+++ b/include/chicoryrouter/store_history.h
@@ -80,7 +80,7 @@
 std::optional<return_record> decodeReturn(std::string_view text); // nullopt when it is not such a record
 
 // Id of the order of a version move that the service holds as `text` at `revision`. An order that the operator has written again after a
-// return is not a new one.
+// return is not a new one, and a new one bears no number of before.
 std::uint64_t orderOf(const std::optional<return_record> &record, const std::string &service, std::string_view text, std::uint64_t revision);
 
 // ---- Endpoints that left before a return -----------------------------------------------------------------------------------------------
--- a/src/core/store_history.cpp
+++ b/src/core/store_history.cpp
@@ -116,7 +116,7 @@
     const auto known = record->orders.find(service);
     const bool givenInTime = record->ordersUntil == 0 || revision <= record->ordersUntil;
     const bool isUnchanged = known != record->orders.end() && known->second.content == hashBytes(text);
-    return givenInTime && isUnchanged ? known->second.order : revision;
+    return givenInTime && isUnchanged ? known->second.order : risingNumber({record->era, revision}, record->firstEra);
 }
 
 // ---- Endpoints that left before a return -----------------------------------------------------------------------------------------------
--- a/tests/unit/store_history.cpp
+++ b/tests/unit/store_history.cpp
@@ -105,9 +105,9 @@
 {
     const return_record record = someRecord();
     cr_assert_eq(orderOf(record, "writer", "order", 41), 300, "the same order at another revision");
-    cr_assert_eq(orderOf(record, "writer", "another order", 41), 41);
-    cr_assert_eq(orderOf(record, "writer", "order", 81), 81, "given again later: a new one");
-    cr_assert_eq(orderOf(record, "shop", "order", 41), 41);
+    cr_assert_eq(orderOf(record, "writer", "another order", 300), risingNumber({5, 300}, 3), "a revision given out again names no order of before");
+    cr_assert_eq(orderOf(record, "writer", "order", 81), risingNumber({5, 81}, 3), "given again later: a new one");
+    cr_assert_eq(orderOf(record, "shop", "order", 41), risingNumber({5, 41}, 3));
     cr_assert_eq(orderOf(std::nullopt, "writer", "order", 41), 41);
 }
 
--- a/tests/unit/store_returns.cpp
+++ b/tests/unit/store_returns.cpp
@@ -1,5 +1,6 @@
 // The platform's store comes back from an older copy: what it acknowledged since is gone, and revisions are given out again. Judged by what
 // callers, endpoints, the store and the cloud see. Bounds are generous; only a fault reaches them.
+#include "chicoryrouter/store_history.h"
 #include "support/small_deployment.h"
 
 #include "shell/clock.h"
@@ -20,9 +21,10 @@
 
 namespace {
 
-constexpr duration soon = 8s;      // for a change that was written after the return
-constexpr duration leaseTerm = 1s; // see hostedSettings
-constexpr int lostRewrites = 40;   // of all four entries, so that revisions go back a good way
+constexpr std::uint64_t firstEra = 1; // of the stand-in store
+constexpr duration soon = 8s;         // for a change that was written after the return
+constexpr duration leaseTerm = 1s;    // see hostedSettings
+constexpr int lostRewrites = 40;      // of all four entries, so that revisions go back a good way
 
 // One report of a usage window, as the cloud saw it.
 struct usage_call
@@ -568,7 +570,7 @@
     cr_expect_eq(all.writer1.seen().size() + all.writer2.seen().size(), former, "%zu requests at the former version",
         all.writer1.seen().size() + all.writer2.seen().size() - former);
     all.store.put("op/rollout/writer", order);
-    const std::uint64_t later = all.store.revisionOf("op/rollout/writer");
+    const std::uint64_t later = risingNumber({all.store.era(), all.store.revisionOf("op/rollout/writer")}, firstEra);
     cr_expect(within(soon, [&] { return status().value("Order", std::uint64_t{0}) == later; }), "a later order is not taken for a new one");
 }
 
