Soak: two builds side by side, a store that comes back from an older copy, and what must be known in time

Checked in all runs: 2 s (the sheets' DrainMs and ConfigApplyMs, which the routers now get as leaving_within and document_within) after the store's acknowledgement, or after the end of the last disturbance between that daemon and the store, no request reaches a leaving endpoint and the newest configuration's route is served; a process that has had that time once knows it for good, also across a return. Windows and fencing tokens were checked already and stay as they were.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -70,6 +70,7 @@
         call.target = record.target;
         call.headers = {{"Host", "tassel.example"}, {"X-Request-Id", record.id}, {"X-Api-Key", "key-1"}, {"X-Deadline-Ms", std::to_string(callerWaits / 1ms)}};
         record.incarnation = all.incarnations[record.daemon];
+        record.former = all.builds.isFormer(record.incarnation);
         record.begun = systemNow();
         asio::co_spawn(context, carryOut(*client, all.routers[record.daemon]->own().gateway, std::move(call), record), asio::detached);
         context.restart();
--- a/tests/soak/disturber.h
+++ b/tests/soak/disturber.h
@@ -20,11 +20,14 @@
 class disturber
 {
 public:
-    disturber(stage &all, ledger &seen, std::uint64_t seed)
+    // `returns`: the store comes back from an older copy, again and again.
+    disturber(stage &all, ledger &seen, std::uint64_t seed, bool returns)
         : m_all(all)
         , m_seen(seen)
         , m_random(seed)
         , m_hangUpRandom(~seed)
+        , m_returnRandom(mixBits(seed))
+        , m_returns(returns)
         , m_endpointsToo(seed % 2 == 0)
     {
     }
@@ -32,15 +35,24 @@
     void run(duration span) // and undoes everything at its end
     {
         const time_point until = systemNow() + span;
+        if (m_returns) {
+            planReturn();
+        }
         while (systemNow() < until) {
-            std::this_thread::sleep_for(std::chrono::milliseconds(50 + uniformBelow(m_random, 900)));
+            rest(std::chrono::milliseconds(50 + uniformBelow(m_random, 900)));
             undo(systemNow());
             one();
         }
+        m_ending = true;
         undo(noDeadline);
+        while (!m_pending.empty()) {
+            undo(noDeadline); // what followed from the last ones
+        }
     }
 
-    [[nodiscard]] bool failed() const { return m_failed; } // a router did not end when it was asked to
+    [[nodiscard]] bool failed() const { return m_failed; }   // a router did not end when it was asked to
+    [[nodiscard]] duration mixed() const { return m_mixed; } // both builds were running so long
+    [[nodiscard]] std::size_t returns() const { return m_returned; }
 
 private:
     using what = disturbance::what;
@@ -63,11 +75,12 @@
         case 4:
             return storeFault();
         case 5:
+            m_seen.addConfiguration(m_all.revision + 1);
             m_all.configure(m_all.revision + 1);
             hangUpOne();
             return;
         case 6:
-            return uniformBelow(m_random, 4) == 0 ? killAll() : drainOne();
+            return uniformBelow(m_random, 4) == 0 ? killAll() : drainOne(m_random);
         case 7:
             return endpointFault();
         default:
@@ -106,10 +119,16 @@
     void startAgain(std::size_t which)
     {
         note(what::Daemon, which, startTime);
-        m_all.start(which);
+        start(which);
         hangUpAtStart(which);
     }
 
+    void start(std::size_t which)
+    {
+        m_all.start(which);
+        note(what::Start, which, startTime);
+    }
+
     void killAll()
     {
         for (std::size_t i = 0; i < m_all.routers.size(); ++i) {
@@ -128,7 +147,10 @@
         if (const auto which = takeOne(span + 100ms)) {
             note(what::Daemon, *which, span);
             m_all.routers[*which]->pause();
-            later(span, [this, which] { m_all.routers[*which]->resume(); });
+            later(span, [this, which, from = systemNow()] {
+                m_all.routers[*which]->resume();
+                m_seen.add(disturbance{what::Start, *which, m_all.incarnations[*which], from, systemNow()}); // it may have been later than planned
+            });
         }
     }
 
@@ -142,14 +164,15 @@
                     std::cout << "  router " << *which + 1 << " did not end within 10 s of SIGTERM\n";
                     m_failed = true;
                 }
-                m_all.start(*which);
+                start(*which);
             }));
         }
     }
 
     void cutFromStore()
     {
-        loopback_proxy &proxy = *m_all.storeProxies[pick()];
+        const std::size_t which = pick();
+        loopback_proxy &proxy = *m_all.storeProxies[which];
         const std::uint64_t how = uniformBelow(m_random, 5);
         proxy.dropsForward = how == 0 || how == 2;
         proxy.dropsBack = how == 1 || how == 2;
@@ -158,9 +181,10 @@
         if (how == 4) {
             proxy.resetAll();
         }
-        later(someTime(300, 4000), [&proxy] {
+        later(someTime(300, 4000), [this, &proxy, which, from = systemNow()] {
             proxy.calm();
             proxy.resetAll();
+            noteStore(which, from);
         });
     }
 
@@ -170,10 +194,16 @@
         switch (uniformBelow(m_random, 5)) {
         case 0:
             faults.down = true;
-            return later(someTime(300, 3000), [&faults] { faults.down = false; });
+            return later(someTime(300, 3000), [this, &faults, from = systemNow()] {
+                faults.down = false;
+                noteStoreForAll(from);
+            });
         case 1:
             faults.refusing = true;
-            return later(someTime(300, 3000), [&faults] { faults.refusing = false; });
+            return later(someTime(300, 3000), [this, &faults, from = systemNow()] {
+                faults.refusing = false;
+                noteStoreForAll(from);
+            });
         case 2:
             faults.loseReplies = 3;
             return;
@@ -185,6 +215,54 @@
         }
     }
 
+    // Away for a moment, and back from a copy some seconds old. What the operator and the endpoints wrote since is written again shortly
+    // afterwards, and then an endpoint leaves.
+    void planReturn()
+    {
+        later(returnTime(100, 1200), [this] {
+            m_all.store.takeCopy();
+            later(returnTime(800, 4000), [this] { goAway(); });
+            m_writing = true;
+            writeOften();
+        });
+    }
+
+    // While what is written will be lost: so revisions go back far, and those of the new history stay below them for a while.
+    void writeOften()
+    {
+        if (m_writing && !m_ending) {
+            proxied_endpoint &item = *m_all.endpoints[uniformBelow(m_returnRandom, m_all.endpoints.size())];
+            m_all.report(item, item.state);
+            later(30ms, [this] { writeOften(); });
+        }
+    }
+
+    void goAway()
+    {
+        m_writing = false;
+        const time_point from = systemNow();
+        m_all.store.faults.down = true;
+        later(returnTime(300, 800), [this, from] {
+            m_all.store.comeBackFromCopy();
+            m_all.store.faults.down = false;
+            ++m_returned;
+            later(returnTime(200, 500), [this, from] {
+                m_all.writeAgain();
+                noteStoreForAll(from);
+                if (!m_ending) {
+                    later(returnTime(100, 1500), [this] { drainOne(m_returnRandom); });
+                    planReturn();
+                }
+            });
+        });
+    }
+
+    duration returnTime(std::int64_t leastMillis, std::int64_t mostMillis)
+    {
+        return std::chrono::milliseconds(
+            leastMillis + static_cast<std::int64_t>(uniformBelow(m_returnRandom, static_cast<std::uint64_t>(mostMillis - leastMillis))));
+    }
+
     // Within the first milliseconds of the process, and several times. Not before its own code runs: no program can answer for that.
     void hangUpAtStart(std::size_t which)
     {
@@ -209,15 +287,16 @@
     }
 
     // Announced, gone, and back again as another incarnation: one that has said that it leaves never becomes ready again.
-    void drainOne()
+    void drainOne(seeded_random &random)
     {
-        proxied_endpoint &item = *m_all.endpoints[uniformBelow(m_random, m_all.endpoints.size())];
-        const std::string key = "servers/" + item.endpoint.id();
-        m_all.store.put(key, item.entry("draining"));
-        later(2500ms, [this, key] { m_all.store.remove(key); });
-        later(3500ms, [this, key, &item] {
+        proxied_endpoint &item = *m_all.endpoints[uniformBelow(random, m_all.endpoints.size())];
+        m_all.report(item, "draining");
+        m_seen.addLeaving(item.endpoint.id());
+        later(2500ms, [this, &item] { m_all.report(item, ""); });
+        later(3500ms, [this, &item] {
+            m_seen.addEndpointStart(item.endpoint.id(), item.endpoint.seen().size());
             item.endpoint.startAgain();
-            m_all.store.put(key, item.entry("ready"));
+            m_all.report(item, "ready");
         });
     }
 
@@ -258,6 +337,30 @@
         m_seen.add(disturbance{kind, daemon, m_all.incarnations[daemon], systemNow(), systemNow() + span});
     }
 
+    // Known when it is over.
+    void noteStore(std::size_t daemon, time_point from) { m_seen.add(disturbance{what::Store, daemon, m_all.incarnations[daemon], from, systemNow()}); }
+
+    void noteStoreForAll(time_point from)
+    {
+        for (std::size_t i = 0; i < m_all.routers.size(); ++i) {
+            noteStore(i, from);
+        }
+    }
+
+    // With returns, what is due happens meanwhile: they have their own times.
+    void rest(duration span)
+    {
+        const time_point until = systemNow() + span;
+        for (time_point now = systemNow(); now < until; now = systemNow()) {
+            if (m_returns) {
+                undo(now);
+            }
+            const bool both = m_all.mixesBuilds();
+            std::this_thread::sleep_for(m_returns ? std::min<duration>(until - now, 20ms) : until - now);
+            m_mixed += both ? systemNow() - now : duration{};
+        }
+    }
+
     void later(duration span, std::function<void()> act) { m_pending.emplace_back(systemNow() + span, std::move(act)); }
 
     // What is due; all of it at the end, where stops are waited for too.
@@ -281,6 +384,12 @@
     ledger &m_seen;
     seeded_random m_random;
     seeded_random m_hangUpRandom; // of its own, so that the other faults of a seed stay what they were
+    seeded_random m_returnRandom; // likewise
+    bool m_returns;
+    bool m_writing = false;
+    bool m_ending = false;
+    std::size_t m_returned = 0;
+    duration m_mixed{};
     bool m_endpointsToo;
     std::vector<std::pair<time_point, std::function<void()>>> m_pending;
     std::vector<std::future<void>> m_stops;
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -1,9 +1,10 @@
 // The promises, checked.
 #include "soak/ledger.h"
 
+#include "shell/clock.h"
+
 #include <algorithm>
 #include <array>
-#include <map>
 #include <set>
 
 namespace chicoryrouter::soak {
@@ -55,6 +56,28 @@
     m_disturbances.push_back(span);
 }
 
+void ledger::addLeaving(const std::string &endpoint)
+{
+    const std::lock_guard guard(m_lock);
+    m_leaving.push_back({endpoint, systemNow()});
+}
+
+void ledger::addEndpointStart(const std::string &endpoint, std::size_t arrivals)
+{
+    const std::lock_guard guard(m_lock);
+    for (leaving_endpoint &item : m_leaving) {
+        if (item.id == endpoint) {
+            item.arrivals = std::min(item.arrivals, arrivals);
+        }
+    }
+}
+
+void ledger::addConfiguration(int revision)
+{
+    const std::lock_guard guard(m_lock);
+    m_accepted[revision] = systemNow();
+}
+
 std::size_t ledger::size()
 {
     const std::lock_guard guard(m_lock);
@@ -70,8 +93,8 @@
 void ledger::complain(const call_record &call, const std::string &what)
 {
     m_faults.push_back(std::string(kindNames.at(static_cast<std::size_t>(call.kind))) + " " + call.id + " at daemon " + std::to_string(call.daemon + 1)
-        + " start " + std::to_string(call.incarnation) + ", status " + std::to_string(call.status) + (call.whole ? " whole" : " not whole") + ", "
-        + std::to_string((call.ended - call.begun) / 1ms) + " ms: " + what);
+        + " start " + std::to_string(call.incarnation) + (call.former ? " of the former build" : "") + ", status " + std::to_string(call.status)
+        + (call.whole ? " whole" : " not whole") + ", " + std::to_string((call.ended - call.begun) / 1ms) + " ms: " + what);
 }
 
 bool ledger::disturbed(const call_record &call, disturbance::what kind) const
@@ -82,7 +105,29 @@
     });
 }
 
-std::vector<std::string> ledger::faults(const std::vector<hosted_endpoint *> &endpoints, const std::vector<duty_call> &duties, std::size_t retriesSaved)
+// Whether the process that the call met must know what the store acknowledged then: since that moment or the end of a later disturbance it
+// was once left alone for so long, and has neither been started nor stood still since.
+bool ledger::knows(const call_record &call, time_point acknowledged, duration within) const
+{
+    const auto leftAlone = [&](time_point from, time_point until, bool storeToo) {
+        return std::none_of(m_disturbances.begin(), m_disturbances.end(), [&](const disturbance &span) {
+            const bool ofProcess = span.kind == disturbance::what::Daemon || span.kind == disturbance::what::Start;
+            const bool counts = ofProcess || (storeToo && span.kind == disturbance::what::Store);
+            return counts && span.daemon == call.daemon && span.from < until && span.until > from;
+        });
+    };
+    std::vector<time_point> begins = {acknowledged};
+    for (const disturbance &span : m_disturbances) {
+        if (span.daemon == call.daemon && span.until > acknowledged) {
+            begins.push_back(span.until);
+        }
+    }
+    return std::any_of(begins.begin(), begins.end(),
+        [&](time_point from) { return from + within < call.begun && leftAlone(from, from + within, true) && leftAlone(from + within, call.begun, false); });
+}
+
+std::vector<std::string> ledger::faults(
+    const std::vector<hosted_endpoint *> &endpoints, const std::vector<duty_call> &duties, std::size_t retriesSaved, duration knownWithin)
 {
     std::map<std::string, int> runs;
     std::map<std::string, int> arrivals;
@@ -102,6 +147,7 @@
         checkRuns(call, runs[call.id]);
         checkAnswer(call);
         checkEnd(call);
+        checkInForce(call, knownWithin);
     }
     std::size_t repeats = 0;
     for (const auto &[id, number] : arrivals) {
@@ -114,6 +160,9 @@
         m_faults.push_back(std::to_string(repeats) + " repeats of " + std::to_string(m_calls.size()) + " requests");
     }
     checkRevisions();
+    for (hosted_endpoint *item : endpoints) {
+        checkLeaving(*item, knownWithin);
+    }
     checkDuties(duties);
     return m_faults;
 }
@@ -188,6 +237,40 @@
     }
 }
 
+// A route of the newest configuration is served once its daemon has had the time to learn of it.
+void ledger::checkInForce(const call_record &call, duration knownWithin)
+{
+    const bool newest = std::none_of(m_accepted.upper_bound(call.revision), m_accepted.end(), [&](const auto &item) { return item.second < call.ended; });
+    if (call.kind != call_kind::Probe || call.status != 404 || call.metStart || !newest) {
+        return;
+    }
+    const time_point accepted = m_accepted[call.revision];
+    if (knows(call, accepted, knownWithin)) {
+        complain(call,
+            "revision " + std::to_string(call.revision) + " is not in force " + std::to_string((call.begun - accepted) / 1ms) + " ms after it was accepted");
+    }
+}
+
+void ledger::checkLeaving(hosted_endpoint &endpoint, duration knownWithin)
+{
+    std::map<std::string, const call_record *> calls;
+    for (const call_record &call : m_calls) {
+        calls[call.id] = &call;
+    }
+    const std::vector<http_request> seen = endpoint.seen();
+    for (const leaving_endpoint &item : m_leaving) {
+        const std::size_t until = item.id == endpoint.id() ? std::min(item.arrivals, seen.size()) : 0;
+        for (std::size_t i = 0; i < until; ++i) {
+            const auto found = calls.find(std::string(seen[i].header("X-Request-Id")));
+            if (found != calls.end() && !found->second->metStart && knows(*found->second, item.at, knownWithin)) {
+                complain(*found->second,
+                    "begun " + std::to_string((found->second->begun - item.at) / 1ms) + " ms after the leaving of " + item.id
+                        + " was acknowledged, reached it");
+            }
+        }
+    }
+}
+
 void ledger::checkDuties(const std::vector<duty_call> &duties)
 {
     std::map<std::string, std::pair<std::uint64_t, std::string>> newest; // by duty: fencing and holder
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -4,6 +4,8 @@
 #include "chicoryrouter/time.h"
 #include "support/hosted_platform.h"
 
+#include <limits>
+#include <map>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -35,6 +37,7 @@
     std::string answeredId;
     bool sealed = false;
     bool metStart = false; // its daemon was started anew meanwhile: which process it met is not known
+    bool former = false;   // its daemon was of the former build then
 };
 
 // A span in which callers may see more than the rules of a calm day allow.
@@ -44,6 +47,8 @@
         Endpoints, // faults of endpoints, or between them and the daemons
         Daemon,    // one daemon killed or paused
         Stop,      // one daemon asked to stop
+        Start,     // one daemon started, or stood still until now; excuses no cut
+        Store,     // one daemon cut off from the store, or the store away; excuses no cut
     };
 
     what kind = what::Endpoints;
@@ -53,16 +58,29 @@
     time_point until{};
 };
 
+// An endpoint that has said that it leaves, until it started again.
+struct leaving_endpoint
+{
+    std::string id;
+    time_point at{};                                                // acknowledged by the store
+    std::size_t arrivals = std::numeric_limits<std::size_t>::max(); // all that it had seen when it started again
+};
+
 // Written by callers' threads and by the one that disturbs.
 class ledger
 {
 public:
     void add(call_record call);
     void add(const disturbance &span);
+    void addLeaving(const std::string &endpoint);
+    void addEndpointStart(const std::string &endpoint, std::size_t arrivals);
+    void addConfiguration(int revision); // is accepted now
 
     // Everything that must not be, in words; empty when all is well. Call when all is quiet.
     // `retriesSaved`: what all routers together may have had saved up beside what their requests earned.
-    std::vector<std::string> faults(const std::vector<hosted_endpoint *> &endpoints, const std::vector<duty_call> &duties, std::size_t retriesSaved);
+    // `knownWithin`: from the store's acknowledgement to every daemon in touch.
+    std::vector<std::string> faults(
+        const std::vector<hosted_endpoint *> &endpoints, const std::vector<duty_call> &duties, std::size_t retriesSaved, duration knownWithin);
     [[nodiscard]] std::size_t size();
     [[nodiscard]] std::size_t answered();
 
@@ -71,13 +89,18 @@
     void checkAnswer(const call_record &call);
     void checkEnd(const call_record &call);
     void checkRevisions();
+    void checkLeaving(hosted_endpoint &endpoint, duration knownWithin);
+    void checkInForce(const call_record &call, duration knownWithin);
     void checkDuties(const std::vector<duty_call> &duties);
     void complain(const call_record &call, const std::string &what);
     [[nodiscard]] bool disturbed(const call_record &call, disturbance::what kind) const;
+    [[nodiscard]] bool knows(const call_record &call, time_point acknowledged, duration within) const;
 
     std::mutex m_lock;
     std::vector<call_record> m_calls;
     std::vector<disturbance> m_disturbances;
+    std::vector<leaving_endpoint> m_leaving;
+    std::map<int, time_point> m_accepted; // by revision; the first one was before all calls
     std::vector<std::string> m_faults;
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -10,6 +10,9 @@
 #include <filesystem>
 
 DEFINE_string(router, "build/chicoryrouterd", "the router's program");
+DEFINE_string(former, "", "a former build of it: each start of a router takes the other build in turn");
+DEFINE_bool(former_first, true, "with --former: all begin with that build");
+DEFINE_bool(returns, false, "the store comes back from an older copy, too");
 DEFINE_uint64(from, 1, "first seed");
 DEFINE_uint64(seeds, 1, "so many seeds, one after the other");
 DEFINE_double(minutes, 0.0, "begin no further seed after so many minutes; 0: no limit");
@@ -42,9 +45,12 @@
     fs::create_directories(folder);
     ledger seen;
     std::vector<std::string> faults;
+    duration mixed{}; // both builds were running
+    std::size_t returns = 0;
+    std::size_t duties = 0;
     bool good = true;
     {
-        stage all(FLAGS_router, FLAGS_routers, folder);
+        stage all({FLAGS_router, FLAGS_former, FLAGS_former_first}, FLAGS_routers, folder);
         for (std::size_t i = 0; i < all.routers.size(); ++i) {
             all.start(i);
         }
@@ -54,7 +60,7 @@
         for (std::size_t i = 0; i < FLAGS_callers; ++i) {
             callers.emplace_back([&, i] { callOn(all, seen, stopping, seed, i); });
         }
-        disturber faultsOf(all, seen, seed);
+        disturber faultsOf(all, seen, seed, FLAGS_returns);
         faultsOf.run(std::chrono::duration_cast<duration>(std::chrono::duration<double>(FLAGS_seconds)));
         good = allServe(all) && !faultsOf.failed() && good;
         std::this_thread::sleep_for(1s);
@@ -80,11 +86,15 @@
         }();
         seen.add(call_record{"ready", call_kind::Look, "/look/ready", 0, 0, 0, {}, {}, 503, true, {}, {}, false}); // the ones that asked whether all serve
         const std::vector<std::string> found
-            = seen.faults(endpoints, all.cloud.calls(), starts * services * static_cast<std::size_t>(retry_budget::defaultReserve));
+            = seen.faults(endpoints, all.cloud.calls(), starts * services * static_cast<std::size_t>(retry_budget::defaultReserve), knownWithin);
         faults.insert(faults.end(), found.begin(), found.end());
+        mixed = faultsOf.mixed();
+        returns = faultsOf.returns();
+        duties = all.cloud.calls().size();
     }
     good = good && faults.empty();
-    std::cout << "seed " << seed << ": " << seen.size() << " requests, " << seen.answered() << " answered whole, " << (good ? "good" : "WRONG") << std::endl;
+    std::cout << "seed " << seed << ": " << seen.size() << " requests, " << seen.answered() << " answered whole, " << duties << " calls of duty, " << returns
+              << " returns, both builds for " << mixed / 1ms << " ms, " << (good ? "good" : "WRONG") << std::endl;
     for (std::size_t i = 0; i < faults.size() && i < 12; ++i) {
         std::cout << "  " << faults[i] << "\n";
     }
--- a/tests/soak/stage.h
+++ b/tests/soak/stage.h
@@ -8,14 +8,28 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 
+#include <algorithm>
 #include <thread>
 
 namespace chicoryrouter::soak {
 
+using namespace std::chrono_literals;
+
 using test::daemon_process;
 using test::freePort;
 
 inline constexpr unsigned soakRetryReserve = 20; // of all routers together
+inline constexpr duration knownWithin = 2s;      // a leaving endpoint and a configuration, to every router; as on the users' sheets
+
+// The router's builds: with a former one, each start of a router takes the other build in turn, as an upgrade replaces machines.
+struct router_builds
+{
+    std::string current;
+    std::string former; // empty: none
+    bool formerFirst = true;
+
+    [[nodiscard]] bool isFormer(unsigned start) const { return !former.empty() && (start % 2 == 1) == formerFirst; }
+};
 
 struct proxied_endpoint
 {
@@ -35,15 +49,19 @@
         return value.dump();
     }
 
+    [[nodiscard]] std::string key() const { return "servers/" + endpoint.id(); }
+
     hosted_endpoint endpoint;
     loopback_proxy proxy;
     std::string service;
     std::string failureDomain;
+    std::string state; // as last reported; empty: it has no entry
 };
 
 struct stage
 {
-    stage(const std::string &program, std::size_t routersWanted, const std::string &folder)
+    stage(router_builds programs, std::size_t routersWanted, const std::string &folder)
+        : builds(std::move(programs))
     {
         for (int i = 1; i <= 3; ++i) {
             const std::string number = std::to_string(i);
@@ -52,7 +70,7 @@
             endpoints.push_back(std::make_unique<proxied_endpoint>(workers, context, "shop-" + number, "shop", domain));
         }
         for (const auto &item : endpoints) {
-            store.put("servers/" + item->endpoint.id(), item->entry("ready"));
+            report(*item, "ready");
         }
         configure(1);
         for (std::size_t i = 0; i < routersWanted; ++i) {
@@ -63,7 +81,9 @@
             own.readiness.port = freePort();
             own.peer.port = freePort();
             own.retryReserve = soakRetryReserve;
-            routers.push_back(std::make_unique<daemon_process>(program, own, folder));
+            own.documentWithin = knownWithin;
+            own.leavingWithin = knownWithin;
+            routers.push_back(std::make_unique<daemon_process>(builds.current, own, folder));
         }
         incarnations = std::vector<std::atomic<unsigned>>(routersWanted);
         busyUntil.resize(routersWanted);
@@ -90,12 +110,40 @@
         revision = number;
     }
 
+    // As the endpoint does itself; empty: its entry is taken away.
+    void report(proxied_endpoint &item, const std::string &state)
+    {
+        item.state = state;
+        if (state.empty()) {
+            store.remove(item.key());
+        } else {
+            store.put(item.key(), item.entry(state));
+        }
+    }
+
+    // As the operator and the endpoints do after the store's return from an older copy.
+    void writeAgain()
+    {
+        configure(revision);
+        for (const auto &item : endpoints) {
+            report(*item, item->state);
+        }
+    }
+
     void start(std::size_t which)
     {
-        ++incarnations[which];
+        const unsigned number = ++incarnations[which];
+        routers[which]->setProgram(builds.isFormer(number) ? builds.former : builds.current);
         routers[which]->start();
     }
 
+    [[nodiscard]] bool mixesBuilds() const
+    {
+        const auto ofFormer = std::count_if(incarnations.begin(), incarnations.end(), [this](unsigned number) { return builds.isFormer(number); });
+        return ofFormer > 0 && static_cast<std::size_t>(ofFormer) < incarnations.size();
+    }
+
+    router_builds builds;
     boost::asio::io_context context{1};
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard{context.get_executor()};
     worker_pool workers{2};
--- a/tests/support/daemon_process.cpp
+++ b/tests/support/daemon_process.cpp
@@ -44,6 +44,7 @@
     out << "gateway: " << text(own.gateway) << "\nreadiness: " << text(own.readiness) << "\npeer: " << text(own.peer) << "\n";
     out << "platform:\n  form: hosted\n  key_value: " << text(own.keyValue) << "\n  cloud: " << text(own.cloud)
         << "\n  lease_term: 1s\n  usage_window: 2s\n  retry_reserve: " << own.retryReserve << "\n";
+    out << "  document_within: " << own.documentWithin / 1ms << "ms\n  leaving_within: " << own.leavingWithin / 1ms << "ms\n";
     out << "peer_key: \"" << own.peerKey << "\"\noperator_token_hash: \"" << std::string(64, '0') << "\"\nthreads: 1\nstop_within: 8s\n";
 }
 
--- a/tests/support/daemon_process.h
+++ b/tests/support/daemon_process.h
@@ -27,6 +27,7 @@
     daemon_process(const daemon_process &) = delete;
     daemon_process &operator=(const daemon_process &) = delete;
 
+    void setProgram(std::string program) { m_program = std::move(program); } // for the next start
     bool endsWithStarter = false; // it is killed when the thread that started it ends, as a failed test does without any destructor
 
     void start(const process_output &output = {});
