--- a/Makefile
+++ b/Makefile
@@ -37,9 +37,9 @@
 	@scripts/format check
 	@scripts/lint $(BUILD)
 
-# Faults against real processes; make soak SEEDS=50 FROM=1 MINUTES=0
+# Faults against real processes; make soak SEEDS=50 FROM=1 MINUTES=0 SOAK='--former=PATH --noformer_first --returns'
 soak: build
-	@$(BUILD)/chicory-soak --router=$(BUILD)/chicoryrouterd --from=$(FROM) --seeds=$(SEEDS) --minutes=$(MINUTES)
+	@$(BUILD)/chicory-soak --router=$(BUILD)/chicoryrouterd --from=$(FROM) --seeds=$(SEEDS) --minutes=$(MINUTES) $(SOAK)
 
 bench: build
 	@for name in routing streams plain firsttoken moves slopes hundred; do $(BUILD)/chicory-bench $$name; done
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -54,6 +54,10 @@
         for (std::size_t i = 0; i < all.routers.size(); ++i) {
             all.start(i);
         }
+        if (!FLAGS_former.empty() && allServe(all)) {
+            all.routers[0]->kill(); // the first one is replaced before callers come: both builds from the beginning
+            all.start(0);
+        }
         good = allServe(all);
         std::atomic<bool> stopping{false};
         std::vector<std::thread> callers;
