--- a/tests/unit/store_returns.cpp
+++ b/tests/unit/store_returns.cpp
@@ -286,6 +286,52 @@
     all.expectNoWorkAt(all.shop1);
 }
 
+// Leaving is final for an incarnation, also when the copy's entry says that it is ready.
+Test(store_returns, an_endpoint_that_began_to_leave_after_the_copy_gets_no_new_work, .timeout = 60)
+{
+    returning_deployment all;
+    all.startIn("entry-1", "west-1");
+    all.startIn("entry-2", "west-2");
+    all.store.takeCopy();
+    all.rewriteEntries(lostRewrites);
+    all.drain(all.shop1);
+    cr_assert(eventually([&] { return all.allLeaving("shop-1"); }));
+    all.expectNoWorkAt(all.shop1, 100ms);
+    all.comeBack();
+    all.expectNoWorkAt(all.shop1, 1500ms);
+    all.writeAgain();
+    all.expectNoWorkAt(all.shop1, 1500ms);
+}
+
+// They register again within two seconds, and are alive all the time.
+Test(store_returns, requests_are_served_while_the_copy_lacks_all_endpoints_of_their_service, .timeout = 60)
+{
+    returning_deployment all;
+    for (const hosted_endpoint *item : {&all.shop1, &all.shop2}) {
+        all.store.remove("servers/" + item->id());
+    }
+    all.store.takeCopy();
+    all.rewriteEntries(lostRewrites);
+    all.startIn("entry-1", "west-1");
+    all.startIn("entry-2", "west-2");
+    all.waitUntilAllKnow();
+    all.comeBack();
+    std::map<int, int> answers;
+    const auto orderFor = [&](duration span) {
+        const time_point until = systemNow() + span;
+        while (systemNow() < until) {
+            ++answers[all.askAt(0, "POST", "/order/1")];
+            ++answers[all.askAt(1, "POST", "/order/1")];
+            std::this_thread::sleep_for(10ms);
+        }
+    };
+    orderFor(1500ms);
+    all.writeAgain();
+    orderFor(3s);
+    cr_expect_eq(answers.size(), 1, "%d requests were answered 200, %d 503", answers[200], answers[503]);
+    cr_expect_gt(answers[200], 0);
+}
+
 // ---- Duties ----------------------------------------------------------------------------------------------------------------------------
 
 // The copy's record names an older window: whoever leads next reported the later ones again, by its own counts.
@@ -360,6 +406,32 @@
     all.expectFencingTokensInOrder();
 }
 
+// The leader's key is there as it was when the copy was taken, under a lease that lives on.
+Test(store_returns, when_leases_of_the_copy_live_on_duties_go_on_and_tokens_never_fall, .timeout = 90)
+{
+    returning_deployment all;
+    all.reportWindowsThatTheCopyLacks();
+    const std::string leader = all.usageCalls().back().holder;
+    all.routers.erase(all.routers.begin() + (leader == "entry-1" ? 0 : 1));
+    const std::size_t before = all.cloud.calls().size();
+    cr_assert(eventually([&] {
+        const std::vector<duty_call> calls = all.cloud.calls();
+        return calls.size() > before && calls.back().holder != leader;
+    }),
+        "nobody follows the leader");
+    all.store.faults.down = true;
+    std::this_thread::sleep_for(500ms);
+    all.store.comeBackFromCopyWithLeases();
+    all.store.faults.down = false;
+    all.writeAgain();
+    all.drain(all.shop1);
+    const std::uint64_t back = all.windowNow();
+    cr_expect(within(soon, [&] { return all.allLeaving("shop-1"); }), "an endpoint that leaves is still in use");
+    cr_expect(within(15s, [&] { return all.lastWindow() > back; }), "no window is reported after the return");
+    all.expectOneReportOfEachWindow();
+    all.expectFencingTokensInOrder();
+}
+
 // The condition on the lost record's revision never held again.
 Test(store_returns, windows_are_reported_again_soon_after_the_return, .timeout = 90)
 {
@@ -586,6 +658,29 @@
     checkThatACompletedMoveStaysCompleted(true);
 }
 
+// ---- Stores that state no era ----------------------------------------------------------------------------------------------------------
+
+Test(store_returns, a_store_that_states_no_era_is_followed_as_before, .timeout = 60)
+{
+    returning_deployment all;
+    all.store.faults.eraless = true;
+    all.startIn("entry-1", "west-1");
+    all.startIn("entry-2", "west-2");
+    all.store.put("op/config", configurationWith(2, {"extra"}).dump());
+    cr_expect(within(soon, [&] { return all.askAt(0, "GET", "/extra/1") == 200 && all.askAt(1, "GET", "/extra/1") == 200; }));
+    all.drain(all.shop1);
+    cr_expect(within(soon, [&] { return all.allLeaving("shop-1"); }));
+    cr_expect(within(15s, [&] { return all.lastWindow() > 0; }), "no window is reported");
+    all.store.faults.down = true;
+    std::this_thread::sleep_for(1500ms);
+    all.store.lapseLeases();
+    all.store.faults.down = false;
+    const std::uint64_t back = all.windowNow();
+    cr_expect(within(15s, [&] { return all.lastWindow() > back; }), "no window is reported after an outage");
+    all.expectOneReportOfEachWindow();
+    all.expectFencingTokensInOrder();
+}
+
 // ---- Large failure domains, quarantines ------------------------------------------------------------------------------------------------
 
 // Those that ask the watchers hold revisions of the lost history as well.
