--- a/tests/unit/store_returns.cpp
+++ b/tests/unit/store_returns.cpp
@@ -542,6 +542,33 @@
     all.expectFencingTokensInOrder();
 }
 
+// Each copy is taken at another moment of what the daemons write, and each return meets a daemon that ends and another that starts.
+Test(store_returns, after_returns_beside_restarts_no_duty_is_done_twice, .timeout = 120)
+{
+    returning_deployment all;
+    all.reportWindowsThatTheCopyLacks();
+    for (int i = 0; i < 5; ++i) {
+        all.orderEverywhere(2);
+        std::this_thread::sleep_for(370ms * i);
+        if (i % 2 == 0) {
+            all.store.takeCopy();
+            all.orderEverywhere(2);
+            all.rewriteEntries(3 * i);
+            std::this_thread::sleep_for(2s);
+        }
+        all.routers.erase(all.routers.begin());
+        all.comeBack(100ms * (i + 1));
+        all.startIn("entry-" + std::to_string(3 + i), i % 2 == 0 ? "west-1" : "west-2");
+        all.writeAgain();
+    }
+    all.drain(all.shop1);
+    const std::uint64_t back = all.windowNow();
+    cr_expect(within(soon, [&] { return all.allLeaving("shop-1"); }), "an endpoint that leaves is still in use");
+    cr_expect(within(15s, [&] { return all.lastWindow() > back; }), "no window is reported after the returns");
+    all.expectOneReportOfEachWindow();
+    all.expectFencingTokensInOrder();
+}
+
 // ---- What the copy brings back ---------------------------------------------------------------------------------------------------------
 
 Test(store_returns, an_endpoint_that_left_and_is_back_with_the_copy_gets_no_new_work, .timeout = 60)
@@ -701,6 +728,31 @@
         std::count_if(all.routers.begin(), all.routers.end(), [](const auto &item) { return !item->isLeaving("writer-2"); }));
 }
 
+// Those that watched the store for the others end while it is away, and those that asked them are left with their positions.
+Test(store_returns, in_a_large_failure_domain_all_hear_of_a_change_when_the_watchers_end_with_the_return, .timeout = 90)
+{
+    returning_deployment all;
+    all.store.put("servers/writer-7", all.add("writer-7").entry("writer", "west-1"));
+    for (int i = 1; i <= 8; ++i) {
+        all.startIn("entry-" + std::to_string(i), "west-1");
+    }
+    cr_assert(eventually([&] { return all.store.watching() == 2; }), "%zu daemons watch the store", all.store.watching());
+    all.store.takeCopy();
+    all.rewriteEntries(lostRewrites);
+    all.waitUntilAllKnow();
+    all.store.faults.down = true;
+    all.routers.erase(all.routers.begin(), all.routers.begin() + 4);
+    all.store.comeBackFromCopy();
+    all.rewriteEntries(lostRewrites + 20); // the new history passes the positions of the lost one
+    all.drain(all.writer2);
+    all.rewriteEntries();
+    all.store.faults.down = false;
+    all.startIn("entry-9", "west-1");
+    all.startIn("entry-10", "west-1");
+    cr_expect(within(soon, [&] { return all.allLeaving("writer-2"); }), "%ld of 6 daemons still use an endpoint that leaves",
+        std::count_if(all.routers.begin(), all.routers.end(), [](const auto &item) { return !item->isLeaving("writer-2"); }));
+}
+
 // Daemons that start later know a quarantine from the store alone.
 Test(store_returns, a_quarantine_that_the_copy_lacks_is_recorded_again, .timeout = 60)
 {
