Tests: fencing tokens when the copy is older than all that the daemons wrote and all of them start anew

Found by reading: a daemon that finds no record of a return, and has seen no return itself, takes the present era for the first one, so its token is the plain revision.

It takes a copy from before the daemons' first record (their first start, or the first start of this build beside a store that states eras) and a return that no daemon outlives.

--- a/tests/unit/store_returns.cpp
+++ b/tests/unit/store_returns.cpp
@@ -406,6 +406,23 @@
     all.expectFencingTokensInOrder();
 }
 
+// The copy is older than the daemons' first word in the store, and nobody is left who saw the store before its return.
+Test(store_returns, fencing_tokens_never_fall_when_all_daemons_start_after_the_return, .timeout = 60)
+{
+    returning_deployment all;
+    all.store.takeCopy();
+    all.rewriteEntries(lostRewrites);
+    all.startIn("entry-1", "west-1");
+    cr_assert(eventually([&] { return !all.cloud.calls().empty(); }), "nobody carries the duties");
+    all.comeBack();
+    all.routers.clear();
+    all.writeAgain();
+    const std::size_t before = all.cloud.calls().size();
+    all.startIn("entry-2", "west-2");
+    cr_expect(within(12s, [&] { return all.cloud.calls().size() > before; }), "nobody carries the duties after the return");
+    all.expectFencingTokensInOrder();
+}
+
 // The leader's key is there as it was when the copy was taken, under a lease that lives on.
 Test(store_returns, when_leases_of_the_copy_live_on_duties_go_on_and_tokens_never_fall, .timeout = 90)
 {
