--- a/tests/support/hosted_platform.cpp
+++ b/tests/support/hosted_platform.cpp
@@ -252,7 +252,7 @@
         co_return;
     }
     http_headers extra;
-    if (faults.refusing) {
+    if (faults.refusing || (faults.refusingWrites && path == "/api/kv-txn")) {
         const json nothing = json::object();
         {
             const std::lock_guard guard(m_lock);
--- a/tests/unit/store_returns.cpp
+++ b/tests/unit/store_returns.cpp
@@ -7,6 +7,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <atomic>
 #include <set>
 #include <thread>
 
@@ -629,3 +630,301 @@
     cr_expect(within(12s, [&] { return !all.store.value(key).empty(); }), "the store has no record of it");
     cr_expect(isRefused(0) && isRefused(1));
 }
+
+// ---- Review of issue 59: faults that remain --------------------------------------------------------------------------------------------
+
+namespace {
+
+// All daemons take requests on a route that the lost configuration alone has.
+bool allServe(returning_deployment &all, const std::string &target)
+{
+    for (std::size_t i = 0; i < all.routers.size(); ++i) {
+        if (all.askAt(i, "GET", target) != 200) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool isReturnRecorded(returning_deployment &all)
+{
+    const json record = json::parse(all.store.value("chicory/return"), nullptr, false);
+    return record.is_object() && record.value("era", std::uint64_t{0}) == all.store.era();
+}
+
+} // namespace
+
+// After three seconds without a record the daemons that run on forget which version they had accepted.
+Test(store_returns, an_older_configuration_is_not_put_into_force_while_the_store_refuses_writes, .timeout = 60)
+{
+    returning_deployment all;
+    all.startIn("entry-1", "west-1");
+    all.startIn("entry-2", "west-2");
+    all.store.takeCopy();
+    all.rewriteEntries(lostRewrites);
+    all.store.put("op/config", configurationWith(2, {"extra"}).dump());
+    cr_assert(eventually([&] { return allServe(all, "/extra/1"); }));
+    all.store.faults.refusingWrites = true;
+    all.comeBack();
+    int unknown = 0;
+    const time_point back = systemNow();
+    duration firstAfter{};
+    while (systemNow() < back + 8s) {
+        for (std::size_t i = 0; i < all.routers.size(); ++i) {
+            const bool isUnknown = all.askAt(i, "GET", "/extra/1") == 404;
+            firstAfter = isUnknown && unknown == 0 ? systemNow() - back : firstAfter;
+            unknown += isUnknown ? 1 : 0;
+        }
+        std::this_thread::sleep_for(20ms);
+    }
+    cr_expect_eq(unknown, 0, "%d requests by the older configuration, the first %ld ms after the return", unknown,
+        static_cast<long>(std::chrono::floor<std::chrono::milliseconds>(firstAfter).count()));
+}
+
+// Whoever recorded the return alone ends the time in which an unchanged order is the one of before.
+Test(store_returns, a_later_order_is_a_new_one_although_the_recorder_of_the_return_has_ended, .timeout = 90)
+{
+    const std::string order = R"({"Service":"writer","Target":"v2","DurationS":8})";
+    returning_deployment all;
+    hosted_endpoint &newer = all.add("writer-3");
+    std::string entry = newer.entry("writer", "west-1");
+    entry.replace(entry.find("v1"), 2, "v2");
+    all.store.put("servers/writer-3", entry);
+    all.startIn("entry-1", "west-1");
+    all.startIn("entry-2", "west-2");
+    all.store.takeCopy();
+    all.rewriteEntries(lostRewrites);
+    all.store.put("op/rollout/writer", order);
+    const auto status = [&] {
+        const json value = json::parse(all.store.value("status/rollout/writer"), nullptr, false);
+        return value.is_object() ? value : json::object();
+    };
+    cr_assert(eventually([&] {
+        all.askAt(0, "POST", "/write/1");
+        all.askAt(1, "POST", "/chat/1");
+        return status().value("State", std::string()) == "completed";
+    }));
+    all.waitUntilAllKnow();
+    all.comeBack();
+    all.writeAgain();
+    all.store.put("op/rollout/writer", order);
+    all.store.put("servers/writer-3", entry);
+    cr_assert(eventually([&] { return isReturnRecorded(all); }), "the return is not recorded");
+    for (const auto &[name, domain] : {std::pair("entry-1", "west-1"), std::pair("entry-2", "west-2")}) {
+        all.routers.erase(all.routers.begin());
+        all.startIn(name, domain);
+    }
+    std::this_thread::sleep_for(8s);
+    const std::string record = all.store.value("chicory/return");
+    all.store.put("op/rollout/writer", order);
+    const std::uint64_t later = all.store.revisionOf("op/rollout/writer");
+    cr_expect(within(soon, [&] { return status().value("Order", std::uint64_t{0}) == later; }), "order %lu is not taken for a new one; the record is %s",
+        static_cast<unsigned long>(later), record.c_str());
+}
+
+// Most daemons of a large failure domain ask its watchers, and had no answer of the store's own for long before the return.
+Test(store_returns, a_live_endpoint_that_the_copy_lacks_stays_in_use_until_it_has_written_again, .timeout = 90)
+{
+    returning_deployment all;
+    for (int i = 1; i <= 7; ++i) {
+        all.startIn("entry-" + std::to_string(i), "west-1");
+    }
+    cr_assert(eventually([&] { return all.store.watching() == 2; }), "%zu daemons watch the store", all.store.watching());
+    all.store.takeCopy();
+    hosted_endpoint &young = all.add("shop-3");
+    all.store.put("servers/shop-3", young.entry("shop", "west-1"));
+    all.rewriteEntries(lostRewrites);
+    all.waitUntilAllKnow();
+    std::this_thread::sleep_for(5s); // quiet
+    all.comeBack();
+    std::set<std::size_t> dropped;
+    const time_point until = systemNow() + 1500ms; // live endpoints are back within two seconds
+    while (systemNow() < until) {
+        for (std::size_t i = 0; i < all.routers.size(); ++i) {
+            if (all.routers[i]->isLeaving("shop-3")) {
+                dropped.insert(i);
+            }
+        }
+        std::this_thread::sleep_for(5ms);
+    }
+    cr_expect_eq(dropped.size(), 0, "%zu of 7 daemons dropped a live endpoint", dropped.size());
+}
+
+// The store begins to state eras with its first return.
+Test(store_returns, a_return_is_noticed_if_no_era_was_stated_before_it, .timeout = 60)
+{
+    returning_deployment all;
+    all.store.faults.eraless = true;
+    all.startIn("entry-1", "west-1");
+    all.startIn("entry-2", "west-2");
+    all.store.takeCopy();
+    all.rewriteEntries(lostRewrites);
+    all.waitUntilAllKnow();
+    all.store.faults.down = true;
+    std::this_thread::sleep_for(500ms);
+    all.store.faults.eraless = false;
+    all.store.comeBackFromCopy();
+    all.store.faults.down = false;
+    all.writeAgain();
+    all.drain(all.shop1);
+    cr_expect(within(soon, [&] { return all.allLeaving("shop-1"); }), "an endpoint that leaves is still in use");
+    all.expectNoWorkAt(all.shop1);
+}
+
+// Ids of orders are bare revisions: an order given after the return may get that of a lost one.
+Test(store_returns, another_order_at_the_revision_of_a_completed_lost_one_is_begun, .timeout = 90)
+{
+    const std::string order = R"({"Service":"writer","Target":"v2","DurationS":8})";
+    returning_deployment all;
+    hosted_endpoint &newer = all.add("writer-3");
+    std::string entry = newer.entry("writer", "west-1");
+    entry.replace(entry.find("v1"), 2, "v2");
+    all.store.put("servers/writer-3", entry);
+    all.startIn("entry-1", "west-1");
+    all.startIn("entry-2", "west-2");
+    all.store.takeCopy();
+    all.rewriteEntries(lostRewrites);
+    all.store.put("op/rollout/writer", order);
+    const std::uint64_t lost = all.store.revisionOf("op/rollout/writer");
+    const auto status = [&] {
+        const json value = json::parse(all.store.value("status/rollout/writer"), nullptr, false);
+        return value.is_object() ? value : json::object();
+    };
+    cr_assert(eventually([&] {
+        all.askAt(0, "POST", "/write/1");
+        all.askAt(1, "POST", "/chat/1");
+        return status().value("State", std::string()) == "completed";
+    }));
+    all.waitUntilAllKnow();
+    all.comeBack();
+    all.writeAgain();
+    all.store.put("op/rollout/writer", order);
+    all.store.put("servers/writer-3", entry);
+    cr_assert(eventually([&] { return status().value("State", std::string()) == "completed"; }), "the status is not written again");
+    std::this_thread::sleep_for(7s); // the record's time for old orders is over
+    const std::string other = R"({"Service":"writer","Target":"v2","DurationS":9})";
+    while (all.store.revision() + 1 < lost) {
+        all.store.put("servers/shop-2", all.shop2.entry("shop", "west-1"));
+    }
+    all.store.put("op/rollout/writer", other);
+    const std::uint64_t given = all.store.revisionOf("op/rollout/writer");
+    cr_assert_eq(given, lost, "the test missed the revision: %lu, not %lu", static_cast<unsigned long>(given), static_cast<unsigned long>(lost));
+    const std::string before = all.store.value("status/rollout/writer");
+    cr_expect(within(soon, [&] { return all.store.value("status/rollout/writer") != before; }), "the order is not begun; its status is %s", before.c_str());
+}
+
+// The operator writes its evacuation again after two seconds; the daemons had acknowledged it.
+Test(store_returns, an_evacuation_that_the_copy_lacks_stays_in_force_until_the_operator_has_written_again, .timeout = 60)
+{
+    returning_deployment all;
+    all.startIn("entry-1", "west-1");
+    all.startIn("entry-2", "west-2");
+    all.store.takeCopy();
+    all.rewriteEntries(lostRewrites);
+    all.waitUntilAllKnow();
+    all.store.put("op/evacuate/west-1", R"({"Zone":"west-1"})");
+    cr_assert(eventually([&] {
+        const std::size_t before = all.shop1.seen().size() + all.shop2.seen().size();
+        all.orderEverywhere();
+        return all.shop1.seen().size() + all.shop2.seen().size() == before;
+    }), "the evacuation is not in force");
+    all.comeBack();
+    const std::size_t before = all.shop1.seen().size() + all.shop2.seen().size();
+    const time_point until = systemNow() + 2s;
+    while (systemNow() < until) {
+        all.orderEverywhere();
+        std::this_thread::sleep_for(10ms);
+    }
+    const std::size_t reached = all.shop1.seen().size() + all.shop2.seen().size() - before;
+    cr_expect_eq(reached, 0, "%zu requests reached an evacuated failure domain", reached);
+}
+
+// A daemon that started after the return records it, as those that know more don't reach the store yet.
+Test(store_returns, a_completed_move_is_not_begun_again_when_a_daemon_without_memory_records_the_return, .timeout = 90)
+{
+    const std::string order = R"({"Service":"writer","Target":"v2","DurationS":8})";
+    returning_deployment all;
+    hosted_endpoint &newer = all.add("writer-3");
+    std::string entry = newer.entry("writer", "west-1");
+    entry.replace(entry.find("v1"), 2, "v2");
+    all.store.put("servers/writer-3", entry);
+    all.startIn("entry-1", "west-1");
+    all.startIn("entry-2", "west-2");
+    all.store.takeCopy();
+    all.rewriteEntries(lostRewrites);
+    all.store.put("op/rollout/writer", order);
+    const auto state = [&] {
+        const json value = json::parse(all.store.value("status/rollout/writer"), nullptr, false);
+        return value.is_object() ? value.value("State", std::string()) : std::string();
+    };
+    cr_assert(eventually([&] {
+        all.askAt(0, "POST", "/write/1");
+        all.askAt(1, "POST", "/chat/1");
+        return state() == "completed";
+    }));
+    all.waitUntilAllKnow();
+    all.store.faults.down = true;
+    std::this_thread::sleep_for(500ms);
+    all.store.comeBackFromCopy();
+    const auto seen = std::chrono::floor<std::chrono::milliseconds>(systemNow().time_since_epoch()).count();
+    all.store.put("chicory/return", json({{"first_era", all.store.era()}, {"era", all.store.era()}, {"seen_ms", seen}, {"configuration", 0},
+                                        {"orders", json::object()}, {"orders_until", 0}}).dump());
+    all.store.faults.down = false;
+    all.writeAgain();
+    all.store.put("op/rollout/writer", order);
+    all.store.put("servers/writer-3", entry);
+    const std::size_t former = all.writer1.seen().size() + all.writer2.seen().size();
+    bool begunAgain = false;
+    const time_point until = systemNow() + 6s;
+    while (systemNow() < until) {
+        all.askAt(0, "POST", "/write/1");
+        all.askAt(1, "POST", "/chat/1");
+        begunAgain = begunAgain || state() == "in_progress";
+    }
+    const std::size_t reached = all.writer1.seen().size() + all.writer2.seen().size() - former;
+    cr_expect(!begunAgain, "a completed move is in progress again");
+    cr_expect_eq(reached, 0, "%zu requests at the former version", reached);
+}
+
+// Its leader takes it for recorded, and no daemon has heard of the status from the store.
+Test(store_returns, a_moves_status_that_was_lost_as_soon_as_it_was_acknowledged_is_written_again, .timeout = 90)
+{
+    returning_deployment all;
+    hosted_endpoint &newer = all.add("writer-3");
+    std::string entry = newer.entry("writer", "west-1");
+    entry.replace(entry.find("v1"), 2, "v2");
+    all.store.put("servers/writer-3", entry);
+    all.startIn("entry-1", "west-1");
+    const auto state = [&] {
+        const json value = json::parse(all.store.value("status/rollout/writer"), nullptr, false);
+        return value.is_object() ? value.value("State", std::string()) : std::string();
+    };
+    all.store.put("op/rollout/writer", R"({"Service":"writer","Target":"v2","DurationS":8})");
+    cr_assert(eventually([&] { return state() == "in_progress"; }), "the move does not begin");
+    all.store.takeCopy();
+    std::atomic<bool> asks{true};
+    std::thread caller([&] {
+        while (asks) {
+            all.askAt(0, "POST", "/write/1");
+            all.store.put("servers/shop-2", all.shop2.entry("shop", "west-1")); // the daemon pauses after each answer of its watch
+        }
+    });
+    const time_point until = systemNow() + 30s;
+    while (systemNow() < until && state() != "completed") {
+        std::this_thread::sleep_for(1ms);
+    }
+    const std::string acknowledged = state();
+    all.store.faults.down = true;
+    asks = false;
+    caller.join();
+    cr_assert(acknowledged == "completed", "the move does not complete");
+    std::this_thread::sleep_for(200ms);
+    all.store.comeBackFromCopy();
+    all.store.faults.down = false;
+    all.writeAgain();
+    all.store.put("servers/writer-3", entry);
+    cr_expect(within(15s, [&] {
+        all.askAt(0, "POST", "/write/1");
+        return state() == "completed";
+    }), "its status is '%s'", state().c_str());
+}
