--- a/tests/support/hosted_platform.h
+++ b/tests/support/hosted_platform.h
@@ -34,14 +34,14 @@
 
 struct hosted_store_faults
 {
-    std::atomic<bool> down{false};      // answers nothing
-    std::atomic<bool> silent{false};    // takes calls and never answers them, also when it is over
-    std::atomic<bool> refusing{false};  // 503 to everything
+    std::atomic<bool> down{false};           // answers nothing
+    std::atomic<bool> silent{false};         // takes calls and never answers them, also when it is over
+    std::atomic<bool> refusing{false};       // 503 to everything
     std::atomic<bool> refusingWrites{false}; // 503 to the system's transactions; nothing is changed
-    std::atomic<int> loseReplies{0};    // so many changes take effect and their answers are lost
-    std::atomic<bool> forgetful{false}; // watches are told that their history is gone, once each
-    std::atomic<bool> eraless{false};   // answers state no era, as stores did that never came back from a copy
-    std::atomic<int> bytesPerSecond{0}; // of every answer to a list or watch, over a thin link; 0: at once
+    std::atomic<int> loseReplies{0};         // so many changes take effect and their answers are lost
+    std::atomic<bool> forgetful{false};      // watches are told that their history is gone, once each
+    std::atomic<bool> eraless{false};        // answers state no era, as stores did that never came back from a copy
+    std::atomic<int> bytesPerSecond{0};      // of every answer to a list or watch, over a thin link; 0: at once
 };
 
 class hosted_store : hosted_stand_in
--- a/tests/unit/store_returns.cpp
+++ b/tests/unit/store_returns.cpp
@@ -654,7 +654,7 @@
 
 } // namespace
 
-// After three seconds without a record the daemons that run on forget which version they had accepted.
+// After three seconds without a record the daemons compose the document of the copy, whatever version they had accepted.
 Test(store_returns, an_older_configuration_is_not_put_into_force_while_the_store_refuses_writes, .timeout = 60)
 {
     returning_deployment all;
@@ -827,7 +827,8 @@
         const std::size_t before = all.shop1.seen().size() + all.shop2.seen().size();
         all.orderEverywhere();
         return all.shop1.seen().size() + all.shop2.seen().size() == before;
-    }), "the evacuation is not in force");
+    }),
+        "the evacuation is not in force");
     all.comeBack();
     const std::size_t before = all.shop1.seen().size() + all.shop2.seen().size();
     const time_point until = systemNow() + 2s;
@@ -867,8 +868,10 @@
     std::this_thread::sleep_for(500ms);
     all.store.comeBackFromCopy();
     const auto seen = std::chrono::floor<std::chrono::milliseconds>(systemNow().time_since_epoch()).count();
-    all.store.put("chicory/return", json({{"first_era", all.store.era()}, {"era", all.store.era()}, {"seen_ms", seen}, {"configuration", 0},
-                                        {"orders", json::object()}, {"orders_until", 0}}).dump());
+    all.store.put("chicory/return",
+        json({{"first_era", all.store.era()}, {"era", all.store.era()}, {"seen_ms", seen}, {"configuration", 0}, {"orders", json::object()},
+                 {"orders_until", 0}})
+            .dump());
     all.store.faults.down = false;
     all.writeAgain();
     all.store.put("op/rollout/writer", order);
@@ -923,8 +926,10 @@
     all.store.faults.down = false;
     all.writeAgain();
     all.store.put("servers/writer-3", entry);
-    cr_expect(within(15s, [&] {
-        all.askAt(0, "POST", "/write/1");
-        return state() == "completed";
-    }), "its status is '%s'", state().c_str());
+    cr_expect(within(15s,
+                  [&] {
+                      all.askAt(0, "POST", "/write/1");
+                      return state() == "completed";
+                  }),
+        "its status is '%s'", state().c_str());
 }
