--- a/include/chicoryrouter/store_history.h
+++ b/include/chicoryrouter/store_history.h
@@ -42,7 +42,8 @@
 public:
     std::function<void(std::uint64_t before)> onReturn; // the service has come back from an older copy; called before the answer is used
 
-    // Whether an answer may be used; `stated` is its era as text, empty when it states none. An answer of an earlier era is outdated if its
+    // Whether an answer may be used; `stated` is its era as text, empty when it states none. The first era stated after answers without one is a
+    // return. An answer of an earlier era is outdated if its
     // call began before the present era was known. If it began later, the service has lost its count, which is one more return.
     bool accepts(std::string_view stated, time_point calledAt, time_point now);
 
@@ -51,6 +52,7 @@
 
 private:
     std::uint64_t m_current = 0;
+    bool m_usedWithout = false;      // an answer that states no era was used
     time_point m_since = noDeadline; // when the present era became known
 };
 
--- a/src/core/store_history.cpp
+++ b/src/core/store_history.cpp
@@ -52,6 +52,7 @@
 bool store_eras::accepts(std::string_view stated, time_point calledAt, time_point now)
 {
     if (stated.empty() && !areStated()) {
+        m_usedWithout = true;
         return true; // a service that counts no returns
     }
     const std::optional<std::uint64_t> era = numberIn(stated);
@@ -62,6 +63,7 @@
     if (!first && *era == m_current) {
         return true;
     }
+    const bool isReturn = !first || m_usedWithout;
     const bool outdated = !first && *era < m_current && calledAt <= m_since;
     if (outdated) {
         return false;
@@ -69,7 +71,7 @@
     const std::uint64_t before = m_current;
     m_current = *era;
     m_since = now;
-    if (!first && onReturn) {
+    if (isReturn && onReturn) {
         onReturn(before);
     }
     return true;
--- a/tests/unit/store_returns.cpp
+++ b/tests/unit/store_returns.cpp
@@ -883,7 +883,7 @@
     std::this_thread::sleep_for(8s);
     const std::string record = all.store.value("chicory/return");
     all.store.put("op/rollout/writer", order);
-    const std::uint64_t later = all.store.revisionOf("op/rollout/writer");
+    const std::uint64_t later = risingNumber({all.store.era(), all.store.revisionOf("op/rollout/writer")}, firstEra);
     cr_expect(within(soon, [&] { return status().value("Order", std::uint64_t{0}) == later; }), "order %lu is not taken for a new one; the record is %s",
         static_cast<unsigned long>(later), record.c_str());
 }
