--- a/include/chicoryrouter/store_history.h
+++ b/include/chicoryrouter/store_history.h
@@ -42,9 +42,9 @@
 public:
     std::function<void(std::uint64_t before)> onReturn; // the service has come back from an older copy; called before the answer is used
 
-    // Whether an answer may be used; `stated` is its era as text, empty when it states none. The first era stated after answers without one is a
-    // return. An answer of an earlier era is outdated if its
-    // call began before the present era was known. If it began later, the service has lost its count, which is one more return.
+    // Whether an answer may be used; `stated` is its era as text, empty when it states none. The first era stated after answers without one is
+    // a return. An answer of an earlier era is outdated if its call began before the present era was known; if it began later, the service has
+    // lost its count, which is one more return.
     bool accepts(std::string_view stated, time_point calledAt, time_point now);
 
     [[nodiscard]] std::uint64_t current() const { return m_current; }      // 0 until an answer states one
