--- a/review/stage-3/main.cpp
+++ b/review/stage-3/main.cpp
@@ -89,21 +89,56 @@
     std::map<std::string, int> m_runs;
 };
 
+// ---- Doses -----------------------------------------------------------------------------------------------------------------------------
+
+constexpr double garbleShare = 0.03;    // of a replica's answers, the most that the site file has
+constexpr auto garbleWindow = 5000ms;   // and for so long at a time
+constexpr auto garblePause = 3000ms;    // between two times
+constexpr int answersBeforeGarble = 34; // so that the first spoiled answer is within the share
+
+// Says which of a replica's answers are spoiled.
+class garble_dose
+{
+public:
+    bool next()
+    {
+        const std::lock_guard guard(m_lock);
+        ++m_answers;
+        const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(clock_type::now() - m_start) % (garbleWindow + garblePause);
+        const bool due = m_answers >= answersBeforeGarble && static_cast<double>(m_spoiled + 1) <= garbleShare * static_cast<double>(m_answers);
+        const bool spoils = withTrouble() && due && since < garbleWindow;
+        m_spoiled += spoils ? 1 : 0;
+        return spoils;
+    }
+    std::string text()
+    {
+        const std::lock_guard guard(m_lock);
+        return std::to_string(m_spoiled) + " of " + std::to_string(m_answers) + " answers";
+    }
+
+private:
+    std::mutex m_lock;
+    clock_type::time_point m_start = clock_type::now();
+    int m_answers = 0;
+    int m_spoiled = 0;
+};
+
 // ---- Case 11: bytes after an answer that look like a refusal ---------------------------------------------------------------------------
 
-// Twelve orders, one after the other, on one kept connection of a client. With the disruption, each replica sends bytes after its complete answer:
+// Eight clients place orders on kept connections for 10 s. With the disruption, one of two replicas sends bytes after some of its complete answers:
 // they come late, at the point where the next answer is expected, and look like the answer of a replica that is full.
 int refusalOfNoRequest(const std::string &folder)
 {
     deployment all(folder);
     run_counts runs;
-    const auto talk = [&](const std::string &name) {
-        return [&, name](connection &item) {
-            bool answeredBefore = false;
+    garble_dose dose;
+    const auto talk = [&](const std::string &name, bool isFaulty) {
+        return [&, name, isFaulty](connection &item) {
+            bool spoiled = false;
             while (const auto call = item.read(600s)) {
                 const std::string id = call->header("X-Request-Id");
-                if (withTrouble() && answeredBefore) {
-                    all.log.line(name + ": bytes that belong to no request, after its answer to an earlier one");
+                if (spoiled) {
+                    all.log.line(name + ": bytes that belong to no request, after its answer to an earlier one; next comes " + id);
                     item.send("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
                 }
                 all.log.line(name + " runs " + id + ", time " + std::to_string(runs.add(id)));
@@ -111,41 +146,255 @@
                 if (!item.send(answerText(200, ownHeaders(id), "placed " + id))) {
                     return;
                 }
-                answeredBefore = true;
+                spoiled = isFaulty && dose.next();
             }
         };
     };
-    listener first(talk("replica i-1"));
-    listener second(talk("replica i-2"));
+    listener first(talk("replica i-1", true));
+    listener second(talk("replica i-2", false));
     all.platformStore.put(
         "op/config", configuration(1, json::array({route("orders", "/order/", "non_idempotent", "shop", 3000, 300)}), json::array({plainService("shop")})));
     all.platformStore.put("servers/i-1", entry("shop", first.port(), "west-a", 1));
-    all.platformStore.put("servers/i-2", entry("shop", second.port(), "west-b", 1));
+    all.platformStore.put("servers/i-2", entry("shop", second.port(), "west-a", 1));
     const router &one = all.addRouter("edge-1", "west-a");
     if (!one.isReady(10s)) {
         return couldNotRun;
     }
     sleepFor(500ms);
-    const auto client = connectTo(one.front());
-    for (int i = 0; i < 12; ++i) {
-        const std::string id = "order-" + std::to_string(i);
-        all.log.line("client sends " + id);
-        client->send(requestText("POST", "/order/place", id, 3000, "40 m of cord"));
-        logAnswer(all.log, id, client->read(4s));
-        sleepFor(50ms);
+    std::atomic<bool> over{false};
+    std::atomic<int> refusedAndRun{0};
+    std::list<std::thread> clients;
+    for (int c = 0; c < 8; ++c) {
+        clients.emplace_back([&, c] {
+            auto client = connectTo(one.front());
+            for (int i = 0; !over; ++i) {
+                const std::string id = "order-" + std::to_string(c) + "-" + std::to_string(i);
+                if (client == nullptr || !client->send(requestText("POST", "/order/place", id, 3000, "40 m of cord"))) {
+                    client = connectTo(one.front());
+                    continue;
+                }
+                const auto answer = client->read(4s);
+                logAnswer(all.log, id, answer);
+                if (answer && answer->status() == 503 && runs.of(id) > 0) {
+                    ++refusedAndRun;
+                }
+                if (!answer || answer->header("Connection") == "close") {
+                    client = connectTo(one.front());
+                }
+                sleepFor(10ms);
+            }
+        });
     }
-    sleepFor(500ms);
+    sleepFor(10s);
+    over = true;
+    for (std::thread &item : clients) {
+        item.join();
+    }
+    sleepFor(300ms);
     int twice = 0;
     int once = 0;
     for (const auto &[id, count] : runs.all()) {
         once += count == 1 ? 1 : 0;
         twice += count > 1 ? 1 : 0;
+        if (count > 1) {
+            all.log.line(id + " ran " + std::to_string(count) + " times");
+        }
+    }
+    all.log.line("stray bytes after " + dose.text() + " of one replica of two");
+    all.log.line("orders that ran once: " + std::to_string(once) + ", more than once: " + std::to_string(twice)
+        + "; answered 503 and ran: " + std::to_string(refusedAndRun));
+    return twice + refusedAndRun > 0 ? ruleBroken : once > 0 ? ruleHeld : couldNotRun;
+}
+
+// ---- Case 13: fencing tokens when all start anew after a return of the store --------------------------------------------------------------
+
+// Two routers. The first leader is stopped as planned, so that the second one leads with a higher token. Then all processes are killed at one moment
+// and started again. With the disruption, the store is away meanwhile and comes back from a copy that is some seconds old.
+int fenceAfterReturn(const std::string &folder)
+{
+    constexpr int replicaCount = 22;
+    deployment all(folder);
+    all.platformStore.stateEra();
+    listener replica([](connection &item) {
+        while (item.fill(600s)) {
+        }
+    });
+    json model = modelService("lm");
+    model["Scaling"] = {{"Min", 1}, {"Max", 20}, {"BootS", 4.0}, {"SpotPrice", 0.18}, {"ZonePrices", {{"west-a", 1.0}, {"west-b", 0.8}}}};
+    const auto writeConfiguration = [&] {
+        all.platformStore.put("op/config", configuration(1, json::array({route("chats", "/chat/", "streaming", "lm", 15000, 500)}), json::array({model})));
+    };
+    writeConfiguration();
+    std::atomic<bool> over{false};
+    std::atomic<bool> away{false};
+    int sequence = 0;
+    const auto writeEntries = [&] {
+        ++sequence;
+        for (int i = 0; i < replicaCount; ++i) {
+            all.platformStore.put("servers/i-" + std::to_string(i), entry("lm", replica.port(), i % 2 == 0 ? "west-a" : "west-b", sequence));
+        }
+    };
+    writeEntries();
+    std::thread beats([&] {
+        while (!over) {
+            sleepFor(1200ms);
+            if (!away) {
+                writeEntries();
+            }
+        }
+    });
+    router &first = all.addRouter("edge-1", "west-a");
+    router &second = all.addRouter("edge-2", "west-b");
+    sleepFor(300ms);
+    all.platformStore.takeCopy();
+    all.log.line("the store's copy is taken at revision " + std::to_string(all.platformStore.revision()));
+    const bool ready = first.isReady(10s) && second.isReady(10s);
+    sleepFor(4s);
+    const auto highest = [&] {
+        std::uint64_t fence = 0;
+        for (const duty_api::duty_call &call : all.duties.calls()) {
+            fence = std::max(fence, call.fence);
+        }
+        return fence;
+    };
+    std::string leader = all.platformStore.value("chicory/leader");
+    all.log.line("the leader is " + leader + "; it is stopped as planned and started again");
+    router &stopped = leader == "edge-1" ? first : second;
+    stopped.signal(SIGTERM);
+    for (int i = 0; i < 500 && stopped.runs(); ++i) {
+        sleepFor(20ms);
+    }
+    stopped.start();
+    const std::size_t before = all.duties.calls().size();
+    for (int i = 0; i < 700 && all.duties.calls().size() == before; ++i) {
+        sleepFor(20ms);
+    }
+    sleepFor(300ms);
+    const std::uint64_t fenceBefore = highest();
+    all.log.line("highest token so far " + std::to_string(fenceBefore) + ", revision " + std::to_string(all.platformStore.revision()));
+    all.log.line("all processes are killed");
+    away = withTrouble();
+    if (withTrouble()) {
+        all.platformStore.goAway();
+        all.log.line("the store is away");
+    }
+    for (const auto &each : all.routers) {
+        each->kill();
+    }
+    sleepFor(700ms);
+    if (withTrouble()) {
+        all.platformStore.comeBackFromCopy();
+        all.log.line("the store comes back from its copy, at revision " + std::to_string(all.platformStore.revision()) + "; operator and replicas write again");
+        writeConfiguration();
+        writeEntries();
+        away = false;
+    }
+    const std::size_t callsBefore = all.duties.calls().size();
+    for (const auto &each : all.routers) {
+        each->start();
+    }
+    for (int i = 0; i < 1250 && all.duties.calls().size() == callsBefore; ++i) {
+        sleepFor(20ms);
+    }
+    sleepFor(2s);
+    over = true;
+    beats.join();
+    int lower = 0;
+    std::map<std::string, std::uint64_t> seen; // by duty and subject
+    for (const duty_api::duty_call &call : all.duties.calls()) {
+        const std::string subject = call.line + " " + call.body.value("Service", std::string()) + " " + call.body.value("Zone", std::string());
+        lower += call.fence < seen[subject] ? 1 : 0;
+        seen[subject] = std::max(seen[subject], call.fence);
+    }
+    const bool acted = fenceBefore > 0 && all.duties.calls().size() > callsBefore;
+    all.log.line("calls with a lower token than one seen for their duty and subject: " + std::to_string(lower));
+    return lower > 0 ? ruleBroken : ready && acted ? ruleHeld : couldNotRun;
+}
+
+// ---- Case 14: an entry from another writer ---------------------------------------------------------------------------------------------
+
+// Two services of one replica each, which write their entries every 1.2 s. With the disruption, another writer writes once over the entry of the
+// replica of `shop`: `Sequence` is missing, `ColdRemainingMs` is a text, and the service is `bank`. Orders for `bank` are sent until the replica's
+// own next entry.
+int entryOfAnotherWriter(const std::string &folder)
+{
+    constexpr auto heartbeat = 1200ms;
+    deployment all(folder);
+    std::atomic<int> wrong{0};
+    std::atomic<int> right{0};
+    const auto talk = [&](const std::string &name, const std::string &service, const std::string &prefix) {
+        return [&, name, service, prefix](connection &item) {
+            while (const auto call = item.read(600s)) {
+                const std::string id = call->header("X-Request-Id");
+                if (call->header("X-Target-Instance") != name) {
+                    all.log.line(name + " is not " + call->header("X-Target-Instance") + ": 421 for " + id);
+                    item.send(answerText(421, "X-Instance-Id: " + name + "\r\n", ""));
+                    continue;
+                }
+                const bool own = call->target().rfind(prefix, 0) == 0;
+                ++(own ? right : wrong);
+                all.log.line(
+                    name + ", a replica of " + service + ", runs " + id + ": " + call->firstLine + (own ? "" : ", which no configuration sends to " + service));
+                sleepFor(20ms);
+                item.send(answerText(200, ownHeaders(id), "done by " + name));
+            }
+        };
+    };
+    listener shop(talk("i-shop", "shop", "/stock/"));
+    listener bank(talk("i-bank", "bank", "/order/"));
+    all.platformStore.put("op/config",
+        configuration(1,
+            json::array({route("stock", "/stock/", "idempotent", "shop", 3000, 300), route("orders", "/order/", "non_idempotent", "bank", 3000, 300)}),
+            json::array({plainService("shop"), plainService("bank")})));
+    std::atomic<bool> over{false};
+    std::mutex written;
+    std::condition_variable beat;
+    int sequence = 0;
+    const auto writeEntries = [&] {
+        const std::lock_guard guard(written);
+        ++sequence;
+        all.platformStore.put("servers/i-shop", entry("shop", shop.port(), "west-a", sequence));
+        all.platformStore.put("servers/i-bank", entry("bank", bank.port(), "west-a", sequence));
+        beat.notify_all();
+    };
+    writeEntries();
+    std::thread beats([&] {
+        while (!over) {
+            sleepFor(heartbeat);
+            writeEntries();
+        }
+    });
+    const router &one = all.addRouter("edge-1", "west-a");
+    const bool ready = one.isReady(10s);
+    if (ready) {
+        sleepFor(500ms);
+        {
+            std::unique_lock guard(written);
+            beat.wait_for(guard, 3s);
+        }
+        if (withTrouble()) {
+            json other = entry("bank", shop.port(), "west-a", 0);
+            other.erase("Sequence");
+            other["ColdRemainingMs"] = "soon";
+            all.platformStore.put("servers/i-shop", other);
+            all.log.line("another writer: servers/i-shop = " + other.dump());
+        }
+        sleepFor(300ms);
+        const auto client = connectTo(one.front());
+        for (int i = 0; i < 20; ++i) {
+            const std::string id = "order-" + std::to_string(i);
+            all.log.line("client sends " + id);
+            client->send(requestText("POST", "/order/pay", id, 3000, "80 francs"));
+            logAnswer(all.log, id, client->read(4s));
+        }
     }
-    all.log.line("orders that ran once: " + std::to_string(once) + ", more than once: " + std::to_string(twice));
-    return twice > 0 ? ruleBroken : once > 0 ? ruleHeld : couldNotRun;
+    over = true;
+    beats.join();
+    all.log.line("requests run by their own service: " + std::to_string(right) + ", by another one: " + std::to_string(wrong));
+    return wrong > 0 ? ruleBroken : ready && right > 0 ? ruleHeld : couldNotRun;
 }
 
-// ---- Case 13: an answer without end ----------------------------------------------------------------------------------------------------
+// ---- Case 15: an answer without end ----------------------------------------------------------------------------------------------------
 
 constexpr long memoryLimitMb = 260;
 
@@ -193,35 +442,40 @@
     std::thread m_thread;
 };
 
-// Two machines, each with a client that asks for a chat of at most 80 tokens again and again, and one that places orders. With the disruption, the
-// model's replica is in trouble: its answers have no end until the caller closes.
+// Two machines, each with clients that ask for chats of at most 80 tokens again and again, and one that places orders. With the disruption, two of the
+// model's four replicas are in trouble: a few of their answers have no end until the caller closes.
 int answerWithoutEnd(const std::string &folder)
 {
     constexpr int endsForFault = 3;
-    constexpr auto longest = 80s;
+    constexpr auto longest = 95s;
+    constexpr int chatClients = 5; // for each machine
     deployment all(folder);
     run_counts runs;
-    listener model([&](connection &item) {
-        while (const auto call = item.read(600s)) {
-            const std::string id = call->header("X-Request-Id");
-            all.log.line("model replica runs " + id);
-            item.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + ownHeaders(id) + "Transfer-Encoding: chunked\r\n\r\n");
-            std::uint64_t next = 1;
-            bool open = true;
-            while (open && (withTrouble() || next <= 58)) {
-                std::string events;
-                for (int i = 0; i < (withTrouble() ? 2000 : 1); ++i) {
-                    events += "id:" + std::to_string(next++) + "\n\n";
+    std::array<garble_dose, 4> doses;
+    std::list<listener> models;
+    for (std::size_t i = 0; i < doses.size(); ++i) {
+        models.emplace_back([&, i](connection &item) {
+            while (const auto call = item.read(600s)) {
+                const std::string id = call->header("X-Request-Id");
+                const bool endless = i < 2 && doses.at(i).next();
+                item.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + ownHeaders(id) + "Transfer-Encoding: chunked\r\n\r\n");
+                std::uint64_t next = 1;
+                bool open = true;
+                while (open && (endless || next <= 58)) {
+                    std::string events;
+                    for (int n = 0; n < (endless ? 2000 : 1); ++n) {
+                        events += "id:" + std::to_string(next++) + "\n\n";
+                    }
+                    open = item.send(chunk(events));
                 }
-                open = item.send(chunk(events));
-            }
-            if (!open) {
-                all.log.line("model replica: its caller closed " + id + " after " + std::to_string(next - 1) + " events");
-                return;
+                if (endless || !open) {
+                    all.log.line("model replica i-lm" + std::to_string(i) + ": its caller closed " + id + " after " + std::to_string(next - 1) + " events");
+                    return;
+                }
+                item.send(lastChunk);
             }
-            item.send(lastChunk);
-        }
-    });
+        });
+    }
     listener shop([&](connection &item) {
         while (const auto call = item.read(600s)) {
             const std::string id = call->header("X-Request-Id");
@@ -236,7 +490,11 @@
         configuration(1,
             json::array({route("chats", "/chat/", "streaming", "lm", 15000, 500), route("orders", "/order/", "non_idempotent", "shop", 3000, 300)}),
             json::array({modelService("lm"), plainService("shop")})));
-    all.platformStore.put("servers/i-lm", entry("lm", model.port(), "west-a", 1));
+    int number = 0;
+    for (const listener &each : models) {
+        all.platformStore.put("servers/i-lm" + std::to_string(number), entry("lm", each.port(), number % 2 == 0 ? "west-a" : "west-b", 1));
+        ++number;
+    }
     all.platformStore.put("servers/i-shop", entry("shop", shop.port(), "west-a", 1));
     all.addRouter("edge-1", "west-a");
     all.addRouter("edge-2", "west-b");
@@ -254,29 +512,34 @@
     std::list<memory_guard> guards;
     for (const auto &each : all.routers) {
         guards.emplace_back(all.log, *each);
-        clients.emplace_back([&, port = each->front(), name = each->name()] {
-            for (int i = 0; !over; ++i) {
-                const std::string id = "chat-" + name + "-" + std::to_string(i);
-                const auto item = connectTo(port);
-                if (item == nullptr) {
-                    sleepFor(100ms);
-                    continue;
-                }
-                item->send(requestText("POST", "/chat/ask", id, 15000, "which cord?", "X-Model: m\r\nX-Token-Usage: 1460,80\r\n"));
-                const auto until = clock_type::now() + 15s;
-                std::size_t bytes = 0;
-                std::string tail;
-                while (!over && clock_type::now() < until && !item->ended() && tail.find(lastChunk) == std::string::npos) {
-                    item->fill(200ms);
-                    bytes += item->input.size();
-                    tail = (tail + item->input).substr(tail.size() + item->input.size() - std::min<std::size_t>(tail.size() + item->input.size(), 64));
-                    item->input.clear();
+        for (int c = 0; c < chatClients; ++c) {
+            clients.emplace_back([&, port = each->front(), name = each->name() + "-" + std::to_string(c)] {
+                for (int i = 0; !over; ++i) {
+                    const std::string id = "chat-" + name + "-" + std::to_string(i);
+                    const auto item = connectTo(port);
+                    if (item == nullptr) {
+                        sleepFor(100ms);
+                        continue;
+                    }
+                    item->send(requestText("POST", "/chat/ask", id, 15000, "which cord?", "X-Model: m\r\nX-Token-Usage: 1460,80\r\n"));
+                    const auto until = clock_type::now() + 15s;
+                    std::size_t bytes = 0;
+                    std::string tail;
+                    while (!over && clock_type::now() < until && !item->ended() && tail.find(lastChunk) == std::string::npos) {
+                        item->fill(200ms);
+                        bytes += item->input.size();
+                        tail = (tail + item->input).substr(tail.size() + item->input.size() - std::min<std::size_t>(tail.size() + item->input.size(), 64));
+                        item->input.clear();
+                    }
+                    ++chats;
+                    if (tail.find(lastChunk) == std::string::npos) {
+                        all.log.line(
+                            "client " + id + ": " + std::to_string(bytes) + " bytes without an end" + (item->ended() ? ", then the connection ends" : ""));
+                    }
+                    sleepFor(30ms);
                 }
-                ++chats;
-                all.log.line("client " + id + ": " + std::to_string(bytes) + " bytes" + (item->ended() ? ", then the connection ends" : ""));
-                sleepFor(300ms);
-            }
-        });
+            });
+        }
         clients.emplace_back([&, port = each->front(), name = each->name()] {
             for (int i = 0; !over; ++i) {
                 const std::string id = "order-" + name + "-" + std::to_string(i);
@@ -314,156 +577,21 @@
     }
     guards.clear();
     all.log.line("the machines: " + ends);
+    all.log.line("answers without an end: " + doses.at(0).text() + " and " + doses.at(1).text() + " of two replicas of four");
     all.log.line(
         "chats " + std::to_string(chats) + ", orders placed " + std::to_string(placed) + ", orders that ran and were never answered " + std::to_string(lost));
     return broken ? ruleBroken : chats > 0 && placed > 0 ? ruleHeld : couldNotRun;
 }
 
-// ---- Case 14: an entry from another writer ---------------------------------------------------------------------------------------------
-
-// Two services of one replica each, which write their entries every 1.2 s. With the disruption, another writer writes once over the entry of the
-// replica of `shop`: `Sequence` is missing, `ColdRemainingMs` is a text, and the service is `bank`. Orders for `bank` are sent until the replica's
-// own next entry.
-int entryOfAnotherWriter(const std::string &folder)
-{
-    constexpr auto heartbeat = 1200ms;
-    deployment all(folder);
-    std::atomic<int> wrong{0};
-    std::atomic<int> right{0};
-    const auto talk = [&](const std::string &name, const std::string &service, const std::string &prefix) {
-        return [&, name, service, prefix](connection &item) {
-            while (const auto call = item.read(600s)) {
-                const std::string id = call->header("X-Request-Id");
-                if (call->header("X-Target-Instance") != name) {
-                    all.log.line(name + " is not " + call->header("X-Target-Instance") + ": 421 for " + id);
-                    item.send(answerText(421, "X-Instance-Id: " + name + "\r\n", ""));
-                    continue;
-                }
-                const bool own = call->target().rfind(prefix, 0) == 0;
-                ++(own ? right : wrong);
-                all.log.line(
-                    name + ", a replica of " + service + ", runs " + id + ": " + call->firstLine + (own ? "" : ", which no configuration sends to " + service));
-                sleepFor(20ms);
-                item.send(answerText(200, ownHeaders(id), "done by " + name));
-            }
-        };
-    };
-    listener shop(talk("i-shop", "shop", "/stock/"));
-    listener bank(talk("i-bank", "bank", "/order/"));
-    all.platformStore.put("op/config",
-        configuration(1,
-            json::array({route("stock", "/stock/", "idempotent", "shop", 3000, 300), route("orders", "/order/", "non_idempotent", "bank", 3000, 300)}),
-            json::array({plainService("shop"), plainService("bank")})));
-    std::atomic<bool> over{false};
-    std::mutex written;
-    std::condition_variable beat;
-    int sequence = 0;
-    const auto writeEntries = [&] {
-        const std::lock_guard guard(written);
-        ++sequence;
-        all.platformStore.put("servers/i-shop", entry("shop", shop.port(), "west-a", sequence));
-        all.platformStore.put("servers/i-bank", entry("bank", bank.port(), "west-a", sequence));
-        beat.notify_all();
-    };
-    writeEntries();
-    std::thread beats([&] {
-        while (!over) {
-            sleepFor(heartbeat);
-            writeEntries();
-        }
-    });
-    const router &one = all.addRouter("edge-1", "west-a");
-    const bool ready = one.isReady(10s);
-    if (ready) {
-        sleepFor(500ms);
-        {
-            std::unique_lock guard(written);
-            beat.wait_for(guard, 3s);
-        }
-        if (withTrouble()) {
-            json other = entry("bank", shop.port(), "west-a", 0);
-            other.erase("Sequence");
-            other["ColdRemainingMs"] = "soon";
-            all.platformStore.put("servers/i-shop", other);
-            all.log.line("another writer: servers/i-shop = " + other.dump());
-        }
-        sleepFor(300ms);
-        const auto client = connectTo(one.front());
-        for (int i = 0; i < 20; ++i) {
-            const std::string id = "order-" + std::to_string(i);
-            all.log.line("client sends " + id);
-            client->send(requestText("POST", "/order/pay", id, 3000, "80 francs"));
-            logAnswer(all.log, id, client->read(4s));
-        }
-    }
-    over = true;
-    beats.join();
-    all.log.line("requests run by their own service: " + std::to_string(right) + ", by another one: " + std::to_string(wrong));
-    return wrong > 0 ? ruleBroken : ready && right > 0 ? ruleHeld : couldNotRun;
-}
-
-// ---- Case 15: a stream of a service without an engine that is broken off ---------------------------------------------------------------
-
-// Three streams on a `streaming` route of a plain service, each answered without a length, so that it ends with its connection. With the disruption,
-// the replica crashes inside the fourth of six events.
-int brokenStream(const std::string &folder)
-{
-    deployment all(folder);
-    listener feed([&](connection &item) {
-        const auto call = item.read(600s);
-        if (!call) {
-            return;
-        }
-        const std::string id = call->header("X-Request-Id");
-        all.log.line("replica runs " + id);
-        item.send("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" + ownHeaders(id) + "Connection: close\r\n\r\n");
-        for (int i = 1; i <= 6; ++i) {
-            const std::string event = "id: " + std::to_string(i) + "\ndata: count of " + id + " at step " + std::to_string(i) + "\n\n";
-            const bool crashes = withTrouble() && i == 4;
-            item.send(crashes ? event.substr(0, event.size() / 2) : event);
-            if (crashes) {
-                all.log.line("replica crashes inside event 4 of " + id);
-                return;
-            }
-            sleepFor(50ms);
-        }
-        all.log.line("replica ends " + id + " after event 6");
-    });
-    all.platformStore.put(
-        "op/config", configuration(1, json::array({route("feed", "/feed/", "streaming", "counts", 5000, 500)}), json::array({plainService("counts")})));
-    all.platformStore.put("servers/i-1", entry("counts", feed.port(), "west-a", 1));
-    const router &one = all.addRouter("edge-1", "west-a");
-    if (!one.isReady(10s)) {
-        return couldNotRun;
-    }
-    sleepFor(500ms);
-    int broken = 0;
-    int whole = 0;
-    for (int i = 0; i < 3; ++i) {
-        const std::string id = "stream-" + std::to_string(i);
-        const auto client = connectTo(one.front());
-        client->send(requestText("POST", "/feed/counts", id, 5000, "cranes"));
-        const auto answer = client->read(6s);
-        logAnswer(all.log, id, answer);
-        const bool complete = answer && answer->status() == 200;
-        const bool hasLast = answer && answer->body.find("at step 6\n\n") != std::string::npos;
-        broken += complete && !hasLast ? 1 : 0;
-        whole += complete && hasLast ? 1 : 0;
-        sleepFor(100ms);
-    }
-    all.log.line("streams that ended as complete with all events: " + std::to_string(whole) + ", without the last ones: " + std::to_string(broken));
-    return broken > 0 ? ruleBroken : withTrouble() || whole > 0 ? ruleHeld : couldNotRun;
-}
-
 } // namespace
 
 int main(int argc, char **argv)
 {
     const std::map<std::string, std::function<int(const std::string &)>> cases = {
         {"11", refusalOfNoRequest},
-        {"13", answerWithoutEnd},
+        {"13", fenceAfterReturn},
         {"14", entryOfAnotherWriter},
-        {"15", brokenStream},
+        {"15", answerWithoutEnd},
     };
     const auto found = argc == 3 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
--- a/review/stage-3/stage.h
+++ b/review/stage-3/stage.h
@@ -419,11 +419,36 @@
         const std::lock_guard guard(m_lock);
         erase(key);
     }
+
+    // For drills: answers state the era from the first call on.
+    void stateEra() { m_statesEra = true; }
+    void takeCopy()
+    {
+        const std::lock_guard guard(m_lock);
+        m_copy = m_now;
+    }
+    void goAway() { m_away = true; } // calls find their connection closed
+    // The copy is the store from now on, without leases and what was under them.
+    void comeBackFromCopy()
+    {
+        const std::lock_guard guard(m_lock);
+        m_now = m_copy;
+        std::erase_if(m_now.items, [](const auto &each) { return each.second.lease != 0; });
+        m_now.leases.clear();
+        ++m_era;
+        m_away = false;
+        m_changed.notify_all();
+    }
+    std::uint64_t revision()
+    {
+        const std::lock_guard guard(m_lock);
+        return m_now.revision;
+    }
     std::string value(const std::string &key)
     {
         const std::lock_guard guard(m_lock);
-        const auto found = m_items.find(key);
-        return found == m_items.end() ? std::string() : decodeBase64(found->second.value);
+        const auto found = m_now.items.find(key);
+        return found == m_now.items.end() ? std::string() : decodeBase64(found->second.value);
     }
 
 private:
@@ -447,19 +472,19 @@
 
     void write(const std::string &key, const std::string &encoded, std::uint64_t leaseId)
     {
-        item &held = m_items[key];
+        item &held = m_now.items[key];
         held.value = encoded;
-        held.revision = ++m_revision;
+        held.revision = ++m_now.revision;
         held.createdAt = held.createdAt == 0 ? held.revision : held.createdAt;
         held.lease = leaseId;
-        m_changes.push_back(itemJson(key, held));
+        m_now.changes.push_back(itemJson(key, held));
         m_changed.notify_all();
     }
 
     void erase(const std::string &key)
     {
-        if (m_items.erase(key) > 0) {
-            m_changes.push_back({{"Key", key}, {"Revision", ++m_revision}, {"Deleted", true}});
+        if (m_now.items.erase(key) > 0) {
+            m_now.changes.push_back({{"Key", key}, {"Revision", ++m_now.revision}, {"Deleted", true}});
             m_changed.notify_all();
         }
     }
@@ -467,7 +492,7 @@
     void endLease(std::uint64_t id)
     {
         std::vector<std::string> gone;
-        for (const auto &[key, held] : m_items) {
+        for (const auto &[key, held] : m_now.items) {
             if (held.lease == id) {
                 gone.push_back(key);
             }
@@ -475,7 +500,7 @@
         for (const std::string &key : gone) {
             erase(key);
         }
-        m_leases.erase(id);
+        m_now.leases.erase(id);
     }
 
     void expire()
@@ -484,7 +509,7 @@
             {
                 const std::lock_guard guard(m_lock);
                 std::vector<std::uint64_t> over;
-                for (const auto &[id, held] : m_leases) {
+                for (const auto &[id, held] : m_now.leases) {
                     if (held.until < clock_type::now()) {
                         over.push_back(id);
                     }
@@ -524,10 +549,10 @@
         bool holds = true;
         for (const json &row : body.value("ExpectedRev", json::array())) {
             const std::string key = row.at("Key");
-            const auto found = m_items.find(key);
-            const std::uint64_t revision = found == m_items.end() ? 0 : found->second.revision;
+            const auto found = m_now.items.find(key);
+            const std::uint64_t revision = found == m_now.items.end() ? 0 : found->second.revision;
             holds = holds && revision == row.at("Revision").get<std::uint64_t>();
-            if (found != m_items.end()) {
+            if (found != m_now.items.end()) {
                 now.push_back(itemJson(key, found->second));
             }
         }
@@ -536,7 +561,7 @@
         }
         for (const json &row : body.value("Writes", json::array())) {
             const std::uint64_t id = row.value("Lease", std::uint64_t{0});
-            if (id != 0 && m_leases.count(id) == 0) {
+            if (id != 0 && m_now.leases.count(id) == 0) {
                 return {404, json::object()};
             }
         }
@@ -546,7 +571,7 @@
         for (const json &row : body.value("Remove", json::array())) {
             erase(row);
         }
-        return {200, {{"Revision", m_revision}}};
+        return {200, {{"Revision", m_now.revision}}};
     }
 
     void logChange(const json &body, int status, const std::string &how)
@@ -560,12 +585,16 @@
     void talk(connection &item)
     {
         while (const std::optional<http_message> call = item.read(600s)) {
+            if (m_away) {
+                return;
+            }
             const std::string target = call->target();
             const std::string path = target.substr(0, target.find('?'));
+            const std::uint64_t era = currentEra();
             json answer = json::object();
             int status = 200;
             if (path == "/api/kv-watch") {
-                answer = watch(target);
+                std::tie(status, answer) = watch(target);
             } else if (path == "/api/kv-txn") {
                 const json body = json::parse(call->body);
                 const std::chrono::milliseconds late = lateBy ? lateBy(body) : 0ms;
@@ -588,28 +617,42 @@
                 const std::lock_guard guard(m_lock);
                 std::tie(status, answer) = simple(path, target, *call);
             }
-            if (!item.send(answerText(status, "Content-Type: application/json\r\n", answer.dump()))) {
+            if (m_away || era != currentEra()) {
+                return; // the store has gone away meanwhile
+            }
+            const std::string eraHeader = m_statesEra ? "Store-Era: " + std::to_string(era) + "\r\n" : "";
+            if (!item.send(answerText(status, "Content-Type: application/json\r\n" + eraHeader, answer.dump()))) {
                 return;
             }
         }
     }
 
-    json watch(const std::string &target)
+    std::uint64_t currentEra()
+    {
+        const std::lock_guard guard(m_lock);
+        return m_era;
+    }
+
+    std::pair<int, json> watch(const std::string &target)
     {
         const std::string prefix = parameter(target, "Prefix");
         const std::uint64_t after = std::stoull(parameter(target, "After"));
         const auto until = clock_type::now() + std::chrono::milliseconds(std::stoll(parameter(target, "WaitMs")));
         std::unique_lock guard(m_lock);
+        const std::uint64_t era = m_era;
+        if (after > m_now.revision) {
+            return {410, json::object()};
+        }
         while (true) {
             json events = json::array();
-            for (const json &each : m_changes) {
+            for (const json &each : m_now.changes) {
                 const std::string key = each.at("Key");
                 if (each.at("Revision").get<std::uint64_t>() > after && key.compare(0, prefix.size(), prefix) == 0) {
                     events.push_back(each);
                 }
             }
-            if (!events.empty() || m_stopping || m_changed.wait_until(guard, until) == std::cv_status::timeout) {
-                return {{"events", events}, {"At", m_revision}};
+            if (!events.empty() || m_stopping || era != m_era || m_changed.wait_until(guard, until) == std::cv_status::timeout) {
+                return {200, {{"events", events}, {"At", m_now.revision}}};
             }
         }
     }
@@ -620,21 +663,21 @@
             const std::string prefix = parameter(target, "Prefix");
             const std::string after = parameter(target, "After");
             json items = json::array();
-            for (const auto &[key, held] : m_items) {
+            for (const auto &[key, held] : m_now.items) {
                 if (key.compare(0, prefix.size(), prefix) == 0 && key > after) {
                     items.push_back(itemJson(key, held));
                 }
             }
-            return {200, {{"Items", items}, {"HasMore", false}, {"At", m_revision}}};
+            return {200, {{"Items", items}, {"HasMore", false}, {"At", m_now.revision}}};
         }
         if (path == "/api/kv-lease") {
             const std::chrono::milliseconds term(json::parse(call.body).at("TtlMs").get<std::int64_t>());
-            m_leases[++m_lastLease] = {clock_type::now() + term, term};
-            return {200, {{"Lease", m_lastLease}, {"TtlMs", term.count()}}};
+            m_now.leases[++m_now.lastLease] = {clock_type::now() + term, term};
+            return {200, {{"Lease", m_now.lastLease}, {"TtlMs", term.count()}}};
         }
         const std::uint64_t id = std::strtoull(path.substr(path.rfind('/') + 1).c_str(), nullptr, 10);
-        const auto found = m_leases.find(id);
-        if (found == m_leases.end()) {
+        const auto found = m_now.leases.find(id);
+        if (found == m_now.leases.end()) {
             return {404, json::object()};
         }
         if (path.rfind("/api/kv-keep/", 0) == 0) {
@@ -645,29 +688,52 @@
         return {200, json::object()};
     }
 
+    struct content
+    {
+        std::map<std::string, item> items;
+        std::vector<json> changes;
+        std::map<std::uint64_t, lease> leases;
+        std::uint64_t revision = 10;
+        std::uint64_t lastLease = 1000;
+    };
+
     record &m_log;
     std::mutex m_lock;
     std::condition_variable m_changed;
-    std::map<std::string, item> m_items;
-    std::vector<json> m_changes;
-    std::map<std::uint64_t, lease> m_leases;
-    std::uint64_t m_revision = 10;
-    std::uint64_t m_lastLease = 1000;
+    content m_now;
+    content m_copy;
+    std::uint64_t m_era = 1;
+    std::atomic<bool> m_statesEra{false};
+    std::atomic<bool> m_away{false};
     std::atomic<bool> m_stopping{false};
     std::list<std::thread> m_late;
     std::thread m_expiring;
     listener m_listener; // last
 };
 
-// The duty API: accepts everything.
+// The duty API: accepts everything, and keeps what came.
 class duty_api
 {
 public:
+    struct duty_call
+    {
+        std::string line;
+        std::string holder;
+        std::uint64_t fence = 0;
+        json body;
+        clock_type::time_point at;
+    };
+
     explicit duty_api(record &log)
-        : m_listener([&log](connection &item) {
+        : m_listener([this, &log](connection &item) {
             while (const std::optional<http_message> call = item.read(600s)) {
-                log.line("duty API: " + call->firstLine + " holder " + call->header("X-Duty-Holder") + " fence " + call->header("X-Fencing-Token") + " "
-                    + call->body);
+                const std::string fence = call->header("X-Fencing-Token");
+                log.line("duty API: " + call->firstLine + " holder " + call->header("X-Duty-Holder") + " fence " + fence + " " + call->body);
+                {
+                    const std::lock_guard guard(m_lock);
+                    m_calls.push_back({call->firstLine, call->header("X-Duty-Holder"), std::strtoull(fence.c_str(), nullptr, 10),
+                        json::parse(call->body, nullptr, false), clock_type::now()});
+                }
                 if (!item.send(answerText(200, "", "{}"))) {
                     return;
                 }
@@ -676,9 +742,16 @@
     {
     }
     [[nodiscard]] std::uint16_t port() const { return m_listener.port(); }
+    std::vector<duty_call> calls()
+    {
+        const std::lock_guard guard(m_lock);
+        return m_calls;
+    }
 
 private:
-    listener m_listener;
+    std::mutex m_lock;
+    std::vector<duty_call> m_calls;
+    listener m_listener; // last
 };
 
 // ---- The router ------------------------------------------------------------------------------------------------------------------------
