--- a/src/shell/completions_dialect.cpp
+++ b/src/shell/completions_dialect.cpp
@@ -30,7 +30,7 @@
 
 std::string eventText(const request_session &session, std::uint32_t index, const std::string &prefix)
 {
-    const std::string token = dumpJson(session.token(index));
+    const std::string token = dumpJson(std::string(session.token(index)));
     const std::string content = session.payload().chat ? "\"delta\":{\"content\":" + token + "}" : "\"text\":" + token;
     return "id: " + std::to_string(index) + "\ndata: " + prefix + content + ",\"finish_reason\":null}]}\n\n";
 }
--- a/src/shell/control_status.cpp
+++ b/src/shell/control_status.cpp
@@ -187,6 +187,7 @@
     counts.setGauge("members_living", static_cast<double>(m_clusterState.members().liveMembers().size()));
     counts.setGauge("resident_bytes", residentBytes());
     counts.setGauge("unread_bytes", static_cast<double>(m_host.unreadBytes->held()));
+    counts.setGauge("kept_answer_bytes", static_cast<double>(m_host.keptBytes->held()));
     counts.setGauge("unread_pauses_total", static_cast<double>(m_host.unreadBytes->refusals()));
     counts.setGauge("unread_request_bytes", static_cast<double>(m_host.requestBytes->held()));
     counts.setGauge("request_room_refusals_total", static_cast<double>(m_host.requestBytes->refusals()));
--- a/src/shell/copy_manager.cpp
+++ b/src/shell/copy_manager.cpp
@@ -129,7 +129,7 @@
     snapshot.arrival = facts.arrival;
     snapshot.firstToken = from;
     for (std::uint32_t i = from; i < to; ++i) {
-        snapshot.tokens.push_back(session.token(i));
+        snapshot.tokens.emplace_back(session.token(i));
     }
     if (withPayload) {
         snapshot.payload = session.payload();
@@ -330,7 +330,7 @@
     json reply = {{"known", known}, {"over", session->isOver()}, {"failed", session->failed()}, {"failure", static_cast<int>(session->failure())},
         {"tokens", json::array()}};
     for (std::uint32_t i = from; known && i < session->readable(); ++i) {
-        reply["tokens"].push_back(session->token(i));
+        reply["tokens"].push_back(std::string(session->token(i)));
     }
     co_await asio::dispatch(callingExecutor, asio::use_awaitable);
     co_return pack(reply);
--- a/src/shell/request_host.h
+++ b/src/shell/request_host.h
@@ -92,6 +92,8 @@
     std::atomic<time_point> loadKnownAt{time_point{}};              // when the other daemons told their load, on average; the epoch: none did
     // What is held for callers that have not read it, and request bodies: both together are a third of the memory of a process of 120 MB.
     std::shared_ptr<byte_pool> unreadBytes = std::make_shared<byte_pool>(byte_pool_limits{.total = 16 * 1024 * 1024, .always = 4 * 1024});
+    // Answers in progress that are kept for callers that return.
+    std::shared_ptr<byte_pool> keptBytes = std::make_shared<byte_pool>(byte_pool_limits{.total = 64 * 1024 * 1024, .always = 64 * 1024});
     std::shared_ptr<byte_pool> requestBytes = std::make_shared<byte_pool>(byte_pool_limits{.total = 24 * 1024 * 1024, .always = 16 * 1024});
     request_copier *copier = nullptr; // null: no peers. Must outlive every request
 
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -18,7 +18,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::size_t bytesBesideToken = 64;   // held for each token besides its text
 constexpr duration roomCheckInterval = 50ms;   // another request may have given its bytes back
 constexpr std::uint32_t maxUnreadTokens = 512; // of an answer that is kept for callers that return
 constexpr std::size_t maxHistoryBytes = 4096;
@@ -41,7 +40,7 @@
     , m_changeSignal(thread.context, asio::steady_timer::time_point::max())
     , m_backpressureSignal(thread.context, asio::steady_timer::time_point::max())
     , m_timer(thread.context)
-    , m_unread(host.unreadBytes)
+    , m_held(host.keepsAnswers ? host.keptBytes : host.unreadBytes)
 {
 }
 
@@ -50,9 +49,9 @@
     if (m_machine.isOver()) {
         return; // its caller has left
     }
-    m_tokens = std::move(deliveredTokens);
-    m_tokenCount = static_cast<std::uint32_t>(m_tokens.size());
-    countUnread();
+    m_tokens.assign(deliveredTokens);
+    m_tokenCount = m_tokens.size();
+    countHeld();
     m_host.add(shared_from_this());
     const bool quarantinedSinceAdmission = m_host.quarantinedPart(facts().promptParts).has_value();
     perform(quarantinedSinceAdmission ? m_machine.onQuarantined(systemNow()) : m_machine.start(systemNow()));
@@ -66,17 +65,12 @@
 
 std::uint32_t request_session::readable() const
 {
-    return m_showOnlyCopied ? std::min<std::uint32_t>(m_copiedTokens, static_cast<std::uint32_t>(m_tokens.size()))
-                            : static_cast<std::uint32_t>(m_tokens.size());
+    return m_showOnlyCopied ? std::min(m_copiedTokens, m_tokens.size()) : m_tokens.size();
 }
 
 std::string request_session::text(std::uint32_t maxTokens) const
 {
-    std::string answer;
-    for (std::uint32_t i = 0; i < m_tokens.size() && i < maxTokens; ++i) {
-        answer += m_tokens[i];
-    }
-    return answer;
+    return std::string(m_tokens.upTo(maxTokens));
 }
 
 asio::awaitable<void> request_session::waitForChange()
@@ -104,20 +98,8 @@
 
 void request_session::onReaderProgress(std::uint32_t index)
 {
-    std::size_t read = 0;
-    for (std::uint32_t i = m_readUpTo; i < std::min<std::size_t>(index, m_tokens.size()); ++i) {
-        read += m_tokens[i].size() + bytesBesideToken;
-        if (forgetsReadTokens()) {
-            std::string().swap(m_tokens[i]);
-        }
-    }
-    const bool isAnotherReader = index < m_readUpTo || !m_hasReaders;
     m_readUpTo = index;
-    if (isAnotherReader) {
-        countUnread();
-    } else {
-        m_unread.set(m_unread.bytes() - std::min(read, m_unread.bytes()));
-    }
+    countHeld();
     if (!readersAreBehind()) {
         m_backpressureSignal.cancel();
     }
@@ -125,25 +107,26 @@
 
 void request_session::onReaderLeft()
 {
-    m_readUpTo = static_cast<std::uint32_t>(m_tokens.size());
-    countUnread();
+    m_readUpTo = m_tokens.size();
+    countHeld();
 }
 
 void request_session::onCallerReturned()
 {
     m_hasReaders = true;
-    countUnread();
+    countHeld();
 }
 
 void request_session::markWithoutReaders()
 {
     m_hasReaders = false;
-    countUnread();
+    countHeld();
 }
 
+// The bytes stay counted until the session goes, as the reader still has to write them.
 std::string request_session::takeText()
 {
-    return forgetsReadTokens() && m_tokens.size() == 1 ? std::move(m_tokens.front()) : text();
+    return forgetsReadTokens() ? m_tokens.take() : text();
 }
 
 // No other reader can ask for them, and no peer.
@@ -152,22 +135,20 @@
     return !m_host.keepsAnswers && m_host.copier == nullptr;
 }
 
-void request_session::countUnread()
+// Forgets what nobody can ask for any more, and counts the rest.
+void request_session::countHeld()
 {
-    std::size_t bytes = 0;
-    for (std::size_t i = m_readUpTo; m_hasReaders && i < m_tokens.size(); ++i) {
-        bytes += m_tokens[i].size() + bytesBesideToken;
+    if (forgetsReadTokens()) {
+        m_tokens.forgetBefore(m_hasReaders ? m_readUpTo : m_tokens.size());
     }
-    m_unread.set(bytes);
+    m_held.set(m_tokens.heldBytes());
 }
 
 void request_session::addToken(std::string token)
 {
-    if (m_hasReaders) {
-        m_unread.set(m_unread.bytes() + token.size() + bytesBesideToken);
-    }
-    m_tokens.push_back(std::move(token));
-    m_tokenCount = static_cast<std::uint32_t>(m_tokens.size());
+    m_tokens.append(std::move(token));
+    m_tokenCount = m_tokens.size();
+    countHeld();
 }
 
 void request_session::onCallerGone()
@@ -180,7 +161,7 @@
 asio::awaitable<void> request_session::waitForReaders()
 {
     if (readersAreBehind() && !m_machine.isOver()) {
-        m_unread.countRefusal();
+        m_held.countRefusal();
     }
     while (readersAreBehind() && !m_machine.isOver()) {
         boost::system::error_code ignored;
@@ -195,22 +176,22 @@
 bool request_session::readersAreBehind() const
 {
     const bool manyTokens = m_host.keepsAnswers && m_tokens.size() >= m_readUpTo + maxUnreadTokens;
-    return m_hasReaders && (manyTokens || !m_unread.mayHave(m_unread.bytes() + 1));
+    return m_hasReaders && (manyTokens || !m_held.mayHave(m_held.bytes() + 1));
 }
 
 // Waits until a plain answer may grow to `bytes`. It can't be passed on before it is whole, so only other requests can make room.
 asio::awaitable<void> request_session::waitForRoom(std::shared_ptr<open_attempt> open, std::size_t bytes)
 {
-    if (!m_hasReaders || m_unread.tryGrowTo(bytes)) {
+    if (!m_hasReaders || m_held.tryGrowTo(bytes)) {
         co_return;
     }
-    while (m_hasReaders && !m_machine.isOver() && !open->cancelled && !m_unread.mayHave(bytes)) {
+    while (m_hasReaders && !m_machine.isOver() && !open->cancelled && !m_held.mayHave(bytes)) {
         boost::system::error_code ignored;
         m_backpressureSignal.expires_after(roomCheckInterval);
         co_await m_backpressureSignal.async_wait(storeErrorIn(ignored));
         m_machine.onBackpressureReleased(systemNow());
     }
-    m_unread.set(std::max(bytes, m_unread.bytes()));
+    m_held.set(std::max(bytes, m_held.bytes()));
 }
 
 // ---- Actions ---------------------------------------------------------------------------------------------------------------------------
@@ -325,7 +306,7 @@
     m_copying = true;
     bool more = true;
     while (more) {
-        const auto upTo = static_cast<std::uint32_t>(m_tokens.size());
+        const std::uint32_t upTo = m_tokens.size();
         m_showOnlyCopied = co_await m_host.copier->copy(self, m_copiedTokens, upTo);
         m_copiedTokens = upTo;
         if (first) {
@@ -347,7 +328,7 @@
     }
     m_handedOver = true; // from now on callers see only tokens that the peer has
     m_showOnlyCopied = true;
-    const auto upTo = static_cast<std::uint32_t>(m_tokens.size());
+    const std::uint32_t upTo = m_tokens.size();
     const bool accepted = co_await m_host.copier->handOver(self, m_copiedTokens, upTo);
     if (!accepted || m_machine.isOver()) {
         m_handedOver = false;
@@ -356,10 +337,10 @@
         co_return m_machine.isOver();
     }
     m_copiedTokens = upTo;
-    m_tokens.resize(upTo); // drop the tokens that arrived while the peer was asked: the peer continues after the copied ones
+    m_tokens.truncate(upTo); // drop the tokens that arrived while the peer was asked: the peer continues after the copied ones
     m_tokenCount = upTo;
     m_readUpTo = std::min(m_readUpTo, upTo);
-    countUnread();
+    countHeld();
     recordEvent(log_event::HandedOver, {{"pieces", upTo}});
     perform(m_machine.onHandedOver(systemNow()));
     notifyReaders();
@@ -524,13 +505,18 @@
         asio::co_spawn(m_thread.context, settleClaim(), logged_end("settling of a claim"));
     }
     if (m_showOnlyCopied && !m_handedOver && m_host.copier != nullptr) {
-        m_copiedTokens = static_cast<std::uint32_t>(m_tokens.size()); // the answer is complete, so the copy is no longer needed and all tokens may be read
+        m_copiedTokens = m_tokens.size(); // the answer is complete, so the copy is no longer needed and all tokens may be read
         m_host.copier->drop(facts().id);
     }
     m_timer.cancel();
     m_backpressureSignal.cancel();
     notifyReaders();
-    m_host.retire(shared_from_this(), m_host.keepsAnswers ? text().size() + m_payload.prompt.size() + m_payload.body.size() : 0);
+    if (m_host.keepsAnswers) {
+        m_host.retire(shared_from_this(), m_tokens.heldBytes() + m_payload.prompt.size() + m_payload.body.size());
+        m_held.set(0); // from now on it is counted among the retired requests
+    } else {
+        m_host.retire(shared_from_this(), 0);
+    }
 }
 
 void request_session::postQuarantined()
--- a/src/shell/request_session.h
+++ b/src/shell/request_session.h
@@ -2,6 +2,7 @@
 // callers that read it. Belongs to one request thread; only the functions under "Any thread" may be called from other threads.
 #pragma once
 
+#include "chicoryrouter/answer_text.h"
 #include "chicoryrouter/bounded_counter.h"
 #include "chicoryrouter/byte_pool.h"
 #include "chicoryrouter/claim.h"
@@ -33,7 +34,10 @@
 
     // ---- For readers, on the session's thread
     [[nodiscard]] std::uint32_t readable() const; // number of tokens that may be sent to callers
-    [[nodiscard]] const std::string &token(std::uint32_t index) const { return m_tokens[index]; }
+    [[nodiscard]] std::string_view token(std::uint32_t index) const
+    {
+        return m_tokens.piece(index);
+    } // valid until the next co_await; empty if it was read and forgotten
     [[nodiscard]] bool isOver() const { return m_machine.isOver() && readable() == m_tokens.size(); } // ended, and all tokens are readable
     [[nodiscard]] bool failed() const { return m_failed; }
     [[nodiscard]] error_kind failure() const { return m_failure; }
@@ -41,7 +45,8 @@
     [[nodiscard]] const std::string &contentType() const { return m_contentType; }
     [[nodiscard]] const http_headers &answerHeaders() const { return m_answerHeaders; } // of the endpoint that sent the first piece; only if relayed
     [[nodiscard]] bool answeredByEndpoint() const { return m_headRecorded; }            // status() and the headers were received from an endpoint
-    [[nodiscard]] std::string text(std::uint32_t maxTokens = UINT32_MAX) const;         // the answer's first `maxTokens` tokens, by default all of them
+    [[nodiscard]] std::string text(
+        std::uint32_t maxTokens = UINT32_MAX) const;           // the answer's first `maxTokens` tokens, by default all of them; of those that are held
     [[nodiscard]] bool replayed() const { return m_replayed; } // the answer is a stored one, from an earlier call with the same idempotency key
     boost::asio::awaitable<void> waitForChange(); // completes at the next change: more tokens, or the end of the request; may also complete without a change
     void onReaderProgress(std::uint32_t index);   // for back-pressure: the most recent reader has written the tokens before `index`
@@ -125,7 +130,7 @@
     boost::asio::awaitable<void> copyLoop(bool first);
     [[nodiscard]] bool readersAreBehind() const;
     [[nodiscard]] bool forgetsReadTokens() const;
-    void countUnread();
+    void countHeld();
     void addToken(std::string token);
     boost::asio::awaitable<void> waitForReaders();
     boost::asio::awaitable<void> waitForRoom(std::shared_ptr<open_attempt> open, std::size_t bytes);
@@ -141,7 +146,7 @@
     request_thread &m_thread;
     request_payload m_payload;
     request_machine m_machine;
-    std::vector<std::string> m_tokens; // the answer so far; a plain service's answer is one token; empty where forgetsReadTokens() and read
+    answer_text m_tokens; // the answer so far; a plain service's answer is one token; what was read is not held where forgetsReadTokens()
     std::map<std::uint32_t, std::shared_ptr<open_attempt>> m_openAttempts;
     boost::asio::steady_timer m_changeSignal;       // readers wait on it; cancelled at each change to wake them
     boost::asio::steady_timer m_backpressureSignal; // attempts wait on it while callers read too slowly; cancelled to wake them
@@ -160,7 +165,7 @@
     bool m_handedOver = false;        // a peer continues the request, or is being asked to
     bool m_showOnlyCopied = false;    // callers may see only the first m_copiedTokens tokens; set while a peer holds a copy and during a handover
     std::uint32_t m_readUpTo = 0;     // number of tokens that the most recent reader has written
-    byte_share m_unread;              // the tokens from m_readUpTo on, or the plain answer being read; nothing without readers
+    byte_share m_held;                // what m_tokens holds, or the plain answer being read
     bool m_hasReaders = true;         // a caller is connected; without one there is no back-pressure
     bool m_failed = false;
     bool m_replayed = false;
--- a/src/shell/request_session_attempts.cpp
+++ b/src/shell/request_session_attempts.cpp
@@ -335,7 +335,6 @@
     }
     m_openAttempts.erase(number);
     recordAnswerHead(open);
-    countUnread(); // the body becomes a token
     acceptToken(number, {facts().id, number, 0, std::move(body), false});
     reportShortAnswer(*open->target);
     perform(m_machine.onEnd(number, facts().id, 1, systemNow()));
--- a/src/shell/request_session_claims.cpp
+++ b/src/shell/request_session_claims.cpp
@@ -64,7 +64,7 @@
     if (next == step::Replay) {
         m_status = m_claim->existingRecord().status;
         m_contentType = m_claim->existingRecord().contentType;
-        m_tokens = {m_claim->existingRecord().answer};
+        m_tokens.assign({m_claim->existingRecord().answer});
         m_replayed = true;
         recordEvent(log_event::ClaimReplayed, {{"earlier", m_claim->existingRecord().requestId}});
         perform(m_machine.onReplayed(systemNow()));
--- a/tests/support/raw_endpoint.h
+++ b/tests/support/raw_endpoint.h
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <functional>
 #include <list>
+#include <sstream>
 #include <string>
 #include <thread>
 
@@ -77,6 +78,14 @@
     std::thread m_accepting; // last: it uses the others
 };
 
+// One chunk of a chunked body.
+inline std::string chunkOf(const std::string &bytes)
+{
+    std::ostringstream size;
+    size << std::hex << bytes.size();
+    return size.str() + "\r\n" + bytes + "\r\n";
+}
+
 // The next request's head with its empty line, for requests without a body; empty when the other side closed.
 inline std::string readRequestHead(boost::asio::ip::tcp::socket &socket)
 {
--- a/tests/support/socket_caller.h
+++ b/tests/support/socket_caller.h
@@ -88,12 +88,15 @@
         return ::recv(m_socket, &next, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
     }
 
+    // What comes next, at most `size` bytes: their number, 0 at the end of the connection, negative at an error or after 15 s of silence.
+    ssize_t readSome(char *buffer, std::size_t size) { return ::recv(m_socket, buffer, size, 0); }
+
     socket_answer readAnswer()
     {
         socket_answer answer;
         while (!isWhole(answer.bytes)) {
             char buffer[4096];
-            const ssize_t got = ::recv(m_socket, buffer, sizeof(buffer), 0);
+            const ssize_t got = readSome(buffer, sizeof(buffer));
             if (got <= 0) {
                 const bool late = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
                 const answer_end broken = late ? answer_end::TimedOut : answer_end::Reset;
--- a/tests/unit/slow_readers.cpp
+++ b/tests/unit/slow_readers.cpp
@@ -13,7 +13,6 @@
 #include <array>
 #include <atomic>
 #include <memory>
-#include <sstream>
 #include <thread>
 #include <vector>
 
@@ -35,13 +34,6 @@
 
 const std::string streamHead = "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nX-Request-Id: ";
 
-std::string chunk(const std::string &bytes)
-{
-    std::ostringstream size;
-    size << std::hex << bytes.size();
-    return size.str() + "\r\n" + bytes + "\r\n";
-}
-
 // Answers requests whose id begins with "slow" with `events` events of `eventBytes` bytes, and others with two short ones.
 struct streaming_endpoint
 {
@@ -64,7 +56,7 @@
             for (std::size_t number = 1; number <= count && !code; ++number) {
                 std::string event = "id: " + std::to_string(number) + "\ndata: ";
                 event += std::string(isSlow ? eventBytes : 4, 'x') + "\n\n";
-                asio::write(socket, asio::buffer(chunk(event)), code);
+                asio::write(socket, asio::buffer(test::chunkOf(event)), code);
             }
             asio::write(socket, asio::buffer(std::string_view("0\r\n\r\n")), code);
             written += isSlow && !code ? 1 : 0;
