The body of a refusal that comes byte by byte holds no further attempt up

Callers saw: a request that an endpoint refused at once, with the proof that it hadn't run, waited for its deadline and got 504 (4.7 s in the test of a route of 3 s), where it may be told at once or tried elsewhere.

Cause: the rest of a refusal is read so that its connection can be used again; that had a bound in bytes and none in time, and the next attempt waits for it.

Change: 100 ms, then the connection is closed.

Test: endless_answers/a_refusal_whose_body_comes_byte_by_byte_holds_nothing_up failed before and passes.

--- a/src/shell/request_session.h
+++ b/src/shell/request_session.h
@@ -120,7 +120,7 @@
     boost::asio::awaitable<std::optional<attempt_fault>> runPlain(std::shared_ptr<open_attempt> open, send_attempt action);
     boost::asio::awaitable<std::optional<attempt_fault>> readHead(std::shared_ptr<open_attempt> open);
     boost::asio::awaitable<std::optional<attempt_fault>> readWholeAnswer(std::shared_ptr<open_attempt> open, std::uint32_t number);
-    static boost::asio::awaitable<void> skipBody(std::shared_ptr<open_attempt> open);
+    boost::asio::awaitable<void> skipBody(std::shared_ptr<open_attempt> open);
     [[nodiscard]] engine_call callFor(const send_attempt &action) const;
     void recordAnswerHead(const std::shared_ptr<open_attempt> &open);
     boost::asio::awaitable<bool> readEvents(std::shared_ptr<open_attempt> open, std::uint32_t number, engine_call call);
--- a/src/shell/request_session_attempts.cpp
+++ b/src/shell/request_session_attempts.cpp
@@ -16,8 +16,9 @@
 
 namespace {
 
-constexpr std::size_t maxSkippedBytes = 64 * 1024; // limit for an answer that is read only to keep its connection open
-constexpr std::uint32_t maxForeignAnswers = 3;     // answers to earlier calls that are skipped on one connection
+constexpr std::size_t maxSkippedBytes = 64 * 1024;               // limit for an answer that is read only to keep its connection open
+constexpr duration maxSkipTime = std::chrono::milliseconds(100); // the same; the next attempt waits for it
+constexpr std::uint32_t maxForeignAnswers = 3;                   // answers to earlier calls that are skipped on one connection
 
 } // namespace
 
@@ -147,6 +148,7 @@
 {
     std::array<char, 4096> scratch{};
     std::size_t total = 0;
+    open->stream->setDeadline(std::min(facts().deadline, systemNow() + maxSkipTime));
     try {
         while (const std::size_t byteCount = co_await open->stream->readSome(scratch.data(), scratch.size())) {
             total += byteCount;
--- a/tests/unit/endless_answers.cpp
+++ b/tests/unit/endless_answers.cpp
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <atomic>
+#include <thread>
 
 using namespace chicoryrouter;
 using namespace std::chrono_literals;
@@ -127,3 +128,29 @@
 {
     checkThatRequestsEnd(okHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: and more\r\n", "GET", "/look/1", "shop");
 }
+
+// The refusal is whole without its body, which only the connection's further use needs: it must not hold up the next attempt.
+Test(endless_answers, a_refusal_whose_body_comes_byte_by_byte_holds_nothing_up)
+{
+    raw_endpoint trickler([](tcp::socket &socket) {
+        const std::string head = test::readRequestHead(socket);
+        const std::string answer = "HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 100000\r\nX-Request-Id: " + test::headerIn(head, "X-Request-Id");
+        boost::system::error_code code;
+        asio::write(socket, asio::buffer(answer + "\r\n\r\n"), code);
+        while (!code && !head.empty()) {
+            asio::write(socket, asio::buffer("x", 1), code);
+            std::this_thread::sleep_for(20ms);
+        }
+    });
+    small_deployment all;
+    all.start();
+    all.store.remove("servers/shop-1");
+    all.store.remove("servers/shop-2");
+    all.store.put("servers/trickler", trickler.entry("shop"));
+    cr_assert(eventually([&] { return all.routers.front()->isLeaving("shop-2") && all.routers.front()->usableEndpointCount() == 3; }));
+    const time_point begun = systemNow();
+    const auto answer = all.ask("POST", "/order/1", "t1");
+    cr_assert_eq(answer.response.status, 503, "got %d", answer.response.status);
+    cr_assert_lt((systemNow() - begun) / 1ms, 1500, "after %ld ms", (systemNow() - begun) / 1ms);
+    cr_assert(eventually([&] { return trickler.open() == 0; }), "the connection is still read");
+}
