Bytes of an answer that are no piece yet count toward memory, for each attempt

Up to 1 MiB of an event that had not arrived whole was held for each stream and counted nowhere; of two attempts of one request (a hedge) only the larger body counted, and none where the caller had left.

Change: each attempt has a share of the pool of answers for what has arrived and is no piece yet, and waits for room as plain bodies do. The limit on one event is the meter's, beside the others.

The hedge and the left caller: by reading.

--- a/include/chicoryrouter/answer_limits.h
+++ b/include/chicoryrouter/answer_limits.h
@@ -29,8 +29,9 @@
     {
     }
 
-    void countPiece(std::uint32_t position); // every piece that arrives, also those that are not passed on; throws error(AnswerTooLong)
-    void checkHeld(std::size_t bytes) const; // held of the whole answer; throws error(EndpointGarbage)
+    void countPiece(std::uint32_t position);       // every piece that arrives, also those that are not passed on; throws error(AnswerTooLong)
+    void checkUnfinished(std::size_t bytes) const; // of an event that has not arrived whole; throws error(EndpointGarbage)
+    void checkHeld(std::size_t bytes) const;       // held of the whole answer; throws error(EndpointGarbage)
     [[nodiscard]] std::uint32_t pieces() const { return m_pieces; }
 
 private:
--- a/src/core/answer_limits.cpp
+++ b/src/core/answer_limits.cpp
@@ -30,6 +30,13 @@
     }
 }
 
+void answer_meter::checkUnfinished(std::size_t bytes) const
+{
+    if (bytes > m_limits.pieceBytes) {
+        throw error(error_kind::EndpointGarbage, "an event of more than " + std::to_string(m_limits.pieceBytes) + " bytes");
+    }
+}
+
 void answer_meter::checkHeld(std::size_t bytes) const
 {
     if (bytes > m_limits.bytes) {
--- a/src/shell/endpoint_dialect.cpp
+++ b/src/shell/endpoint_dialect.cpp
@@ -11,6 +11,7 @@
     void feed(std::string_view bytes) override { m_events.feed(bytes); }
     std::optional<engine_event> next() override { return m_events.next(); }
     [[nodiscard]] bool isCompleteAtEnd() const override { return false; } // an answer is complete only after an event with `done`
+    [[nodiscard]] std::size_t unfinishedBytes() const override { return m_events.unfinishedBytes(); }
     [[nodiscard]] bool carriesRequestId() const override { return true; }
 
 private:
--- a/src/shell/endpoint_dialect.h
+++ b/src/shell/endpoint_dialect.h
@@ -23,9 +23,10 @@
 public:
     virtual ~stream_event_reader() = default;
     virtual void feed(std::string_view bytes) = 0;
-    virtual std::optional<engine_event> next() = 0;          // throws error(EndpointGarbage) on malformed input
-    [[nodiscard]] virtual bool isCompleteAtEnd() const = 0;  // after a proper end of the HTTP body: whether that also completes the answer
-    [[nodiscard]] virtual bool carriesRequestId() const = 0; // events carry the request id and the attempt number, which the session then checks
+    virtual std::optional<engine_event> next() = 0;                // throws error(EndpointGarbage) on malformed input
+    [[nodiscard]] virtual bool isCompleteAtEnd() const = 0;        // after a proper end of the HTTP body: whether that also completes the answer
+    [[nodiscard]] virtual std::size_t unfinishedBytes() const = 0; // held of an event that is not whole yet; the caller bounds them
+    [[nodiscard]] virtual bool carriesRequestId() const = 0;       // events carry the request id and the attempt number, which the session then checks
 };
 
 // What the status and headers of an endpoint's answer say about the request.
--- a/src/shell/engine_client.h
+++ b/src/shell/engine_client.h
@@ -49,6 +49,7 @@
 public:
     void feed(std::string_view bytes);
     std::optional<engine_event> next();
+    [[nodiscard]] std::size_t unfinishedBytes() const { return m_buffer.size() - m_consumed; } // of a line that is not whole yet
 
 private:
     std::string m_buffer;       // unparsed input; an unfinished line longer than maxLineBytes is an error
--- a/src/shell/request_host.h
+++ b/src/shell/request_host.h
@@ -97,6 +97,7 @@
     // Answers in progress that are kept for callers that return.
     std::shared_ptr<byte_pool> keptBytes = std::make_shared<byte_pool>(byte_pool_limits{.total = 64 * 1024 * 1024, .always = 64 * 1024});
     std::shared_ptr<byte_pool> requestBytes = std::make_shared<byte_pool>(byte_pool_limits{.total = 24 * 1024 * 1024, .always = 16 * 1024});
+    [[nodiscard]] const std::shared_ptr<byte_pool> &answerBytes() const { return keepsAnswers ? keptBytes : unreadBytes; } // for answers in progress
     request_copier *copier = nullptr; // null: no peers. Must outlive every request
 
     retry_budget &budgetOf(const std::string &service); // any thread; the reference is valid as long as the host
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -41,7 +41,7 @@
     , m_changeSignal(thread.context, asio::steady_timer::time_point::max())
     , m_backpressureSignal(thread.context, asio::steady_timer::time_point::max())
     , m_timer(thread.context)
-    , m_held(host.keepsAnswers ? host.keptBytes : host.unreadBytes)
+    , m_held(host.answerBytes())
 {
 }
 
@@ -180,19 +180,20 @@
     return m_hasReaders && (manyTokens || !m_held.mayHave(m_held.bytes() + 1));
 }
 
-// Waits until a plain answer may grow to `bytes`. It can't be passed on before it is whole, so only other requests can make room.
+// Counts the bytes of an attempt's answer that are no piece yet; waits until there is room where they have grown. They can't be passed on before they
+// are a whole piece, so only other requests can make room.
 asio::awaitable<void> request_session::waitForRoom(std::shared_ptr<open_attempt> open, std::size_t bytes)
 {
-    if (!m_hasReaders || m_held.tryGrowTo(bytes)) {
+    if (open->arriving.tryGrowTo(bytes)) {
         co_return;
     }
-    while (m_hasReaders && !m_machine.isOver() && !open->cancelled && !m_held.mayHave(bytes)) {
+    while (!m_machine.isOver() && !open->cancelled && !open->arriving.mayHave(bytes)) {
         boost::system::error_code ignored;
         m_backpressureSignal.expires_after(roomCheckInterval);
         co_await m_backpressureSignal.async_wait(storeErrorIn(ignored));
         m_machine.onBackpressureReleased(systemNow());
     }
-    m_held.set(std::max(bytes, m_held.bytes()));
+    open->arriving.set(bytes);
 }
 
 // ---- Actions ---------------------------------------------------------------------------------------------------------------------------
@@ -374,8 +375,7 @@
 
 void request_session::perform(const send_attempt &action)
 {
-    const auto open = std::make_shared<open_attempt>();
-    open->target = action.target;
+    const auto open = std::make_shared<open_attempt>(action.target, m_host.answerBytes());
     open->predictedWait = m_predictedWait;
     m_openAttempts[action.attempt] = open;
     m_host.counts.countAttempt();
--- a/src/shell/request_session.h
+++ b/src/shell/request_session.h
@@ -76,8 +76,15 @@
 private:
     struct open_attempt
     {
+        open_attempt(endpoint_ptr chosen, std::shared_ptr<byte_pool> pool)
+            : target(std::move(chosen))
+            , arriving(std::move(pool))
+        {
+        }
+
         endpoint_ptr target;
-        std::shared_ptr<http_stream> stream;                                   // null until the answer's head has been received
+        byte_share arriving;                 // bytes of the answer that are no piece yet: of a plain answer, or of an event that is not whole
+        std::shared_ptr<http_stream> stream; // null until the answer's head has been received
         std::shared_ptr<call_handle> handle = std::make_shared<call_handle>(); // cancels the call while `stream` is null
         std::unique_ptr<scoped_count<std::uint32_t>> awaitingFirstPiece;       // counted in endpoint_load::awaitingAnswer until the first piece
         std::unique_ptr<scoped_count<std::uint32_t>> unreadPrompt;             // its tokens are in endpoint_load::ownPromptTokens until the first piece
@@ -167,7 +174,7 @@
     bool m_handedOver = false;        // a peer continues the request, or is being asked to
     bool m_showOnlyCopied = false;    // callers may see only the first m_copiedTokens tokens; set while a peer holds a copy and during a handover
     std::uint32_t m_readUpTo = 0;     // number of tokens that the most recent reader has written
-    byte_share m_held;                // what m_tokens holds, or the plain answer being read
+    byte_share m_held;                // what m_tokens holds
     bool m_hasReaders = true;         // a caller is connected; without one there is no back-pressure
     bool m_failed = false;
     bool m_replayed = false;
--- a/src/shell/request_session_attempts.cpp
+++ b/src/shell/request_session_attempts.cpp
@@ -248,6 +248,12 @@
                 throw error(error_kind::EndpointGarbage, "an endpoint's stream skipped a token index");
             }
         }
+        meter.checkUnfinished(reader->unfinishedBytes());
+        if (reader->unfinishedBytes() > open->arriving.bytes()) {
+            co_await waitForRoom(open, reader->unfinishedBytes());
+        } else {
+            open->arriving.set(reader->unfinishedBytes());
+        }
         if (m_host.keepsAnswers) {
             meter.checkHeld(m_tokens.heldBytes());
         }
@@ -341,6 +347,7 @@
     m_openAttempts.erase(number);
     recordAnswerHead(open);
     acceptToken(number, {facts().id, number, 0, std::move(body), false});
+    open->arriving.set(0); // it has become a piece
     reportShortAnswer(*open->target);
     perform(m_machine.onEnd(number, facts().id, 1, systemNow()));
     co_return std::nullopt;
--- a/tests/unit/slow_readers.cpp
+++ b/tests/unit/slow_readers.cpp
@@ -206,6 +206,42 @@
 
 namespace {
 
+// Guards against bytes of unfinished events that nobody counts: each is held until its event is whole.
+Test(slow_readers, events_that_do_not_get_whole_count)
+{
+    raw_endpoint writer([](tcp::socket &socket) {
+        for (std::string head = test::readRequestHead(socket); !head.empty(); head = test::readRequestHead(socket)) {
+            const std::string id = test::headerIn(head, "X-Request-Id");
+            const bool isSlow = id.rfind("slow", 0) == 0;
+            std::string answer = streamHead + id + "\r\n\r\n";
+            answer += test::chunkOf("id: 1\ndata: ab\n\nid: 2\ndata: " + std::string(isSlow ? mebibyte * 9 / 10 : 1, 'x') + (isSlow ? "" : "\n\n"));
+            boost::system::error_code code;
+            asio::write(socket, asio::buffer(answer + (isSlow ? "" : "0\r\n\r\n")), code);
+        }
+    });
+    small_deployment all;
+    all.start();
+    onlyWriters(all, {&writer});
+    constexpr int callers = 120;
+    std::vector<std::unique_ptr<slow_caller>> asking;
+    const double before = residentBytes();
+    double growth = 0.0;
+    for (int i = 0; i < callers; ++i) {
+        asking.push_back(std::make_unique<slow_caller>(all.routers.front()->gateway()));
+        asking.back()->send(requestText("POST", "/chat/1", "slow-" + std::to_string(i), ""));
+        growth = std::max(growth, residentBytes() - before);
+    }
+    const time_point until = systemNow() + 3s;
+    while (systemNow() < until) {
+        growth = std::max(growth, residentBytes() - before);
+        std::this_thread::sleep_for(5ms);
+    }
+    cr_assert_gt(metric(all, "chicoryrouter_unread_bytes"), 0.0, "nothing is counted");
+    cr_assert_lt(growth, maxGrowth, "the process has grown by %.0f bytes", growth);
+    asking.clear();
+    cr_assert(eventually([&] { return metric(all, "chicoryrouter_unread_bytes") == 0.0; }));
+}
+
 nlohmann::json withLargeBodies()
 {
     nlohmann::json configuration = hostedConfiguration();
