An exported KV cache has a bound, and endpoints that know no export are not asked for one

When a stream moves away from an endpoint that will be reclaimed, the daemon read the endpoint's answer to POST /kv/export into memory, up to SIZE_MAX bytes.

Change: streams of relayed endpoints are resumed, never transferred.

Test: endless_streams/a_stream_that_moves_asks_for_no_export_of_a_kv_cache failed before and passes. The limit of the own protocol has no test of its own but http_client's on call().

--- a/include/chicoryrouter/stream_moves.h
+++ b/include/chicoryrouter/stream_moves.h
@@ -26,6 +26,8 @@
     duration margin = std::chrono::milliseconds(500);          // safety margin before the reclaim deadline
 };
 
+std::size_t kvBytes(std::uint32_t tokens, const transfer_rates &rates = {}); // estimated size of the KV cache of so many tokens
+
 // Sets the method of each stream and sorts the list into the order of the moves. Streams that save the most recomputation per second
 // of transfer are transferred first, one after the other, as long as the transfers end `rates.margin` before `reclaimDeadline`. Streams
 // that do not fit are resumed by recomputation.
--- a/src/core/stream_moves.cpp
+++ b/src/core/stream_moves.cpp
@@ -14,6 +14,11 @@
 
 } // namespace
 
+std::size_t kvBytes(std::uint32_t tokens, const transfer_rates &rates)
+{
+    return static_cast<std::size_t>(tokens * rates.bytesPerToken);
+}
+
 void planStreamMoves(std::vector<stream_cost> &streams, time_point reclaimDeadline, time_point now, const transfer_rates &rates)
 {
     const auto savedPerSecond = [&](const stream_cost &stream) {
--- a/src/shell/request_host.cpp
+++ b/src/shell/request_host.cpp
@@ -171,7 +171,8 @@
     planStreamMoves(streams, notice.leaveBy, systemNow());
     for (const stream_cost &stream : streams) {
         if (const auto session = find(stream.requestId)) {
-            session->postReclaimNotice(notice.endpointId, notice.leaveBy, stream.method);
+            const move_method method = dialect->relaysAnswers ? move_method::Resume : stream.method; // relayed endpoints know no export
+            session->postReclaimNotice(notice.endpointId, notice.leaveBy, method);
         }
     }
 }
--- a/src/shell/request_host.h
+++ b/src/shell/request_host.h
@@ -96,6 +96,8 @@
     std::shared_ptr<byte_pool> unreadBytes = std::make_shared<byte_pool>(byte_pool_limits{.total = 16 * 1024 * 1024, .always = 4 * 1024});
     // Answers in progress that are kept for callers that return.
     std::shared_ptr<byte_pool> keptBytes = std::make_shared<byte_pool>(byte_pool_limits{.total = 64 * 1024 * 1024, .always = 64 * 1024});
+    // KV caches on their way through this daemon, from one endpoint to another.
+    std::shared_ptr<byte_pool> transferBytes = std::make_shared<byte_pool>(byte_pool_limits{.total = 1024 * 1024 * 1024, .always = 0});
     std::shared_ptr<byte_pool> requestBytes = std::make_shared<byte_pool>(byte_pool_limits{.total = 24 * 1024 * 1024, .always = 16 * 1024});
     [[nodiscard]] const std::shared_ptr<byte_pool> &answerBytes() const { return keepsAnswers ? keptBytes : unreadBytes; } // for answers in progress
     request_copier *copier = nullptr; // null: no peers. Must outlive every request
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -1,6 +1,7 @@
 // Performs the actions of one request's request_machine, and serves the readers of its answer.
 #include "shell/request_session.h"
 
+#include "chicoryrouter/stream_moves.h"
 #include "chicoryrouter/units.h"
 #include "shell/asio_error.h"
 #include "shell/clock.h"
@@ -21,7 +22,8 @@
 constexpr duration roomCheckInterval = 50ms;   // another request may have given its bytes back
 constexpr std::uint32_t maxUnreadTokens = 512; // of an answer that is kept for callers that return
 constexpr std::size_t maxHistoryBytes = 4096;
-constexpr std::uint32_t bytesPerPromptToken = 4; // estimate; used only to order stream moves by cost
+constexpr std::uint32_t bytesPerPromptToken = 4;  // estimate; used only to order stream moves by cost
+constexpr std::size_t kvBytesSlack = 1024 * 1024; // of an exported KV cache beyond the estimate of its size
 
 // A function of its own, so that the budget is looked up before `facts` is moved from.
 request_machine machineFor(request_host &host, request_facts facts)
@@ -354,23 +356,34 @@
     asio::co_spawn(m_thread.context, runTransfer(action), logged_end("transfer of a stream"));
 }
 
+// Without room for it the stream is resumed by recomputation.
 asio::awaitable<void> request_session::runTransfer(transfer_kv action)
 {
     const auto self = shared_from_this();
+    const std::size_t maxBytes = kvBytes(recomputeTokens()) + kvBytesSlack;
+    byte_share room(m_host.transferBytes);
     bool arrived = false;
+    if (room.tryGrowTo(maxBytes)) {
+        arrived = co_await transferKv(action, maxBytes);
+    }
+    recordEvent(log_event::KvMoved, {{"endpoint", action.target->id}, {"arrived", arrived}});
+    perform(m_machine.onTransferred(arrived, systemNow()));
+}
+
+asio::awaitable<bool> request_session::transferKv(transfer_kv action, std::size_t maxBytes)
+{
     try {
-        http_response exported
-            = co_await m_thread.client.call(action.source->listenAddress, kvExportRequest(facts().id, action.fromAttempt), action.deadline, SIZE_MAX);
-        if (exported.status == 200) {
-            const http_response imported
-                = co_await m_thread.client.call(action.target->listenAddress, kvImportRequest(facts().id, std::move(exported.body)), action.deadline);
-            arrived = imported.status == 200;
+        http_call exportCall = kvExportRequest(facts().id, action.fromAttempt);
+        http_response exported = co_await m_thread.client.call(action.source->listenAddress, std::move(exportCall), action.deadline, maxBytes);
+        if (exported.status != 200) {
+            co_return false;
         }
+        http_call importCall = kvImportRequest(facts().id, std::move(exported.body));
+        const http_response imported = co_await m_thread.client.call(action.target->listenAddress, std::move(importCall), action.deadline, maxShortAnswerBytes);
+        co_return imported.status == 200;
     } catch (const http_failure &) {
-        arrived = false;
+        co_return false;
     }
-    recordEvent(log_event::KvMoved, {{"endpoint", action.target->id}, {"arrived", arrived}});
-    perform(m_machine.onTransferred(arrived, systemNow()));
 }
 
 void request_session::perform(const send_attempt &action)
--- a/src/shell/request_session.h
+++ b/src/shell/request_session.h
@@ -133,6 +133,7 @@
     boost::asio::awaitable<bool> readEvents(std::shared_ptr<open_attempt> open, std::uint32_t number, engine_call call);
     void renumberPiece(engine_event &piece, std::uint32_t attempt);
     boost::asio::awaitable<void> runTransfer(transfer_kv action);
+    boost::asio::awaitable<bool> transferKv(transfer_kv action, std::size_t maxBytes);
     boost::asio::awaitable<void> runClaim();
     boost::asio::awaitable<void> settleClaim();
     boost::asio::awaitable<void> copyLoop(bool first);
--- a/tests/unit/endless_streams.cpp
+++ b/tests/unit/endless_streams.cpp
@@ -46,6 +46,11 @@
     void talk(tcp::socket &socket)
     {
         for (std::string head = test::readRequestHead(socket); !head.empty(); head = test::readRequestHead(socket)) {
+            if (head.find("/kv/export") != std::string::npos) {
+                ++exports;
+                write(socket, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
             ++requests;
             std::string answer = "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nContent-Type: text/event-stream\r\nX-Request-Id: ";
             answer += test::headerIn(head, "X-Request-Id") + (chunked ? "\r\nTransfer-Encoding: chunked\r\n\r\n" : "\r\nConnection: close\r\n\r\n");
@@ -90,6 +95,7 @@
     std::uint64_t pauseAfter = endless; // events, until goesOn
     std::atomic<bool> goesOn{false};
     std::atomic<int> requests{0};
+    std::atomic<int> exports{0};        // calls for a KV cache, which the platform's endpoints don't know
     std::atomic<std::uint64_t> sent{0}; // events of the newest answer
     raw_endpoint endpoint{[this](tcp::socket &socket) {
         talk(socket);
@@ -269,3 +275,27 @@
         cr_assert_eq(caller.events, events);
     }
 }
+
+// The answer to such a call had no limit, and nobody expects it there. The stream goes on at another endpoint without it.
+Test(endless_streams, a_stream_that_moves_asks_for_no_export_of_a_kv_cache)
+{
+    streaming_endpoint writer(endless);
+    writer.pauseAfter = 1;
+    small_deployment all;
+    all.start();
+    onlyWriter(all, writer.endpoint);
+    counting_caller caller(all.routers.front()->gateway());
+    caller.ask("/chat/1", "moves-1");
+    cr_assert(eventually([&] { return writer.sent == 1; }));
+    all.store.put("servers/writer-1", all.writer1.entry("writer", "west-1"));
+    cr_assert(eventually([&] { return !all.routers.front()->isLeaving("writer-1"); }));
+    nlohmann::json entry = nlohmann::json::parse(writer.endpoint.entry("writer"));
+    entry["State"] = "draining";
+    entry["Spot"] = true;
+    entry["leaves_ms"] = 5000;
+    all.store.put("servers/raw-writer", entry.dump());
+    caller.readAll();
+    cr_assert(caller.isWhole());
+    cr_assert_eq(all.runsOf("moves-1"), 1, "the stream did not move");
+    cr_assert_eq(writer.exports.load(), 0);
+}
