What callers send ahead, and what can't be parsed yet, counts in the bound on request bodies

While a request was answered, what its caller sent ahead was read into the connection's buffer up to the largest body and head, and so was a line for a chunk's size, without a place in the bound on request bodies; the buffer kept its size for the connection's life.

Change: beyond 4 KiB such bytes need room as bodies do; without it the connection is not read on until its request is answered (requests sent ahead), or the request is refused as overloaded. The buffer gives its memory back.

--- a/src/shell/http_connection.h
+++ b/src/shell/http_connection.h
@@ -311,6 +311,7 @@
         }
         m_requestArriving = false;
         m_started = false;
+        releaseUnparsed();
         if (!hasRoom) {
             co_return co_await refuse(error_kind::Overloaded, "the bodies of the requests in progress leave no room for this one");
         }
@@ -324,11 +325,39 @@
         co_return read_result::Request;
     }
 
-    // Whether there is room for the request's body: all of it where its length is known, and else what has arrived.
+    // Whether there is room for so many bytes that are received and not parsed: requests sent ahead, or the line with a chunk's size.
+    bool findUnparsedRoom(std::size_t bytes)
+    {
+        if (bytes <= readAheadBytes) {
+            return true;
+        }
+        if (!m_unparsedShare.has_value()) {
+            m_unparsedShare.emplace(m_limits.requestBytes);
+        }
+        return m_unparsedShare->tryGrowTo(bytes);
+    }
+
+    // Gives back what the buffer no longer holds.
+    void releaseUnparsed()
+    {
+        if (!m_unparsedShare.has_value()) {
+            return;
+        }
+        m_buffer.shrink_to_fit();
+        m_unparsedShare->set(m_buffer.size());
+        if (m_buffer.size() == 0) {
+            m_unparsedShare.reset();
+        }
+    }
+
+    // Whether there is room for the request's body: all of it where its length is known, and else what has arrived. And for what can't be parsed yet.
     bool findRoom(const http::request_parser<http::string_body> &parser)
     {
         const std::uint64_t length = parser.content_length().value_or(0);
         const std::size_t bytes = std::max<std::size_t>(length, parser.get().body().size());
+        if (!findUnparsedRoom(m_buffer.size())) {
+            return false;
+        }
         if (bytes == 0) {
             return true;
         }
@@ -445,7 +474,7 @@
             [self = shared_from_this(), generation = m_watchGeneration](beast::error_code code) { self->onReadable(generation, code); });
     }
 
-    // Pipelined requests are buffered, up to a limit: the caller's close becomes visible only after they have been read.
+    // Pipelined requests are buffered, up to a limit and while there is room: the caller's close becomes visible only after they have been read.
     void onReadable(std::uint64_t generation, beast::error_code code)
     {
         if (generation != m_watchGeneration || !m_onDisconnect || code == asio::error::operation_aborted) {
@@ -453,7 +482,7 @@
         }
         beast::error_code fault;
         m_stream.socket().non_blocking(true, fault);
-        while (!fault && m_buffer.size() < maxUnreadBytes()) {
+        while (!fault && m_buffer.size() < maxUnreadBytes() && findUnparsedRoom(m_buffer.size() + readAheadBytes)) {
             const std::size_t got = m_stream.socket().read_some(m_buffer.prepare(readAheadBytes), fault);
             m_buffer.commit(got);
         }
@@ -480,8 +509,9 @@
     std::optional<http::request_parser<http::string_body>> m_parser; // of the request being received, or of the latest one
     std::shared_ptr<http_connection_set> m_connections;
     http_server_limits m_limits;
-    std::optional<byte_share> m_bodyShare; // of m_limits.requestBytes, for the body of the request being received or answered
-    time_point m_requestExpectedUntil;     // not idle until then: the connection is new, or a response of a server that stops kept it open
+    std::optional<byte_share> m_bodyShare;     // of m_limits.requestBytes, for the body of the request being received or answered
+    std::optional<byte_share> m_unparsedShare; // the same, for m_buffer while it holds more than readAheadBytes
+    time_point m_requestExpectedUntil;         // not idle until then: the connection is new, or a response of a server that stops kept it open
     std::function<void()> m_onDisconnect;
     std::uint64_t m_watchGeneration = 0; // incremented per watch, so that callbacks of earlier watches are ignored
     unsigned m_version = 11;
--- a/tests/unit/slow_readers.cpp
+++ b/tests/unit/slow_readers.cpp
@@ -8,6 +8,8 @@
 
 #include <criterion/criterion.h>
 
+#include <boost/asio/read.hpp>
+
 #include <poll.h>
 
 #include <array>
@@ -204,8 +206,6 @@
     cr_assert(eventually([&] { return metric(all, "chicoryrouter_unread_bytes") == 0.0; }));
 }
 
-namespace {
-
 // Guards against bytes of unfinished events that nobody counts: each is held until its event is whole.
 Test(slow_readers, events_that_do_not_get_whole_count)
 {
@@ -242,6 +242,8 @@
     cr_assert(eventually([&] { return metric(all, "chicoryrouter_unread_bytes") == 0.0; }));
 }
 
+namespace {
+
 nlohmann::json withLargeBodies()
 {
     nlohmann::json configuration = hostedConfiguration();
@@ -326,3 +328,97 @@
     const auto fits = all.ask("POST", "/chat/1", "fits", {{"X-Token-Usage", "900,100"}});
     cr_assert_eq(fits.response.status, 200);
 }
+
+namespace {
+
+// Answers each request, once its body has come, after a pause.
+void answerAfterPause(tcp::socket &socket, duration pause)
+{
+    std::string received;
+    boost::system::error_code code;
+    while (!code) {
+        const std::size_t headBytes = asio::read_until(socket, asio::dynamic_buffer(received), "\r\n\r\n", code);
+        if (code) {
+            return;
+        }
+        const std::string head = received.substr(0, headBytes);
+        const std::size_t whole = headBytes + std::stoul("0" + test::headerIn(head, "Content-Length"));
+        if (received.size() < whole) {
+            asio::read(socket, asio::dynamic_buffer(received), asio::transfer_exactly(whole - received.size()), code);
+        }
+        received.erase(0, whole);
+        std::this_thread::sleep_for(pause);
+        const std::string answer = "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nContent-Length: 2\r\nX-Request-Id: " + test::headerIn(head, "X-Request-Id");
+        asio::write(socket, asio::buffer(answer + "\r\n\r\nok"), code);
+    }
+}
+
+void onlyShop(small_deployment &all, const raw_endpoint &shop)
+{
+    all.store.put("servers/raw-shop", shop.entry("shop"));
+    for (const char *other : {"shop-1", "shop-2"}) {
+        all.store.remove(std::string("servers/") + other);
+    }
+    cr_assert(eventually([&] { return all.routers.front()->isLeaving("shop-2") && all.routers.front()->usableEndpointCount() == 3; }));
+}
+
+} // namespace
+
+// Guards against requests that callers send ahead while another is answered, which were read into the connection's buffer and not counted.
+Test(slow_readers, requests_sent_ahead_count)
+{
+    raw_endpoint shop([](tcp::socket &socket) { answerAfterPause(socket, 2s); });
+    small_deployment all(withLargeBodies());
+    all.start();
+    onlyShop(all, shop);
+    constexpr int callers = 50;
+    const std::string body(2 * mebibyte - 1, 'b');
+    const double before = residentBytes();
+    std::vector<std::thread> sending;
+    std::atomic<bool> over{false};
+    for (int i = 0; i < callers; ++i) {
+        sending.emplace_back([&, i] {
+            socket_caller caller;
+            if (caller.connect(all.routers.front()->gateway()) && caller.send(requestText("POST", "/order/1", "first-" + std::to_string(i), ""))) {
+                caller.send(requestText("POST", "/order/1", "ahead-" + std::to_string(i), "", body.size()));
+                caller.send(body); // ends when the caller's own time for sending is over, or with the connection
+            }
+            while (!over) {
+                std::this_thread::sleep_for(10ms);
+            }
+        });
+    }
+    double growth = 0.0;
+    const time_point until = systemNow() + 1800ms;
+    while (systemNow() < until) {
+        growth = std::max(growth, residentBytes() - before);
+        std::this_thread::sleep_for(2ms);
+    }
+    const double counted = metric(all, "chicoryrouter_unread_request_bytes");
+    over = true;
+    for (std::thread &item : sending) {
+        item.join();
+    }
+    cr_expect_gt(counted, 0.0, "nothing is counted");
+    cr_expect_lt(growth, maxGrowth, "the process has grown by %.0f bytes", growth);
+    cr_expect(eventually([&] { return metric(all, "chicoryrouter_unread_request_bytes") == 0.0; }));
+}
+
+// The other side: where there is room, a request sent ahead is answered behind the first.
+Test(slow_readers, a_large_request_sent_ahead_is_answered)
+{
+    raw_endpoint shop([](tcp::socket &socket) { answerAfterPause(socket, 300ms); });
+    small_deployment all(withLargeBodies());
+    all.start();
+    onlyShop(all, shop);
+    const std::string body(mebibyte, 'b');
+    socket_caller caller;
+    cr_assert(caller.connect(all.routers.front()->gateway()));
+    cr_assert(caller.send(requestText("POST", "/order/1", "first", "")));
+    cr_assert(caller.send(requestText("POST", "/order/1", "ahead", "", body.size()) + body));
+    for (int i = 0; i < 2; ++i) {
+        const test::socket_answer answer = caller.readAnswer();
+        cr_assert_eq(answer.status, 200, "answer %d: %s", i, answer.text().c_str());
+    }
+    cr_assert(eventually([&] { return metric(all, "chicoryrouter_unread_request_bytes") == 0.0; }));
+}
