Copies of other daemons' requests have a bound and are forgotten

A copy at a peer was freed only by its owner's drop or death: a drop that was lost left it for good, and nothing bounded their number or bytes. A fetched answer over 4 MiB was refused by its receiver each time.

Change: copies count in the pool of kept answers; without room the owner asks another peer; a copy without an update for 30 minutes is forgotten. A reply to a fetch has 1 MiB of tokens and the rest follows.

Forgetting and the fetch: by reading.

--- a/src/shell/copy_manager.cpp
+++ b/src/shell/copy_manager.cpp
@@ -27,9 +27,22 @@
 
 constexpr duration copyTimeout = 300ms; // per call to one peer
 constexpr std::size_t maxPeersTried = 3;
+constexpr duration copyRetention = 30min; // of a copy of another daemon's request, from its last update, where its owner never drops it
+constexpr duration expiryInterval = 1s;
+constexpr std::size_t maxReplyBytes = 1024 * 1024;      // of tokens in one reply to a fetch; the rest follows with the next
 constexpr duration fetchPollTimeout = 2s;               // a peer holds a fetch open for this long while it waits for more tokens
 constexpr std::string_view needsFullCopy = "needs-all"; // reply of a receiver that lacks the earlier tokens or the payload
 
+// Memory of a held copy.
+std::size_t bytesOf(const request_snapshot &snapshot)
+{
+    std::size_t bytes = snapshot.payload.prompt.size() + snapshot.payload.body.size();
+    for (const std::string &token : snapshot.tokens) {
+        bytes += token.size() + sizeof(token);
+    }
+    return bytes;
+}
+
 std::string pack(const json &value)
 {
     const auto packed = json::to_msgpack(value);
@@ -223,22 +236,31 @@
     std::optional<request_snapshot> toResume;
     {
         const std::lock_guard guard(m_lock);
+        forgetExpiredCopies(systemNow());
         const auto found = m_heldCopies.find(snapshot->id);
         const bool isFullCopy = !snapshot->payload.prompt.empty() && snapshot->firstToken == 0;
-        const bool extendsCopy = found != m_heldCopies.end() && found->second.tokens.size() >= snapshot->firstToken;
+        const bool extendsCopy = found != m_heldCopies.end() && found->second.request.tokens.size() >= snapshot->firstToken;
         if (!isFullCopy && !extendsCopy) {
             co_return std::string(needsFullCopy);
         }
+        held_copy &copy = m_heldCopies.try_emplace(snapshot->id, m_host.keptBytes).first->second;
         if (isFullCopy) {
-            m_heldCopies[snapshot->id] = *snapshot;
+            copy.request = *snapshot;
         } else {
-            std::vector<std::string> &tokens = found->second.tokens;
+            std::vector<std::string> &tokens = copy.request.tokens;
             tokens.resize(snapshot->firstToken);
             tokens.insert(tokens.end(), snapshot->tokens.begin(), snapshot->tokens.end());
         }
+        copy.forgetAt = systemNow() + copyRetention;
+        const std::size_t bytes = bytesOf(copy.request);
         if (snapshot->takeOver) {
-            toResume = std::move(m_heldCopies[snapshot->id]);
+            toResume = std::move(copy.request);
+            m_heldCopies.erase(snapshot->id);
+        } else if (copy.bytes.mayHave(bytes)) {
+            copy.bytes.set(bytes);
+        } else {
             m_heldCopies.erase(snapshot->id);
+            co_return std::nullopt; // the owner asks another peer
         }
     }
     if (toResume) {
@@ -260,11 +282,11 @@
     {
         const std::lock_guard guard(m_lock);
         for (auto item = m_heldCopies.begin(); item != m_heldCopies.end();) {
-            if (std::find(goneInstances.begin(), goneInstances.end(), item->second.owner) == goneInstances.end()) {
+            if (std::find(goneInstances.begin(), goneInstances.end(), item->second.request.owner) == goneInstances.end()) {
                 ++item;
                 continue;
             }
-            orphans.push_back(std::move(item->second));
+            orphans.push_back(std::move(item->second.request));
             item = m_heldCopies.erase(item);
         }
     }
@@ -273,6 +295,15 @@
     }
 }
 
+void copy_manager::forgetExpiredCopies(time_point now)
+{
+    if (now < m_nextExpiry) {
+        return;
+    }
+    m_nextExpiry = now + expiryInterval;
+    std::erase_if(m_heldCopies, [now](const auto &item) { return item.second.forgetAt <= now; });
+}
+
 void copy_manager::resumeRequest(request_snapshot snapshot)
 {
     asio::post(m_workers.nextContext(), [this, resumed = std::move(snapshot)]() mutable {
@@ -317,7 +348,7 @@
         {
             const std::lock_guard guard(m_lock);
             const auto found = m_heldCopies.find(id);
-            isHeld = found != m_heldCopies.end() && found->second.account == account;
+            isHeld = found != m_heldCopies.end() && found->second.request.account == account;
         }
         const json notServedHere = {{"known", isHeld}, {"over", false}, {"failed", false}, {"failure", 0}, {"tokens", json::array()}};
         co_return pack(notServedHere);
@@ -328,11 +359,16 @@
     while (known && session->readable() <= from && !session->isOver() && systemNow() < deadline) {
         co_await session->waitForChangeUntil(deadline);
     }
-    json reply = {{"known", known}, {"over", session->isOver()}, {"failed", session->failed()}, {"failure", static_cast<int>(session->failure())},
-        {"tokens", json::array()}};
-    for (std::uint32_t i = from; known && i < session->readable(); ++i) {
-        reply["tokens"].push_back(std::string(session->token(i)));
+    json tokens = json::array();
+    std::size_t bytes = 0;
+    std::uint32_t next = from;
+    for (; known && next < session->readable() && bytes < maxReplyBytes; ++next) {
+        tokens.push_back(std::string(session->token(next)));
+        bytes += session->token(next).size();
     }
+    const bool over = session->isOver() && (!known || next >= session->readable());
+    json reply = {{"known", known}, {"over", over}, {"failed", session->failed()}, {"failure", static_cast<int>(session->failure())}};
+    reply["tokens"] = std::move(tokens);
     co_await asio::dispatch(callingExecutor, asio::use_awaitable);
     co_return pack(reply);
 }
--- a/src/shell/copy_manager.h
+++ b/src/shell/copy_manager.h
@@ -40,6 +40,19 @@
     bool takeOver = false; // the receiver must work on the request from now on
 };
 
+// A copy of another daemon's request.
+struct held_copy
+{
+    explicit held_copy(std::shared_ptr<byte_pool> pool)
+        : bytes(std::move(pool))
+    {
+    }
+
+    request_snapshot request; // with its payload and all tokens from the first
+    time_point forgetAt{};    // unless there is an update before: the owner's drop may have been lost
+    byte_share bytes;
+};
+
 std::string encodeSnapshot(const request_snapshot &snapshot);
 std::optional<request_snapshot> decodeSnapshot(const std::string &bytes);
 
@@ -71,13 +84,15 @@
     request_snapshot snapshotOf(const request_session &session, std::uint32_t from, std::uint32_t to, bool withPayload) const;
     std::vector<member_info> candidates(const std::string &requestId) const;
     void resumeRequest(request_snapshot snapshot);
+    void forgetExpiredCopies(time_point now); // call with the lock held
 
     request_host &m_host;
     gateway &m_gateway;
     worker_pool &m_workers;
     mutable std::mutex m_lock;
-    std::map<std::string, member_info> m_copyHolders;     // id of a request of this daemon -> the peer that holds its copy
-    std::map<std::string, request_snapshot> m_heldCopies; // by id; other daemons' requests, each with its payload and all tokens from the first
+    std::map<std::string, member_info> m_copyHolders; // id of a request of this daemon -> the peer that holds its copy
+    std::map<std::string, held_copy> m_heldCopies;    // by request id
+    time_point m_nextExpiry{};                        // when to look for copies to forget
 };
 
 } // namespace chicoryrouter
