Every HTTP call states how long its answer may be

Change: the limit has no default; reports and answers of a few figures have 64 KiB, the list of instances 4 MiB.

Calls in tests and benchmarks name the 8 MiB that they had.

--- a/bench/bench_daemon.cpp
+++ b/bench/bench_daemon.cpp
@@ -147,7 +147,7 @@
                 while (systemNow() < end) {
                     const time_point begin = systemNow();
                     http_call call = stockCall();
-                    const http_response response = co_await client.call(where, std::move(call), end + 5s);
+                    const http_response response = co_await client.call(where, std::move(call), end + 5s, 8 * 1024 * 1024);
                     if (response.status == 200) {
                         millis.push_back(std::chrono::duration<double, std::milli>(systemNow() - begin).count());
                     }
--- a/src/shell/http.h
+++ b/src/shell/http.h
@@ -173,6 +173,8 @@
     time_point deadline{};  // for the whole body, even if data keeps arriving
 };
 
+inline constexpr std::size_t maxShortAnswerBytes = 64 * 1024; // for calls whose answer is a status or a few figures
+
 // HTTP client with a pool of keep-alive connections. Use it from one thread only.
 class http_client
 {
@@ -181,9 +183,9 @@
     ~http_client();
 
     // Sends a request and reads the whole response. `deadline` covers connecting, sending and reading; with `bodyTimeouts`, reading the body
-    // may continue past it. A body over `maxBytes` fails the call. Throws http_failure.
+    // may continue past it. A body over `maxBytes` fails the call; choose what this answer needs, since any server may send more. Throws http_failure.
     boost::asio::awaitable<http_response> call(
-        address destination, http_call request, time_point deadline, std::size_t maxBytes = 8 * 1024 * 1024, std::optional<body_timeouts> bodyTimeouts = {});
+        address destination, http_call request, time_point deadline, std::size_t maxBytes, std::optional<body_timeouts> bodyTimeouts = {});
 
     // Sends the request and reads the response headers. `forceNew` avoids pooled connections: a failure on one that the server closed
     // unnoticed cannot be told from a lost request. `onSending` is called before the first byte is sent. `deadline` also covers reading
--- a/src/shell/placement_loop.cpp
+++ b/src/shell/placement_loop.cpp
@@ -224,7 +224,7 @@
     bool answered = false;
     bool accepted = false;
     try {
-        const http_response response = co_await m_client.call(m_settings.cloud, std::move(call), systemNow() + callTimeout);
+        const http_response response = co_await m_client.call(m_settings.cloud, std::move(call), systemNow() + callTimeout, maxShortAnswerBytes);
         answered = true;
         accepted = response.status == 200;
     } catch (const http_failure &) {
--- a/src/shell/platform_client.cpp
+++ b/src/shell/platform_client.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr std::size_t maxInstanceListBytes = 4 * 1024 * 1024; // 1,000 instances take about 300 KB
+
 instance_record readInstance(const json &value)
 {
     instance_record record;
@@ -27,12 +29,12 @@
     return record;
 }
 
-asio::awaitable<std::optional<std::string>> fetchText(http_client &client, address serverAddress, std::string target, time_point deadline)
+asio::awaitable<std::optional<std::string>> fetchText(http_client &client, address serverAddress, std::string target, time_point deadline, std::size_t maxBytes)
 {
     http_call call;
     call.target = std::move(target);
     try {
-        http_response response = co_await client.call(std::move(serverAddress), std::move(call), deadline);
+        http_response response = co_await client.call(std::move(serverAddress), std::move(call), deadline, maxBytes);
         if (response.status == 200) {
             co_return std::move(response.body);
         }
@@ -76,12 +78,12 @@
 
 asio::awaitable<std::optional<std::string>> fetchInstanceText(http_client &client, address platformAddress, time_point deadline)
 {
-    co_return co_await fetchText(client, std::move(platformAddress), "/instances", deadline);
+    co_return co_await fetchText(client, std::move(platformAddress), "/instances", deadline, maxInstanceListBytes);
 }
 
 asio::awaitable<std::optional<load_report>> fetchLoadReport(http_client &client, endpoint_ptr target, time_point deadline)
 {
-    const std::optional<std::string> text = co_await fetchText(client, target->listenAddress, "/load", deadline);
+    const std::optional<std::string> text = co_await fetchText(client, target->listenAddress, "/load", deadline, maxShortAnswerBytes);
     co_return text ? decodeLoadReport(target->id, *text) : std::nullopt;
 }
 
--- a/tests/unit/http_client.cpp
+++ b/tests/unit/http_client.cpp
@@ -56,7 +56,7 @@
     for (int i = 0; i < times; ++i) {
         try {
             http_call call;
-            const http_response response = co_await client.call(where, std::move(call), systemNow() + within);
+            const http_response response = co_await client.call(where, std::move(call), systemNow() + within, 8 * 1024 * 1024);
             bodies.push_back(response.body);
         } catch (const http_failure &) {
             bodies.emplace_back("failed");
@@ -287,7 +287,7 @@
         http_call call;
         call.method = "POST";
         call.body = std::string(16 * 1024 * 1024, 'u'); // more than the kernel takes from a writer whose peer doesn't read
-        const http_response response = co_await client.call(where, std::move(call), systemNow() + 5s);
+        const http_response response = co_await client.call(where, std::move(call), systemNow() + 5s, 8 * 1024 * 1024);
         body = response.body;
     } catch (const http_failure &) {
         body = "failed";
