--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -144,7 +144,8 @@
     if (forgetsReadTokens()) {
         m_tokens.forgetBefore(m_hasReaders ? m_readUpTo : m_tokens.size());
     }
-    m_held.set(m_tokens.heldBytes());
+    const bool countedAsRetired = m_closed && m_host.keepsAnswers; // also while callers still read it
+    m_held.set(countedAsRetired ? 0 : m_tokens.heldBytes());
 }
 
 void request_session::addToken(std::string token)
@@ -527,7 +528,7 @@
     notifyReaders();
     if (m_host.keepsAnswers) {
         m_host.retire(shared_from_this(), m_tokens.heldBytes() + m_payload.prompt.size() + m_payload.body.size());
-        m_held.set(0); // from now on it is counted among the retired requests
+        countHeld();
     } else {
         m_host.retire(shared_from_this(), 0);
     }
--- a/tests/unit/daemons.cpp
+++ b/tests/unit/daemons.cpp
@@ -243,12 +243,16 @@
     const std::string text = all.at(0).metricsText();
     const std::string name = "chicoryrouter_tokens_total ";
     tokens = std::stoull(text.substr(text.find(name) + name.size()));
+    const std::string kept = "chicoryrouter_kept_answer_bytes ";
+    cr_expect_gt(std::stod(text.substr(text.find(kept) + kept.size())), 0.0, "an answer in progress isn't counted");
     cr_expect_lt(tokens, 29000, "%lu tokens were taken from the engine although nobody reads", static_cast<unsigned long>(tokens));
     std::string answer;
     boost::system::error_code code;
     boost::asio::read(socket, boost::asio::dynamic_buffer(answer), code);
     cr_expect(answer.find("[DONE]") != std::string::npos);
     cr_expect(answer.find("id: 29999\n") != std::string::npos);
+    cr_expect(test::eventually([&] { return all.at(0).metricsText().find("chicoryrouter_kept_answer_bytes 0\n") != std::string::npos; }),
+        "an answer that has ended still counts among those in progress");
 }
 
 // ---- Calls that run at most once -------------------------------------------------------------------------------------------------------
