--- a/bench/pass_through.h
+++ b/bench/pass_through.h
@@ -32,7 +32,7 @@
         call.method = exchange.request.method;
         call.target = exchange.request.path;
         call.body = exchange.request.body;
-        http_response response = co_await client->call(m_to, std::move(call), noDeadline);
+        http_response response = co_await client->call(m_to, std::move(call), noDeadline, 8 * 1024 * 1024);
         co_await exchange.respond(response.status, std::string(findHeader(response.headers, "Content-Type")), std::move(response.body));
     }
 
