--- a/src/shell/copy_manager.cpp
+++ b/src/shell/copy_manager.cpp
@@ -38,7 +38,7 @@
 {
     std::size_t bytes = snapshot.payload.prompt.size() + snapshot.payload.body.size();
     for (const std::string &token : snapshot.tokens) {
-        bytes += token.size() + sizeof(token);
+        bytes += token.size() + sizeof(std::string);
     }
     return bytes;
 }
@@ -322,7 +322,7 @@
         facts.alreadyDelivered = static_cast<std::uint32_t>(resumed.tokens.size());
         logEvent(log_event::TakenOver, {{"request", resumed.id}, {"from", resumed.owner}, {"pieces", resumed.tokens.size()}});
         const auto session = std::make_shared<request_session>(m_host, gateway::currentThread(), std::move(facts), std::move(resumed.payload));
-        session->begin(std::move(resumed.tokens));
+        session->begin(resumed.tokens);
         session->markWithoutReaders();
     });
 }
--- a/src/shell/request_session.cpp
+++ b/src/shell/request_session.cpp
@@ -47,7 +47,7 @@
 {
 }
 
-void request_session::begin(std::vector<std::string> deliveredTokens)
+void request_session::begin(const std::vector<std::string> &deliveredTokens)
 {
     if (m_machine.isOver()) {
         return; // its caller has left
--- a/src/shell/request_session.h
+++ b/src/shell/request_session.h
@@ -30,7 +30,7 @@
     request_session(request_host &host, request_thread &thread, request_facts facts, request_payload payload);
 
     // Call once, after onCallerGone() if the caller has left already. `deliveredTokens`: received from the previous owner.
-    void begin(std::vector<std::string> deliveredTokens = {});
+    void begin(const std::vector<std::string> &deliveredTokens = {});
 
     // ---- For readers, on the session's thread
     [[nodiscard]] std::uint32_t readable() const; // number of tokens that may be sent to callers
